Prove spreading, replacement, orders and engine faults, in virtual time and over loopback

Cause: configuration, membership and the parts that meet real connections were not yet shown under failure.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.BooleanSupplier;
 
 import org.apricotstack.adapters.json.KeyDigests;
@@ -44,8 +45,8 @@
     private final StandInService.Ledger ledger = new StandInService.Ledger();
     private final Map<String, StandInEngine> engines = new LinkedHashMap<>();
     private final Map<String, StandInService> replicas = new LinkedHashMap<>();
-    private final Map<String, Router> routers = new LinkedHashMap<>();
-    private final Map<String, String> dataCentreOfRouter = new LinkedHashMap<>();
+    private final Map<String, Router> routers = new ConcurrentSkipListMap<>();
+    private final Map<String, String> dataCentreOfRouter = new ConcurrentSkipListMap<>();
     private long incarnations = 1;
 
     /**
@@ -139,6 +140,20 @@
         platform.publish(ReplicationTopic.ROSTER, documents, List.of());
     }
 
+    /**
+     * Publishes a preset that is not in force, and waits until that version is in force on all routers.
+     *
+     * @param key the key of the preset's document
+     * @return the version
+     */
+    public long publishAndAwait(String key) {
+        String preset = "{\"slowdownWeight\":0.5,\"shortShare\":0.2}";
+        long version = platform.publish(ReplicationTopic.CONFIGURATION, Map.of(key, preset), List.of());
+        await("version " + version + " is in force", () -> routers.values().stream()
+                .allMatch(router -> router.configurationVersion() >= version));
+        return version;
+    }
+
     /**
      * Kills a router without a word; it stays on the roster.
      *
@@ -149,12 +164,17 @@
     }
 
     /**
-     * Removes a router that has ended from this deployment; it stays on the roster.
+     * Stops a router gracefully and removes it from the roster when it has ended.
      *
      * @param name its host
      */
-    public void removeRouter(String name) {
-        routers.remove(name).close();
+    public void retireRouter(String name) {
+        Router router = routers.get(name);
+        router.drain();
+        router.ended().block(MOST_WAIT);
+        router.close();
+        routers.remove(name);
+        platform.publish(ReplicationTopic.ROSTER, Map.of(), List.of("routers/" + name));
     }
 
     /**
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
@@ -235,6 +235,20 @@
         return state.revision();
     }
 
+    /**
+     * Gives the engine an order as any sender could, whether it is the owner or not.
+     *
+     * @param order the order as JSON
+     * @return whether the engine took it
+     */
+    public boolean giveOrder(String order) {
+        try {
+            return state.order(Json.STRICT.readTree(order));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("The order is no JSON.", e);
+        }
+    }
+
     /**
      * Returns the fencing numbers of the orders that were taken, in order.
      *
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/platform/StandInPlatform.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/platform/StandInPlatform.java
@@ -29,6 +29,7 @@
 
     private final Map<ReplicationTopic, DocumentSet> sets = new EnumMap<>(ReplicationTopic.class);
     private final Map<ReplicationTopic, DocumentSet> frozen = new EnumMap<>(ReplicationTopic.class);
+    private final Map<ReplicationTopic, DocumentSet> remembered = new EnumMap<>(ReplicationTopic.class);
     private final Sinks.Many<Long> changes = Sinks.many().replay().latestOrDefault(0L);
     private final AtomicLong calls = new AtomicLong();
     private final DisposableServer server;
@@ -71,9 +72,14 @@
         return version;
     }
 
-    /** Serves from now on what is published now, whatever is published later. */
-    public synchronized void freeze() {
-        frozen.putAll(sets);
+    /** Remembers what is published now, to serve it later as a stale platform does. */
+    public synchronized void remember() {
+        remembered.putAll(sets);
+    }
+
+    /** Serves from now on what was remembered. */
+    public synchronized void freezeAsRemembered() {
+        frozen.putAll(remembered);
     }
 
     /** Serves what is published. */
--- /dev/null
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -0,0 +1,258 @@
+package org.apricotstack.bench.deployment;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import org.apricotstack.bench.engine.EngineFaults.Fault;
+import org.apricotstack.bench.engine.EngineSpeed;
+import org.apricotstack.bench.replay.Replay;
+import org.apricotstack.bench.replay.ReplayCaller;
+import org.apricotstack.bench.replay.ReplayOutcome;
+import org.apricotstack.bench.replay.ReplayResult;
+import org.apricotstack.bench.trace.TraceGenerator;
+import org.apricotstack.bench.trace.TraceOptions;
+import org.apricotstack.bench.trace.TraceRecord;
+import org.apricotstack.core.replication.ReplicationTopic;
+import org.apricotstack.router.Router;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A whole deployment over loopback TCP, with faults of engines, of the platform and of routers. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class LoopbackFaultsTest {
+
+    private static final DeploymentShape SHAPE =
+            new DeploymentShape("test", List.of("dc-a", "dc-b"), List.of(2, 2), 1, 2, 4, 0.5);
+    private static final EngineSpeed SPEED = new EngineSpeed(400_000, 4_096, 2_000, 5, 60);
+    private static final Duration MOST_WAIT = Duration.ofSeconds(70);
+
+    private LocalDeployment deployment;
+
+    @BeforeAll
+    void start() {
+        deployment = new LocalDeployment(SHAPE, SPEED, 1);
+    }
+
+    @AfterAll
+    void stop() {
+        deployment.close();
+    }
+
+    @AfterEach
+    void endFaults() {
+        deployment.engines().values().forEach(engine -> engine.faults().active().forEach(engine.faults()::end));
+        deployment.replicas().values().forEach(replica -> replica.faults()
+                .active()
+                .forEach(replica.faults()::end));
+    }
+
+    private List<ReplayResult> replay(long seed, int requests, double perSecond, double plainShare) {
+        List<TraceRecord> trace = TraceGenerator.generate(new TraceOptions(
+                seed,
+                requests,
+                perSecond,
+                0.02,
+                300_000,
+                0.3,
+                plainShare,
+                SHAPE.accountNames(),
+                DeploymentDocuments.SERVICES));
+        try (ReplayCaller caller = new ReplayCaller(deployment.entries(), MOST_WAIT)) {
+            return Replay.run(trace, caller, 1, result -> {});
+        }
+    }
+
+    private static List<ReplayResult> notCompleted(List<ReplayResult> results) {
+        return results.stream()
+                .filter(result -> result.outcome() != ReplayOutcome.COMPLETED)
+                .toList();
+    }
+
+    /**
+     * Symptom: a caller gets an answer that is cut, mixed up or late, or an engine keeps memory for nobody.
+     *
+     * <p>Sequence of events: one engine of each data centre has the fault while requests flow.
+     *
+     * <p>Cause to be excluded: trust in the end of a connection as the end of an answer, and in cancelling as
+     * release.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"CUT", "CROSSED", "SILENT_STREAMS", "LEAKING", "LEAVING"})
+    void answersWholeWhileOneEngineOfEachDataCentreIsFaulty(Fault fault) {
+        deployment.engines().get("engine-dc-a-1").faults().start(fault);
+        deployment.engines().get("engine-dc-b-1").faults().start(fault);
+        List<ReplayResult> results = replay(fault.ordinal(), 60, 40, 0);
+        assertThat(notCompleted(results)).isEmpty();
+        endFaults();
+        LocalDeployment.await("no engine holds memory", () -> deployment.heldTokens() == 0);
+    }
+
+    /**
+     * Symptom: a call that must not be repeated runs twice.
+     *
+     * <p>Sequence of events: replicas run the call and die before they answer; callers ask again with the same
+     * ticket at other routers.
+     */
+    @Test
+    void runsAtMostOnceWhatMustNotBeRepeated() {
+        deployment.replicas().get("replica-dc-a-1").faults().start(Fault.DIES_AFTER_RUN);
+        List<ReplayResult> results = replay(21, 40, 40, 1);
+        assertThat(deployment.ledger().mostRuns()).isEqualTo(1);
+        assertThat(results)
+                .allMatch(result ->
+                        result.outcome() == ReplayOutcome.COMPLETED || result.outcome() == ReplayOutcome.UNKNOWN);
+        assertThat(results)
+                .filteredOn(result -> result.outcome() == ReplayOutcome.UNKNOWN)
+                .isNotEmpty()
+                .allMatch(result -> deployment
+                                .ledger()
+                                .runs("call-" + result.record().hashIds().get(0))
+                        == 1);
+    }
+
+    /**
+     * Symptom: an upstream that leaves still gets work.
+     *
+     * <p>Sequence of events: the roster lists one engine of each data centre as leaving.
+     */
+    @Test
+    void givesNoNewWorkToAnEngineThatIsListedAsLeaving() {
+        deployment
+                .platform()
+                .publish(ReplicationTopic.ROSTER, Map.of("upstreams/engine-dc-a-2", "{\"leaving\":true}"), List.of());
+        long version = deployment.platform().version(ReplicationTopic.ROSTER);
+        LocalDeployment.await("the roster is in force", () -> deployment.routers().values().stream()
+                .allMatch(router -> router.rosterVersion() >= version));
+        long before = deployment.engines().get("engine-dc-a-2").runs();
+        assertThat(notCompleted(replay(22, 40, 40, 0))).isEmpty();
+        assertThat(deployment.engines().get("engine-dc-a-2").runs()).isEqualTo(before);
+        deployment.platform().publish(ReplicationTopic.ROSTER, Map.of(), List.of("upstreams/engine-dc-a-2"));
+    }
+
+    /**
+     * Symptom: an order of the operators does not reach an engine, or an old one undoes it.
+     *
+     * <p>Sequence of events: a new revision of the model is published; an engine that ignores fencing numbers then
+     * takes an old order, as from a router that woke late.
+     */
+    @Test
+    void bringsAllEnginesToThePublishedRevisionAndBackToIt() {
+        deployment
+                .platform()
+                .publish(
+                        ReplicationTopic.CONFIGURATION,
+                        Map.of("models/" + DeploymentDocuments.MODEL, DeploymentDocuments.model("r2")),
+                        List.of());
+        LocalDeployment.await("all engines load the new revision", () -> deployment.engines().values().stream()
+                .allMatch(engine -> engine.revision().equals("r2")));
+        String old = "{\"model\":\"general\",\"revision\":\"r1\",\"adapters\":[],\"role\":\"mixed\",\"fencing\":1}";
+        assertThat(deployment.engines().get("engine-dc-a-1").giveOrder(old)).isFalse();
+        assertThat(deployment.engines().get("engine-dc-a-2").giveOrder(old)).isTrue();
+        LocalDeployment.await(
+                "the engine that ignores fencing is ordered again",
+                () -> deployment.engines().get("engine-dc-a-2").revision().equals("r2"));
+    }
+
+    /**
+     * Symptom: a host that starts while the platform is down or stale refuses everything, or serves an old
+     * configuration.
+     *
+     * <p>Sequence of events: the platform serves an old version, then fails; a router starts with an empty memory.
+     */
+    @ParameterizedTest
+    @EnumSource(PlatformFault.class)
+    void startsFromPeersWhileThePlatformFails(PlatformFault fault) {
+        fault.start(deployment);
+        long version =
+                deployment.publishAndAwait("presets/extra-" + fault.name().toLowerCase(Locale.ROOT));
+        fault.strike(deployment);
+        Router fresh = deployment.startRouter("router-fresh-" + fault.ordinal(), "dc-a");
+        LocalDeployment.await("the fresh router serves", fresh::isServing);
+        assertThat(fresh.configurationVersion()).isEqualTo(version);
+        deployment.platform().setDown(false);
+        deployment.platform().unfreeze();
+        deployment.killRouter("router-fresh-" + fault.ordinal());
+    }
+
+    /** How the platform fails. */
+    enum PlatformFault {
+        /** Each call fails. */
+        DOWN,
+        /** An old version is served. */
+        STALE;
+
+        private void start(LocalDeployment deployment) {
+            if (this == STALE) {
+                deployment.platform().remember();
+            }
+        }
+
+        private void strike(LocalDeployment deployment) {
+            if (this == DOWN) {
+                deployment.platform().setDown(true);
+            } else {
+                deployment.platform().freezeAsRemembered();
+            }
+        }
+    }
+
+    /**
+     * Symptom: requests are cut, refused or lost while hosts are replaced.
+     *
+     * <p>Sequence of events: every router is replaced by a new one while requests flow; callers keep entry answers
+     * that name hosts which have left since.
+     */
+    @Test
+    void replacesEveryRouterUnderLoadWithoutCuttingARequest() {
+        Set<String> old = Set.copyOf(deployment.routers().keySet());
+        Mono<Void> replacement = Mono.fromRunnable(() -> {
+                    for (String name : old) {
+                        deployment.startRouter(name + "-new", name.contains("dc-a") ? "dc-a" : "dc-b");
+                        deployment.publishRoster();
+                        deployment.retireRouter(name);
+                    }
+                })
+                .subscribeOn(Schedulers.boundedElastic())
+                .then()
+                .cache();
+        replacement.subscribe();
+        List<ReplayResult> results = replay(23, 300, 20, 0.1);
+        replacement.block(MOST_WAIT);
+        assertThat(notCompleted(results)).isEmpty();
+        assertThat(deployment.routers().keySet()).doesNotContainAnyElementsOf(old);
+        assertThat(deployment.ledger().mostRuns()).isLessThanOrEqualTo(1);
+    }
+
+    /**
+     * Symptom: after the death of a router, requests that it only owned fail, hang, or leave engine memory behind.
+     *
+     * <p>Sequence of events: a router is killed under load and stays on the roster; requests that it had admitted
+     * lose their connection, all others are repeated at the next owner.
+     */
+    @Test
+    void endsAllRequestsOfOtherEntriesWhenARouterDies() {
+        String victim = deployment.routers().keySet().iterator().next();
+        Mono.delay(Duration.ofSeconds(1)).subscribe(over -> deployment.killRouter(victim));
+        List<ReplayResult> results = replay(24, 120, 40, 0.1);
+        assertThat(results)
+                .allMatch(result -> result.outcome() == ReplayOutcome.COMPLETED
+                        || result.code().equals("connection_lost")
+                        || result.code().equals("ticket_home_lost"));
+        assertThat(deployment.ledger().mostRuns()).isLessThanOrEqualTo(1);
+        LocalDeployment.await("no engine holds memory", () -> deployment.heldTokens() == 0);
+    }
+}
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FaultyNetwork.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FaultyNetwork.java
@@ -14,14 +14,15 @@
  * Connections between processes in virtual time: each has a delay, may be cut without a word, and dies with its
  * ends. A request may be delivered twice, as after a retry inside a library.
  */
-final class FaultyNetwork {
+public final class FaultyNetwork {
 
     private final VirtualTimeScheduler time;
     private final Random random;
     private final Set<String> cutLinks = new HashSet<>();
     private double duplicates;
 
-    FaultyNetwork(VirtualTimeScheduler time, Random random) {
+    /** Creates a network without faults. */
+    public FaultyNetwork(VirtualTimeScheduler time, Random random) {
         this.time = time;
         this.random = random;
     }
@@ -32,13 +33,13 @@
     }
 
     /** Cuts a link in both directions; what is sent is lost without a word. */
-    void cut(String a, String b) {
+    public void cut(String a, String b) {
         cutLinks.add(a + ">" + b);
         cutLinks.add(b + ">" + a);
     }
 
     /** Mends all links. */
-    void heal() {
+    public void heal() {
         cutLinks.clear();
     }
 
@@ -47,7 +48,7 @@
     }
 
     /** Runs a task at the receiver after the delay of the link, if the link is up and the receiver lives. */
-    void send(String from, String to, NodeScheduler receiver, Runnable task) {
+    private void send(String from, String to, NodeScheduler receiver, Runnable task) {
         long delay = 1 + random.nextInt(10);
         time.schedule(
                 () -> {
@@ -60,7 +61,7 @@
     }
 
     /** Makes a call whose answers come back as a flow. A receiver that has died breaks the connection. */
-    <E> Flux<E> call(FleetNode from, FleetNode to, Flux<E> work) {
+    public <E> Flux<E> call(NetworkNode from, NetworkNode to, Flux<E> work) {
         return Flux.create(sink -> {
             Call<E> call = new Call<>(from, to, sink);
             int copies = random.nextDouble() < duplicates ? 2 : 1;
@@ -79,14 +80,14 @@
      * @param <E> the type of its answers
      */
     private final class Call<E> {
-        private final FleetNode from;
-        private final FleetNode to;
+        private final NetworkNode from;
+        private final NetworkNode to;
         private final FluxSink<E> sink;
         private Disposable running;
         private boolean cancelled;
         private long nextSend;
 
-        private Call(FleetNode from, FleetNode to, FluxSink<E> sink) {
+        private Call(NetworkNode from, NetworkNode to, FluxSink<E> sink) {
             this.from = from;
             this.to = to;
             this.sink = sink;
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -49,7 +49,7 @@
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** One process of a seeded schedule: the real decisions of a router, with fake connections. */
-final class FleetNode {
+final class FleetNode implements NetworkNode {
 
     private final ProcessId process;
     private final SeededFleet fleet;
@@ -136,7 +136,8 @@
         table.heardFrom(other, 0);
     }
 
-    String name() {
+    @Override
+    public String name() {
         return process.host().value();
     }
 
@@ -144,7 +145,8 @@
         return process;
     }
 
-    NodeScheduler timer() {
+    @Override
+    public NodeScheduler timer() {
         return timer;
     }
 
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/NodeScheduler.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/NodeScheduler.java
@@ -9,19 +9,20 @@
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** The timer of one process in virtual time: its tasks wait while the process is paused, and are lost when it dies. */
-final class NodeScheduler implements Scheduler {
+public final class NodeScheduler implements Scheduler {
 
     private final VirtualTimeScheduler time;
     private final List<Runnable> held = new ArrayList<>();
     private boolean paused;
     private boolean dead;
 
-    NodeScheduler(VirtualTimeScheduler time) {
+    /** Creates the timer of a living process. */
+    public NodeScheduler(VirtualTimeScheduler time) {
         this.time = time;
     }
 
     /** Runs a task now, later, or never. */
-    void run(Runnable task) {
+    public void run(Runnable task) {
         if (dead) {
             return;
         }
@@ -33,12 +34,12 @@
     }
 
     /** Stops all tasks until {@link #resume()}. */
-    void pause() {
+    public void pause() {
         paused = true;
     }
 
     /** Runs what has waited, in its order. */
-    void resume() {
+    public void resume() {
         paused = false;
         List<Runnable> waiting = List.copyOf(held);
         held.clear();
@@ -46,12 +47,13 @@
     }
 
     /** Loses all tasks for good. */
-    void kill() {
+    public void kill() {
         dead = true;
         held.clear();
     }
 
-    boolean isDead() {
+    /** Tells whether the process is dead. */
+    public boolean isDead() {
         return dead;
     }
 
--- /dev/null
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/NeighbourNews.java
@@ -0,0 +1,39 @@
+package org.apricotstack.router;
+
+import java.util.function.Supplier;
+
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.membership.FailureDetector;
+import org.apricotstack.core.membership.MemberView;
+import org.apricotstack.core.membership.RosterHost;
+import org.apricotstack.core.membership.WatchRings;
+
+/** Tells news to all neighbours at once, so that it does not wait for the next probe of each. */
+final class NeighbourNews {
+
+    private final HostId self;
+    private final Supplier<MemberView> views;
+    private final FailureDetector detector;
+
+    /**
+     * Creates the news of a router.
+     *
+     * @param self this router
+     * @param views the picture of the routers
+     * @param detector sends the probes that carry news
+     */
+    NeighbourNews(HostId self, Supplier<MemberView> views, FailureDetector detector) {
+        this.self = self;
+        this.views = views;
+        this.detector = detector;
+    }
+
+    /** Probes all neighbours; one that does not answer gets the news from others. */
+    void tell() {
+        MemberView view = views.get();
+        for (HostId host : WatchRings.neighbours(view.roster().routers().keySet(), self)) {
+            RosterHost neighbour = view.roster().routers().get(host);
+            detector.probe(neighbour).subscribe(done -> {}, error -> {});
+        }
+    }
+}
--- a/apricotstack-router/src/main/java/org/apricotstack/router/PlatformWatcher.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/PlatformWatcher.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
 
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
@@ -47,6 +47,7 @@
     private final BooleanSupplier myTurn;
     private final Duration wait;
     private final Scheduler timer;
+    private final DoubleSupplier random;
     private final AtomicLong calls = new AtomicLong();
     private final AtomicLong failuresInRow = new AtomicLong();
     private Disposable loop;
@@ -59,7 +60,7 @@
      * @param replication takes what is read
      * @param myTurn whether this router is to watch now
      * @param wait longest wait of one call
-     * @param timer runs the pauses
+     * @param pauses timer and random source of the pauses
      */
     PlatformWatcher(
             PlatformDocuments platform,
@@ -67,15 +68,24 @@
             ReplicationService replication,
             BooleanSupplier myTurn,
             Duration wait,
-            Scheduler timer) {
+            Pauses pauses) {
         this.platform = platform;
         this.topic = topic;
         this.replication = replication;
         this.myTurn = myTurn;
         this.wait = wait;
-        this.timer = timer;
+        this.timer = pauses.timer();
+        this.random = pauses.random();
     }
 
+    /**
+     * What pauses are made of.
+     *
+     * @param timer runs them
+     * @param random spreads them, 0 to 1
+     */
+    record Pauses(Scheduler timer, DoubleSupplier random) {}
+
     /** Tells whether a router is one of those that watch for its data centre. */
     static boolean isWatcher(MemberView view, HostId self, DataCentreId dataCentre) {
         List<HostId> hosts =
@@ -86,8 +96,8 @@
     }
 
     /** Starts after a random part of a pause. */
-    void start(Duration longestPause, double random) {
-        Duration pause = Duration.ofMillis(Math.round(longestPause.toMillis() * random));
+    void start(Duration longestPause) {
+        Duration pause = Duration.ofMillis(Math.round(longestPause.toMillis() * random.getAsDouble()));
         loop = Mono.delay(pause, timer)
                 .thenMany(Mono.defer(this::round).repeat())
                 .subscribe(done -> {}, error -> {});
@@ -133,7 +143,7 @@
     private Mono<Void> pause() {
         long doublings = Math.min(failuresInRow.getAndIncrement(), 10);
         long most = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
-        long pause = most / 2 + ThreadLocalRandom.current().nextLong(most / 2 + 1);
+        long pause = most / 2 + Math.round(random.getAsDouble() * most / 2);
         return Mono.delay(Duration.ofMillis(pause), timer).then();
     }
 
--- a/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
@@ -133,9 +133,14 @@
         Duration pause = Duration.ofMillis(parts.settings.timings().startWaitMillis());
         for (ReplicationTopic topic : ReplicationTopic.values()) {
             PlatformWatcher watcher = new PlatformWatcher(
-                    platform, topic, parts.replication, this::isToWatch, wait, parts.runtime.timer());
+                    platform,
+                    topic,
+                    parts.replication,
+                    this::isToWatch,
+                    wait,
+                    new PlatformWatcher.Pauses(parts.runtime.timer(), ThreadLocalRandom.current()::nextDouble));
             watchers.add(watcher);
-            watcher.start(pause, ThreadLocalRandom.current().nextDouble());
+            watcher.start(pause);
         }
     }
 
@@ -270,6 +275,15 @@
         return parts.replication.replica(ReplicationTopic.CONFIGURATION).version();
     }
 
+    /**
+     * Returns the version of the roster in force.
+     *
+     * @return the version, 0 before the first
+     */
+    public long rosterVersion() {
+        return parts.replication.replica(ReplicationTopic.ROSTER).version();
+    }
+
     /**
      * Tells whether this router takes requests under its configuration.
      *
@@ -328,7 +342,7 @@
     @Override
     public void close() {
         parts.table.announce(MemberState.DEAD, parts.runtime.clock().millis());
-        parts.tellNeighbours();
+        parts.news.tell();
         kill();
     }
 
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -29,7 +29,6 @@
 import org.apricotstack.core.membership.MemberState;
 import org.apricotstack.core.membership.MembershipTable;
 import org.apricotstack.core.membership.RosterHost;
-import org.apricotstack.core.membership.WatchRings;
 import org.apricotstack.core.owner.OwnerService;
 import org.apricotstack.core.owner.UpstreamCaretaker;
 import org.apricotstack.core.replication.DocumentDelta;
@@ -73,6 +72,9 @@
     /** Watch over peers. */
     final FailureDetector detector;
 
+    /** News to neighbours. */
+    final NeighbourNews news;
+
     /** Calls to upstreams. */
     final HttpUpstreamGateway gateway;
 
@@ -122,6 +124,7 @@
                 table,
                 new FailureDetector.DetectorTime(runtime.clock(), runtime.timer()),
                 Duration.ofMillis(settings.timings().probeTimeoutMillis()));
+        news = new NeighbourNews(settings.host(), membership::view, detector);
         gateway = new HttpUpstreamGateway(self);
         owners = new OwnerService(
                 replication::configuration, this::leavingUpstreams, gateway, metrics, runtime.clock(), runtime.timer());
@@ -205,21 +208,12 @@
     /** Takes an adopted version into the groups, and tells the neighbours at once. */
     private void adopted() {
         owners.refresh();
-        tellNeighbours();
-    }
-
-    /** Probes all neighbours, so that news does not wait for their turn. */
-    void tellNeighbours() {
-        var view = membership.view();
-        for (HostId host : WatchRings.neighbours(view.roster().routers().keySet(), settings.host())) {
-            RosterHost neighbour = view.roster().routers().get(host);
-            detector.probe(neighbour).subscribe(done -> {}, error -> {});
-        }
+        news.tell();
     }
 
     /** Announces that this router is leaving. */
     private void announceLeaving() {
         table.announce(MemberState.LEAVING, runtime.clock().millis());
-        tellNeighbours();
+        news.tell();
     }
 }
--- /dev/null
+++ b/apricotstack-router/src/test/java/org/apricotstack/router/SpreadNode.java
@@ -0,0 +1,188 @@
+package org.apricotstack.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import org.apricotstack.adapters.configuration.JsonRosterValidator;
+import org.apricotstack.adapters.metrics.RouterMetrics;
+import org.apricotstack.core.configuration.FleetConfiguration;
+import org.apricotstack.core.configuration.FleetLimits;
+import org.apricotstack.core.configuration.Problem;
+import org.apricotstack.core.fleet.FleetConfigurations;
+import org.apricotstack.core.fleet.NetworkNode;
+import org.apricotstack.core.fleet.NodeScheduler;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.membership.FailureDetector;
+import org.apricotstack.core.membership.MembershipTable;
+import org.apricotstack.core.membership.PeerProbes;
+import org.apricotstack.core.membership.RosterHost;
+import org.apricotstack.core.replication.DocumentDelta;
+import org.apricotstack.core.replication.DocumentSet;
+import org.apricotstack.core.replication.ReplicationTopic;
+import org.apricotstack.core.replication.Validated;
+import org.apricotstack.core.time.MonotonicClock;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** One process of a seeded schedule: the real replication and membership of a router, with fake connections. */
+final class SpreadNode implements NetworkNode {
+
+    private static final Duration PROBE = Duration.ofMillis(500);
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
+    private static final Duration START_WAIT = Duration.ofMillis(1_500);
+
+    private final ProcessId process;
+    private final SpreadFleet fleet;
+    private final NodeScheduler timer;
+    private final ReplicationService replication;
+    private final MembershipTable table;
+    private final MembershipService membership;
+    private long served;
+
+    SpreadNode(ProcessId process, DataCentreId dataCentre, SpreadFleet fleet, Random random) {
+        this.process = process;
+        this.fleet = fleet;
+        this.timer = new NodeScheduler(fleet.time());
+        MonotonicClock clock = () -> fleet.time().now(TimeUnit.NANOSECONDS);
+        RouterMetrics metrics = new RouterMetrics();
+        replication = new ReplicationService(SpreadNode::validate, new JsonRosterValidator(), metrics, clock);
+        table = new MembershipTable(process, 1_000);
+        membership = new MembershipService(
+                process, table, replication::roster, replication::versions, replication::heard, clock);
+        FailureDetector detector = new FailureDetector(
+                new Probes(),
+                membership,
+                membership::view,
+                process.host(),
+                table,
+                new FailureDetector.DetectorTime(clock, timer),
+                PROBE_TIMEOUT);
+        NeighbourNews news = new NeighbourNews(process.host(), membership::view, detector);
+        replication.connect(this::fetch, news::tell);
+        for (ReplicationTopic topic : ReplicationTopic.values()) {
+            PlatformWatcher watcher = new PlatformWatcher(
+                    fleet.platform(),
+                    topic,
+                    replication,
+                    () -> !replication.isOpen()
+                            || PlatformWatcher.isWatcher(membership.view(), process.host(), dataCentre),
+                    Duration.ofSeconds(5),
+                    new PlatformWatcher.Pauses(timer, random::nextDouble));
+            watcher.start(START_WAIT);
+        }
+        Mono.delay(START_WAIT, timer).subscribe(over -> replication.gate().endWait());
+        Flux.interval(Duration.ZERO, PROBE_TIMEOUT, timer)
+                .takeWhile(tick -> !replication.isOpen())
+                .onBackpressureDrop()
+                .subscribe(tick -> askSeeds());
+        Flux.interval(PROBE, timer).onBackpressureDrop().subscribe(tick -> detector.runRound()
+                .subscribe(done -> {}, error -> {}));
+    }
+
+    /** Versions with a document that says so are invalid, for every process alike. */
+    private static Validated<FleetConfiguration> validate(DocumentSet documents) {
+        boolean bad = documents.documents().values().stream().anyMatch(d -> "bad".equals(d.body()));
+        return bad
+                ? new Validated<>(null, List.of(new Problem("test", "", "bad", "good")))
+                : new Validated<>(FleetConfigurations.small(documents.version(), FleetLimits.DEFAULT), List.of());
+    }
+
+    /** Asks all other hosts, as a process does that knows its seeds only. */
+    private void askSeeds() {
+        for (SpreadNode seed : fleet.nodes()) {
+            if (seed == this) {
+                continue;
+            }
+            fleet.network()
+                    .call(this, seed, Mono.fromSupplier(() -> seed.answer()).flux())
+                    .filter(answer -> !answer.news().versions().isEmpty())
+                    .next()
+                    .flatMapMany(answer -> Flux.fromArray(ReplicationTopic.values())
+                            .concatMap(topic ->
+                                    documents(seed, topic, 0).doOnNext(delta -> replication.offer(topic, delta)))
+                            .doOnComplete(() -> membership.take(answer)))
+                    .timeout(PROBE_TIMEOUT.multipliedBy(2), timer)
+                    .subscribe(done -> {}, error -> {});
+        }
+    }
+
+    private PeerProbes.ProbeAnswer answer() {
+        return new PeerProbes.ProbeAnswer(membership.news(), fleet.time().now(TimeUnit.NANOSECONDS));
+    }
+
+    private Mono<DocumentDelta> documents(SpreadNode from, ReplicationTopic topic, long since) {
+        return fleet.network()
+                .call(
+                        this,
+                        from,
+                        Mono.fromSupplier(() -> from.replication.replica(topic).since(since))
+                                .flux())
+                .next();
+    }
+
+    private Mono<DocumentDelta> fetch(HostId peer, ReplicationTopic topic) {
+        return documents(fleet.node(peer), topic, replication.replica(topic).version())
+                .timeout(Duration.ofSeconds(1), timer);
+    }
+
+    /** Checks that no version in force or served here ever goes back; returns the version in force. */
+    long look() {
+        long version = replication.replica(ReplicationTopic.CONFIGURATION).version();
+        if (version < served) {
+            throw new IllegalStateException(process + " went back from " + served + " to " + version);
+        }
+        served = version;
+        return version;
+    }
+
+    boolean isServing() {
+        return replication.isOpen();
+    }
+
+    ProcessId process() {
+        return process;
+    }
+
+    MembershipTable table() {
+        return table;
+    }
+
+    @Override
+    public String name() {
+        return process.host().value();
+    }
+
+    @Override
+    public NodeScheduler timer() {
+        return timer;
+    }
+
+    /** Probes over the faulty network. */
+    private final class Probes implements PeerProbes {
+
+        @Override
+        public Mono<ProbeAnswer> probe(RosterHost target, ProbeNews news) {
+            SpreadNode node = fleet.node(target.id());
+            Flux<ProbeAnswer> work = Flux.defer(() -> {
+                node.membership.take(news);
+                return Flux.just(node.answer());
+            });
+            return fleet.network().call(SpreadNode.this, node, work).next();
+        }
+
+        @Override
+        public Mono<Boolean> probeThrough(RosterHost via, HostId target) {
+            SpreadNode helper = fleet.node(via.id());
+            Flux<Boolean> work = Flux.defer(() -> helper.new Probes()
+                    .probe(helper.membership.view().roster().routers().get(target), helper.membership.news())
+                    .timeout(PROBE_TIMEOUT, helper.timer)
+                    .map(answer -> true)
+                    .onErrorReturn(false));
+            return fleet.network().call(SpreadNode.this, helper, work).next();
+        }
+    }
+}
