--- a/apricotstack-core/src/test/java/org/apricotstack/core/ticket/TicketLedgerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ticket/TicketLedgerTest.java
@@ -1,5 +1,6 @@
 package org.apricotstack.core.ticket;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.apricotstack.core.failure.Outcome;
@@ -86,14 +87,18 @@
     }
 
     @Test
-    void keepsAnswersWithinItsMemory() {
-        for (int i = 0; i < 400; i++) {
+    void keepsAnswersWithinItsMemoryAndTheirTicketsSpent() {
+        List<Ticket> tickets = new ArrayList<>();
+        RecordedAnswer answer = new RecordedAnswer(List.of(), TicketLedger.MOST_ANSWER_BYTES);
+        long fitting = TicketLedger.MOST_ANSWERS_BYTES / TicketLedger.MOST_ANSWER_BYTES;
+        for (int i = 0; i <= fitting; i++) {
             Ticket ticket = ledger.issue(VALID_MILLIS);
             ledger.spend(ticket, "d");
-            ledger.end(ticket.serial(), new RecordedAnswer(List.of(), TicketLedger.MOST_ANSWER_BYTES));
+            ledger.end(ticket.serial(), answer);
+            tickets.add(ticket);
         }
-        Ticket first = ledger.issue(VALID_MILLIS);
-        assertThat(first.serial()).isEqualTo(401);
-        assertThat(ledger.remembered()).isEqualTo(400);
+        assertRefused(ledger.spend(tickets.get(0), "d"), RefusalReason.TICKET_SPENT, Outcome.UNKNOWN);
+        assertThat(ledger.spend(tickets.get(1), "d")).isEqualTo(new SpendDecision.Replay(answer));
+        assertThat(ledger.remembered()).isEqualTo(tickets.size());
     }
 }
