Keep short prompts on the first engines of a shared order, as many as their number needs

Ruled out: a packing cost alone (it let short prompts spread over all engines at the smallest gain).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
@@ -57,11 +57,12 @@
      * Notes that the prompt of a placement was read and its answer is being written.
      *
      * @param id the placement
+     * @param nowMillis the time
      */
-    public void startWriting(PlacementId id) {
+    public void startWriting(PlacementId id, long nowMillis) {
         Placed placed = placements.get(id);
         if (placed != null) {
-            placed.placement().parts().forEach(part -> load(part.engine()).startWriting(id));
+            placed.placement().parts().forEach(part -> load(part.engine()).startWriting(id, nowMillis));
         }
     }
 
@@ -69,11 +70,12 @@
      * Takes a placement off.
      *
      * @param id the placement
+     * @param nowMillis the time
      */
-    public void remove(PlacementId id) {
+    public void remove(PlacementId id, long nowMillis) {
         Placed placed = placements.remove(id);
         if (placed != null) {
-            placed.placement().parts().forEach(part -> load(part.engine()).remove(id));
+            placed.placement().parts().forEach(part -> load(part.engine()).remove(id, nowMillis));
         }
     }
 
@@ -81,15 +83,16 @@
      * Takes off all placements of a router process that is gone.
      *
      * @param process the process
+     * @param nowMillis the time
      */
-    public void removeProcess(ProcessId process) {
+    public void removeProcess(ProcessId process, long nowMillis) {
         List<PlacementId> gone = new ArrayList<>();
         for (PlacementId id : placements.keySet()) {
             if (id.process().equals(process)) {
                 gone.add(id);
             }
         }
-        gone.forEach(this::remove);
+        gone.forEach(id -> remove(id, nowMillis));
     }
 
     /**
@@ -104,7 +107,7 @@
                 over.add(id);
             }
         });
-        over.forEach(this::remove);
+        over.forEach(id -> remove(id, nowMillis));
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -1,73 +1,111 @@
 package org.apricotstack.core.engine;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
-/** What one engine is believed to be doing: who reads, who writes, and how much memory is taken. */
+/**
+ * What one engine is believed to be doing: who reads, who writes, and how much memory is taken.
+ *
+ * <p>An engine reads the parts that it does for others first, then the prompts that it will answer, each in the order of
+ * their arrival; everything that waits is read in one pass, and the writers' next event comes at the end of the pass.
+ */
 public final class EngineLoad {
 
-    /** Weight of the newest observation in the pace; about the last ten count. */
-    private static final double PACE_WEIGHT = 0.1;
-
-    /** Bounds of one observation of the pace, so that a single stall does not count for more than slowness does. */
-    private static final double LEAST_PACE = 0.8;
-
-    private static final double MOST_PACE = 8;
-
-    private final Map<PlacementId, Reading> reading = new HashMap<>();
+    private final List<Reading> helping = new ArrayList<>();
+    private final List<Reading> reading = new ArrayList<>();
     private final Map<PlacementId, EnginePlacement> writing = new HashMap<>();
     private final Map<PlacementId, Long> memoryByPlacement = new HashMap<>();
-    private int leads;
     private long memoryTokens;
+    private int shortLeads;
+    private long advancedMillis;
     private double pace = 1;
 
-    /**
-     * A part that is being read.
-     *
-     * @param placement what it belongs to
-     * @param lead whether the answer is written here
-     * @param endMillis when it will have been read
-     */
-    private record Reading(EnginePlacement placement, boolean lead, double endMillis) {}
+    /** A part that is being read. */
+    private static final class Reading {
+        private final EnginePlacement placement;
+        private final long targetMillis;
+        private double leftMillis;
+
+        /** Creates a part of which nothing was read. */
+        private Reading(EnginePlacement placement, long targetMillis, double leftMillis) {
+            this.placement = placement;
+            this.targetMillis = targetMillis;
+            this.leftMillis = leftMillis;
+        }
+    }
 
     /** Adds a part of a placement. */
     void add(EnginePlacement placement, EnginePart part, long nowMillis) {
+        if (memoryByPlacement.putIfAbsent(placement.id(), part.memoryTokens()) != null) {
+            return;
+        }
+        advance(nowMillis);
+        memoryTokens += part.memoryTokens();
         boolean lead = placement.lead().engine().equals(part.engine());
-        double end = nowMillis + pendingReadMillis(nowMillis) + part.readMillis() * pace;
-        if (reading.put(placement.id(), new Reading(placement, lead, end)) == null) {
-            memoryTokens += part.memoryTokens();
-            memoryByPlacement.put(placement.id(), part.memoryTokens());
-            leads += lead ? 1 : 0;
+        shortLeads += lead && placement.isShort() ? 1 : 0;
+        Reading added =
+                new Reading(placement, nowMillis + placement.targetLatencyMillis(), part.readMillis() * pace);
+        (lead ? reading : helping).add(added);
+    }
+
+    /** Lets the time pass in which the engine read. */
+    private void advance(long nowMillis) {
+        double elapsed = Math.max(0, nowMillis - advancedMillis);
+        advancedMillis = Math.max(advancedMillis, nowMillis);
+        elapsed = consume(helping, elapsed);
+        consume(reading, elapsed);
+    }
+
+    /** Takes time off what is read, in its order; returns the rest. */
+    private static double consume(List<Reading> parts, double millis) {
+        double rest = millis;
+        for (Reading part : parts) {
+            double taken = Math.min(rest, part.leftMillis);
+            part.leftMillis -= taken;
+            rest -= taken;
         }
+        return rest;
     }
 
     /** Notes that the prompt of a placement was read. */
-    void startWriting(PlacementId id) {
-        Reading part = reading.remove(id);
-        if (part != null && part.lead()) {
-            writing.put(id, part.placement());
+    void startWriting(PlacementId id, long nowMillis) {
+        advance(nowMillis);
+        helping.removeIf(part -> part.placement.id().equals(id));
+        for (Reading part : List.copyOf(reading)) {
+            if (part.placement.id().equals(id)) {
+                reading.remove(part);
+                writing.put(id, part.placement);
+            }
         }
     }
 
     /** Takes a placement off. */
-    void remove(PlacementId id) {
-        Reading part = reading.remove(id);
+    void remove(PlacementId id, long nowMillis) {
+        advance(nowMillis);
+        helping.removeIf(part -> part.placement.id().equals(id));
+        for (Reading part : List.copyOf(reading)) {
+            if (part.placement.id().equals(id)) {
+                reading.remove(part);
+                shortLeads -= part.placement.isShort() ? 1 : 0;
+            }
+        }
         EnginePlacement written = writing.remove(id);
-        if (part != null && part.lead() || written != null) {
-            leads--;
+        if (written != null) {
+            shortLeads -= written.isShort() ? 1 : 0;
         }
         Long memory = memoryByPlacement.remove(id);
         memoryTokens -= memory == null ? 0 : memory;
     }
 
     /**
-     * Notes how long something took in relation to what was predicted.
+     * Notes how slow the engine is.
      *
-     * @param ratio seen duration divided by the predicted one at usual pace
+     * @param seen 1 for the published figures, more for a slow engine
      */
-    public void observePace(double ratio) {
-        double bounded = Math.max(LEAST_PACE, Math.min(MOST_PACE, ratio));
-        pace += (bounded - pace) * PACE_WEIGHT;
+    public void pace(double seen) {
+        pace = Math.max(1, seen);
     }
 
     /**
@@ -80,30 +118,56 @@
     }
 
     /**
-     * Predicts for how long prompts placed here will still be read.
+     * Predicts for how long the parts that it does for others will still be read.
+     *
+     * @param nowMillis the time
+     * @return milliseconds
+     */
+    public double helpingMillis(long nowMillis) {
+        advance(nowMillis);
+        return sum(helping);
+    }
+
+    /**
+     * Predicts for how long everything placed here will still be read.
      *
      * @param nowMillis the time
      * @return milliseconds
      */
     public double pendingReadMillis(long nowMillis) {
-        double end = nowMillis;
-        for (Reading part : reading.values()) {
-            end = Math.max(end, part.endMillis());
+        advance(nowMillis);
+        return sum(helping) + sum(reading);
+    }
+
+    /** Adds up what is left to read. */
+    private static double sum(List<Reading> parts) {
+        double total = 0;
+        for (Reading part : parts) {
+            total += part.leftMillis;
         }
-        return end - nowMillis;
+        return total;
     }
 
     /**
-     * Returns how many requests it runs as the engine that writes.
+     * Returns how many requests it runs as the engine that answers.
      *
      * @return requests that read or write
      */
     public int leads() {
-        return leads;
+        return reading.size() + writing.size();
+    }
+
+    /**
+     * Returns how many of them have short prompts.
+     *
+     * @return requests
+     */
+    public int shortLeads() {
+        return shortLeads;
     }
 
     /**
-     * Returns how many requests are writing or will write here.
+     * Returns how many requests are writing.
      *
      * @return requests
      */
@@ -111,6 +175,15 @@
         return writing.size();
     }
 
+    /**
+     * Returns for how many requests of other engines it reads.
+     *
+     * @return parts
+     */
+    public int helps() {
+        return helping.size();
+    }
+
     /**
      * Returns the memory that placements take.
      *
@@ -124,7 +197,7 @@
      * Predicts how long a pass takes in which nothing is read.
      *
      * @param profile the engine's figures
-     * @return milliseconds
+     * @return milliseconds; 0 if nothing is written
      */
     public double passMillis(EngineProfile profile) {
         long context = 0;
@@ -143,16 +216,29 @@
     public double lossByPause(double pauseMillis) {
         double loss = 0;
         for (EnginePlacement placement : writing.values()) {
-            loss += placement.value()
-                    * PromptValue.LOST_WHEN_LATE
-                    * Lateness.probability(pauseMillis, placement.pauseTargetMillis());
+            loss += placement.value() * PromptValue.lossByPause(pauseMillis, placement.pauseTargetMillis());
         }
-        for (Reading part : reading.values()) {
-            if (part.lead()) {
-                loss += part.placement().value()
-                        * PromptValue.LOST_WHEN_LATE
-                        * Lateness.probability(pauseMillis, part.placement().pauseTargetMillis());
-            }
+        return loss;
+    }
+
+    /**
+     * Adds up what the requests that are still reading lose if their first event comes later.
+     *
+     * @param delayMillis how much later, in milliseconds
+     * @param passMillis a pass of the engine, in milliseconds
+     * @param nowMillis the time
+     * @return value lost beyond what is lost already, in the units of {@link PromptValue}
+     */
+    public double lossByDelay(double delayMillis, double passMillis, long nowMillis) {
+        advance(nowMillis);
+        double loss = 0;
+        double ready = sum(helping) + passMillis;
+        for (Reading part : reading) {
+            ready += part.leftMillis;
+            double target = Math.max(1, part.targetMillis - nowMillis);
+            loss += part.placement.value()
+                    * PromptValue.LOST_WHEN_LATE
+                    * (Lateness.probability(ready + delayMillis, target) - Lateness.probability(ready, target));
         }
         return loss;
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
@@ -8,11 +8,15 @@
  * @param id names the decision
  * @param parts what each engine does; the first writes the answer, the others help to read
  * @param contextTokens tokens of the prompt
+ * @param targetLatencyMillis time to the first event that is on time, from the decision, in milliseconds
  * @param pauseTargetMillis longest pause in its stream that is on time, in milliseconds
- * @param value worth of an answer on time, in the units of {@link PromptValue}
  */
 public record EnginePlacement(
-        PlacementId id, List<EnginePart> parts, long contextTokens, long pauseTargetMillis, double value) {
+        PlacementId id,
+        List<EnginePart> parts,
+        long contextTokens,
+        long targetLatencyMillis,
+        long pauseTargetMillis) {
 
     /** Copies the list. */
     public EnginePlacement {
@@ -27,4 +31,22 @@
     public EnginePart lead() {
         return parts.get(0);
     }
+
+    /**
+     * Tells whether its prompt is short.
+     *
+     * @return whether it has at most {@link PromptValue#SHORT_TOKENS}
+     */
+    public boolean isShort() {
+        return contextTokens <= PromptValue.SHORT_TOKENS;
+    }
+
+    /**
+     * Values its answer.
+     *
+     * @return the value on time, in the units of {@link PromptValue}
+     */
+    public double value() {
+        return PromptValue.of(contextTokens);
+    }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -9,35 +9,44 @@
  *
  * <p>Load that it answers: short prompts that write with pauses of at most 250 ms, beside long ones whose reading takes
  * seconds. A pass lasts as long as everything that is read in it, so a long reading next to short writers makes all of
- * them late. For each number of parts the loss of each engine's writers and the lateness of the new request are
- * predicted; the cheapest combination wins. Short prompts fill engines from the front of a common order and long ones
- * from the back, so the border between the two moves with the load without any agreement.
+ * them late. For each number of parts the loss of each engine's writers and readers and the lateness of the new request
+ * are predicted; the cheapest combination wins.
+ *
+ * <p>Short prompts keep to the first engines of an order that all routers share, as many as their number needs now, and
+ * long ones use the others. The border follows the load at once and needs no agreement: every router counts the same
+ * short requests.
  */
 public final class EnginePlacer {
 
     /** Numbers of engines that a reading is shared by; 17 is the first engine and the most helpers that it takes. */
-    private static final int[] SHARES = {1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17};
+    private static final int[] SHARES = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17};
 
     /** Parts shorter than this are not made, in milliseconds: a step of a pass is about 1 ms, its overhead counts. */
     private static final double LEAST_PART_MILLIS = 25;
 
-    /** Reading time from which a prompt counts as long, in milliseconds: most of the pause that short writers allow. */
-    private static final double LONG_READ_MILLIS = 200;
+    /** Short requests that one engine runs well at once: a pass of 52 ms leaves room for reading within 250 ms. */
+    private static final double SHORT_PER_ENGINE = 7.5;
+
+    /** Engines kept for short prompts beyond what they need now, for those of the next moment. */
+    private static final double SPARE_ENGINES = 1.2;
 
-    /** Cost of the far end of the common order; about a tenth of what a late short answer loses. */
-    private static final double ORDER_COST = 0.12;
+    /** Cost of a place across the border, in the units of {@link PromptValue}: a third of a late short answer. */
+    private static final double BORDER_COST = 0.35;
+
+    /** Cost of the far end of the own side, so that each side fills from its end. */
+    private static final double ORDER_COST = 0.06;
 
     /** Cost of each helper as a share of the request's value, so that helpers are not used where they gain nothing. */
-    private static final double HELPER_COST_SHARE = 0.004;
+    private static final double HELPER_COST_SHARE = 0.002;
 
     /** Cost of using up the whole target as a share of the request's value; prefers the faster of two safe choices. */
-    private static final double DELAY_COST_SHARE = 0.06;
+    private static final double DELAY_COST_SHARE = 0.08;
 
     /** Share of an engine's memory that is planned with; the rest covers what peers placed a moment ago. */
     private static final double MEMORY_SHARE = 0.96;
 
     /** Mean time that a request holds a slot, in milliseconds, for predicting when a full engine has room. */
-    private static final double SLOT_HOLD_MILLIS = 1_400;
+    private static final double SLOT_HOLD_MILLIS = 1_700;
 
     private final EngineProfile profile;
 
@@ -54,12 +63,19 @@
      * An engine's figures for one size of part.
      *
      * @param candidate the engine
-     * @param readyMillis when it will have read the part, from now
+     * @param leadMillis when it will have read the part as the engine that answers, from now
+     * @param helpMillis when it will have read the part as a helper, from now
      * @param pauseMillis pause that its writers will have
-     * @param loss value that its writers lose, and the cost of its place in the common order
+     * @param loss value that its writers lose, and the cost of its side of the border
      * @param rank all that speaks against it
      */
-    private record Score(EngineCandidate candidate, double readyMillis, double pauseMillis, double loss, double rank) {}
+    private record Score(
+            EngineCandidate candidate,
+            double leadMillis,
+            double helpMillis,
+            double pauseMillis,
+            double loss,
+            double rank) {}
 
     /**
      * Chooses the engines for a prompt.
@@ -76,7 +92,8 @@
             if (shares > candidates.size() || shares > 1 && part < LEAST_PART_MILLIS) {
                 break;
             }
-            PlacementChoice choice = chooseWith(request, score(request, part, candidates, nowMillis), shares, part);
+            List<Score> scores = score(request, part, candidates, nowMillis);
+            PlacementChoice choice = chooseWith(request, scores, shares, part, nowMillis);
             if (choice.found() && choice.cost() < best.cost()) {
                 best = choice;
             }
@@ -89,32 +106,54 @@
         return new PlacementChoice(List.of(), 0, 0, Double.MAX_VALUE, false);
     }
 
+    /** Returns how many engines, from the first on, are kept for short prompts now. */
+    static int border(List<EngineCandidate> candidates) {
+        int shortRequests = 0;
+        for (EngineCandidate candidate : candidates) {
+            shortRequests += candidate.load().shortLeads();
+        }
+        int needed = (int) Math.ceil(shortRequests / SHORT_PER_ENGINE + SPARE_ENGINES);
+        return Math.max(1, Math.min(candidates.size() - 1, needed));
+    }
+
     /** Scores all engines for a part, the most suitable first. */
     private List<Score> score(
             PromptRequest request, double partMillis, List<EngineCandidate> candidates, long nowMillis) {
-        double longness = Math.min(1, profile.readMillis(request.promptTokens(), 1) / LONG_READ_MILLIS);
+        boolean isShort = request.promptTokens() <= PromptValue.SHORT_TOKENS;
         double value = PromptValue.of(request.promptTokens());
+        int border = border(candidates);
         List<Score> scores = new ArrayList<>(candidates.size());
         for (int i = 0; i < candidates.size(); i++) {
             EngineCandidate candidate = candidates.get(i);
             EngineLoad load = candidate.load();
             double pass = load.passMillis(profile);
             double pending = load.pendingReadMillis(nowMillis);
-            double ready = pending + partMillis * load.pace();
-            double pause = pass + ready;
-            double loss = load.lossByPause(pause) - load.lossByPause(pass + pending);
-            double position = candidates.size() == 1 ? 0 : (double) i / (candidates.size() - 1);
-            double order = ORDER_COST * (longness * (1 - position) + (1 - longness) * position);
+            double part = partMillis * load.pace();
+            double pause = pass + pending + part;
+            double loss = load.lossByPause(pause)
+                    - load.lossByPause(pass + pending)
+                    + sideCost(isShort, i, border, candidates.size());
             double late = value
                     * PromptValue.LOST_WHEN_LATE
-                    * Lateness.probability(ready + pass + slotWaitMillis(load), request.targetLatencyMillis());
+                    * Lateness.probability(
+                            pending + part + 1.5 * pass + slotWaitMillis(load), request.targetLatencyMillis());
             double failing = value * candidate.failureProbability();
-            scores.add(new Score(candidate, ready, pause, loss + order, loss + order + late + failing));
+            double rank = loss + late + failing;
+            double help = load.helpingMillis(nowMillis) + part;
+            scores.add(new Score(candidate, pending + part, help, pause, loss, rank));
         }
         scores.sort(Comparator.comparingDouble(Score::rank));
         return scores;
     }
 
+    /** Returns the cost of an engine's place in the common order. */
+    private static double sideCost(boolean isShort, int place, int border, int engines) {
+        boolean shortSide = place < border;
+        double across = shortSide == isShort ? 0 : BORDER_COST;
+        double far = (double) place / engines;
+        return across + ORDER_COST * (isShort ? far : 1 - far);
+    }
+
     /** Predicts how long a request waits until an engine has a slot for it. */
     private double slotWaitMillis(EngineLoad load) {
         int beyond = load.leads() - profile.slots() + 1;
@@ -122,7 +161,8 @@
     }
 
     /** Makes the choice for one number of parts. */
-    private PlacementChoice chooseWith(PromptRequest request, List<Score> scores, int shares, double partMillis) {
+    private PlacementChoice chooseWith(
+            PromptRequest request, List<Score> scores, int shares, double partMillis, long nowMillis) {
         long tokens = request.promptTokens() + request.answerTokens();
         Score lead = null;
         for (Score score : scores) {
@@ -139,13 +179,17 @@
         }
         List<Score> chosen = new ArrayList<>(List.of(lead));
         for (Score score : scores) {
-            if (chosen.size() < shares && score != lead) {
+            if (chosen.size() < shares
+                    && score != lead
+                    && score.candidate().load().helps() < profile.slots()) {
                 chosen.add(score);
             }
         }
-        List<EnginePart> parts =
-                reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
-        return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves);
+        if (chosen.size() < shares) {
+            return none();
+        }
+        List<EnginePart> parts = reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
+        return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves, nowMillis);
     }
 
     /** Returns the memory of an engine that is free to plan with. */
@@ -180,29 +224,34 @@
     }
 
     /** Predicts what a choice costs. */
-    private PlacementChoice rate(PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves) {
+    private PlacementChoice rate(
+            PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves, long nowMillis) {
         EngineLoad leadLoad = chosen.get(0).candidate().load();
-        double ready = 0;
+        double ready = chosen.get(0).leadMillis();
         double pause = 0;
         double loss = 0;
         double whole = 1;
-        for (Score score : chosen) {
-            ready = Math.max(ready, score.readyMillis());
+        for (int i = 0; i < chosen.size(); i++) {
+            Score score = chosen.get(i);
+            EngineLoad load = score.candidate().load();
+            if (i > 0) {
+                ready = Math.max(ready, score.helpMillis());
+                loss += load.lossByDelay(parts.get(i).readMillis(), load.passMillis(profile), nowMillis);
+            }
             pause = Math.max(pause, score.pauseMillis());
             loss += score.loss();
             whole *= 1 - score.candidate().failureProbability();
         }
         double writing = profile.passMillis(leadLoad.writers() + 1, request.promptTokens()) * leadLoad.pace();
         double firstToken = ready + leadLoad.passMillis(profile) / 2 + writing + slotWaitMillis(leadLoad);
-        double value = PromptValue.of(request.promptTokens());
-        double late = Lateness.probability(firstToken, request.targetLatencyMillis()) * PromptValue.LOST_WHEN_LATE;
-        double cost = loss
-                + value
-                        * (late
-                                + 1
-                                - whole
-                                + HELPER_COST_SHARE * (chosen.size() - 1)
-                                + DELAY_COST_SHARE * firstToken / Math.max(1, request.targetLatencyMillis()));
+        double late = Lateness.probability(firstToken, request.targetLatencyMillis()) * PromptValue.LOST_WHEN_LATE
+                + Lateness.probability(firstToken, request.patienceMillis()) * (1 - PromptValue.LOST_WHEN_LATE);
+        double share = late
+                + 1
+                - whole
+                + HELPER_COST_SHARE * (chosen.size() - 1)
+                + DELAY_COST_SHARE * firstToken / Math.max(1, request.targetLatencyMillis());
+        double cost = loss + PromptValue.of(request.promptTokens()) * share;
         return new PlacementChoice(parts, firstToken, pause, cost, reserves);
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
@@ -5,19 +5,27 @@
  *
  * <p>The published configuration ranks routes but does not say what an answer is worth. Users value the answer to a
  * long prompt more, about in proportion to its length with a fixed part for the shortest; an answer that is late keeps
- * a quarter of its value.
+ * a quarter of its value, and one that the caller no longer waits for keeps none.
  */
 public final class PromptValue {
 
     /** Share of the value that is lost if an answer is late. */
     public static final double LOST_WHEN_LATE = 0.75;
 
+    /** Prompts up to this length are short: reading one takes less than a short writer's allowed pause. */
+    public static final long SHORT_TOKENS = 24_000;
+
     /** Value of an answer to an empty prompt; in the unit in which a short question of 5,000 tokens has about 1.3. */
     private static final double BASE = 0.7;
 
     /** Prompt tokens that add 1 to the value; fits 1.3 at 5,000 and 20 at 154,000 tokens. */
     private static final double TOKENS_PER_UNIT = 8_000;
 
+    /** Callers leave a stream after a pause of two seconds, or eight times the allowed one if that is longer. */
+    private static final double LEAST_PATIENCE_MILLIS = 2_000;
+
+    private static final double PAUSES_OF_PATIENCE = 8;
+
     private PromptValue() {}
 
     /**
@@ -29,4 +37,17 @@
     public static double of(long promptTokens) {
         return BASE + promptTokens / TOKENS_PER_UNIT;
     }
+
+    /**
+     * Estimates the share of an answer's value that a pause costs.
+     *
+     * @param pauseMillis the pause, in milliseconds
+     * @param pauseTargetMillis longest pause that is on time, in milliseconds; 0 if any is
+     * @return 0 to 1
+     */
+    static double lossByPause(double pauseMillis, double pauseTargetMillis) {
+        double patience = Math.max(LEAST_PATIENCE_MILLIS, PAUSES_OF_PATIENCE * pauseTargetMillis);
+        return LOST_WHEN_LATE * Lateness.probability(pauseMillis, pauseTargetMillis)
+                + (1 - LOST_WHEN_LATE) * Lateness.probability(pauseMillis, patience);
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -116,7 +116,7 @@
         }
         long now = loop.nowMillis();
         for (ProcessId gone : peers.expire(now)) {
-            board.removeProcess(gone);
+            board.removeProcess(gone, now);
         }
         noteAlive(now);
         heartbeat();
@@ -217,7 +217,7 @@
                 beat.getUpstreamsRevision());
         ProcessId before = peers.heartbeat(peer, now);
         if (before != null) {
-            board.removeProcess(before);
+            board.removeProcess(before, now);
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
         catchUp(peer, now);
@@ -266,13 +266,13 @@
                         new PlacementId(sender, placed.getNumber()),
                         parts,
                         placed.getContextTokens(),
-                        placed.getPauseTargetMillis(),
-                        placed.getValue());
+                        placed.getTargetLatencyMillis(),
+                        placed.getPauseTargetMillis());
                 board.place(placement, now, placed.getLimitMillis());
             }
         }
-        frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number)));
-        frame.getEndedList().forEach(number -> board.remove(new PlacementId(sender, number)));
+        frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number), now));
+        frame.getEndedList().forEach(number -> board.remove(new PlacementId(sender, number), now));
     }
 
     @Override
@@ -330,7 +330,7 @@
                 .setNumber(placement.id().number())
                 .setContextTokens(placement.contextTokens())
                 .setPauseTargetMillis(placement.pauseTargetMillis())
-                .setValue(placement.value())
+                .setTargetLatencyMillis(placement.targetLatencyMillis())
                 .setLimitMillis(limitMillis);
         for (EnginePart part : placement.parts()) {
             placed.addParts(Part.newBuilder()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -14,7 +14,6 @@
 import org.apricotstack.core.engine.PlacementChoice;
 import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.engine.PromptRequest;
-import org.apricotstack.core.engine.PromptValue;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -88,8 +87,8 @@
                 id,
                 choice.parts(),
                 request.promptTokens(),
-                request.pauseTargetMillis(),
-                PromptValue.of(request.promptTokens()));
+                request.targetLatencyMillis(),
+                request.pauseTargetMillis());
         List<UpstreamEntry> helpers = new ArrayList<>();
         for (EnginePart part : choice.parts().subList(1, choice.parts().size())) {
             helpers.add(context.upstreams().find(part.engine()));
@@ -111,7 +110,7 @@
     /** Notes that the first event came. */
     void writing(UpstreamChoice choice) {
         if (choice.placement() != null) {
-            context.board().startWriting(choice.placement().id());
+            context.board().startWriting(choice.placement().id(), context.nowMillis());
             context.news().writing(choice.placement());
         }
     }
@@ -120,7 +119,7 @@
     void end(UpstreamChoice choice) {
         inFlight.computeIfPresent(choice.upstream().id(), (id, count) -> count > 1 ? count - 1 : null);
         if (choice.placement() != null) {
-            context.board().remove(choice.placement().id());
+            context.board().remove(choice.placement().id(), context.nowMillis());
             context.news().ended(choice.placement());
         }
     }
