Ask an engine before a silent stream is moved, renew short reservations, read changes that a wait did not tell

Cause: (1) under load every stream of an engine pauses; each was moved and read again elsewhere (thrash). Change: SilenceCheck asks for the engine's report, shared by all streams; reservations last 3.6 s and are renewed each second, releases repeat while a late order may follow; a revision beyond what was told makes the follower read all. Ruled out: longer limits alone (a dead engine would cost its callers 3 s); release by peers (unknown after a herd kill).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineCandidate.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineCandidate.java
@@ -8,5 +8,6 @@
  * @param engine the engine
  * @param load what it is believed to be doing
  * @param failureProbability probability that a request sent to it fails, 0 to 1
+ * @param reservable whether memory may be reserved at it
  */
-public record EngineCandidate(UpstreamId engine, EngineLoad load, double failureProbability) {}
+public record EngineCandidate(UpstreamId engine, EngineLoad load, double failureProbability, boolean reservable) {}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -213,7 +213,8 @@
         List<EnginePart> parts = new ArrayList<>(chosen.size());
         for (int i = 0; i < chosen.size(); i++) {
             long even = missing / (chosen.size() - i) + 1;
-            long held = Math.max(0, Math.min(freeTokens(chosen.get(i)), i == 0 ? missing : even));
+            boolean holds = i == 0 || chosen.get(i).candidate().reservable();
+            long held = holds ? Math.max(0, Math.min(freeTokens(chosen.get(i)), i == 0 ? missing : even)) : 0;
             if (i == 0 && chosen.size() > 1) {
                 held = Math.min(held, 2 * even);
             }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -5,30 +5,42 @@
 /** Ways in which an upstream fails a request. */
 public enum FailureKind {
     /** No connection could be made; nothing was sent. */
-    NO_CONNECTION(false, true),
+    NO_CONNECTION(false, true, true),
     /** The connection broke before an answer began. */
-    RESET(true, true),
+    RESET(true, true, false),
     /** The answer was cut. */
-    CUT(true, true),
+    CUT(true, true, false),
     /** No answer, or no further event, came in time. */
-    SILENT(true, true),
+    SILENT(true, true, true),
     /** What came is no answer in the protocol, or lacks its seal. */
-    SPOILED(true, true),
+    SPOILED(true, true, false),
     /** The upstream said that it failed. */
-    ERROR(true, true),
+    ERROR(true, true, false),
     /** The upstream is full and did not run the request. */
-    FULL(false, false),
+    FULL(false, false, false),
     /** Another upstream has the address now; it did not run the request. */
-    OTHER_INSTANCE(false, true),
+    OTHER_INSTANCE(false, true, true),
     /** The upstream could not reach one of its helpers. */
-    HELPER_GONE(false, false);
+    HELPER_GONE(false, true, true);
 
     private final boolean mayHaveRun;
     private final boolean countsAgainst;
 
-    FailureKind(boolean mayHaveRun, boolean countsAgainst) {
+    private final boolean concernsAll;
+
+    FailureKind(boolean mayHaveRun, boolean countsAgainst, boolean concernsAll) {
         this.mayHaveRun = mayHaveRun;
         this.countsAgainst = countsAgainst;
+        this.concernsAll = concernsAll;
+    }
+
+    /**
+     * Tells whether all requests to the upstream would fail so.
+     *
+     * @return {@code false} for failures that single requests meet at a sound upstream too
+     */
+    public boolean concernsAll() {
+        return concernsAll;
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -26,9 +26,15 @@
     /** Probability of failure that is assumed while an upstream is avoided. */
     private static final double AVOIDED_PROBABILITY = 0.95;
 
-    /** Failures in a row from which an upstream is held for gone; doubles the first time of avoidance four times. */
+    /** Failures in a row that still double the time of avoidance. */
     private static final int MOST_DOUBLINGS = 4;
 
+    /** Failures in a row, of a kind that single requests meet too, from which an upstream is avoided. */
+    private static final int ROW_OF_SINGLE_FAILURES = 3;
+
+    /** Time for which no orders are given to an upstream that left one unanswered, in milliseconds. */
+    private static final long ORDERS_LOST_MILLIS = 15_000;
+
     private final Map<UpstreamId, Judgement> judgements = new HashMap<>();
 
     /** What is known of one upstream. */
@@ -36,6 +42,7 @@
         private int failuresInRow;
         private double rate;
         private long avoidUntilMillis = Long.MIN_VALUE;
+        private long noOrdersUntilMillis = Long.MIN_VALUE;
     }
 
     /**
@@ -56,13 +63,17 @@
      * Notes that an upstream failed a request.
      *
      * @param id the upstream
+     * @param kind how
      * @param nowMillis the time
-     * @return milliseconds for which it is avoided from now
+     * @return milliseconds for which it is avoided from now; 0 if it is not
      */
-    public long failed(UpstreamId id, long nowMillis) {
+    public long failed(UpstreamId id, FailureKind kind, long nowMillis) {
         Judgement judgement = judgements.computeIfAbsent(id, key -> new Judgement());
         judgement.failuresInRow++;
         judgement.rate += (1 - judgement.rate) * RATE_WEIGHT;
+        if (!kind.concernsAll() && judgement.failuresInRow < ROW_OF_SINGLE_FAILURES) {
+            return 0;
+        }
         long avoid = Math.min(
                 MOST_AVOID_MILLIS, FIRST_AVOID_MILLIS << Math.min(MOST_DOUBLINGS, judgement.failuresInRow - 1));
         judgement.avoidUntilMillis = Math.max(judgement.avoidUntilMillis, nowMillis + avoid);
@@ -110,6 +121,28 @@
         }
     }
 
+    /**
+     * Notes that an upstream left an order unanswered.
+     *
+     * @param id the upstream
+     * @param nowMillis the time
+     */
+    public void ordersLost(UpstreamId id, long nowMillis) {
+        judgements.computeIfAbsent(id, key -> new Judgement()).noOrdersUntilMillis = nowMillis + ORDERS_LOST_MILLIS;
+    }
+
+    /**
+     * Tells whether orders to an upstream are likely to be answered.
+     *
+     * @param id the upstream
+     * @param nowMillis the time
+     * @return whether none was lost lately
+     */
+    public boolean takesOrders(UpstreamId id, long nowMillis) {
+        Judgement judgement = judgements.get(id);
+        return judgement == null || nowMillis >= judgement.noOrdersUntilMillis;
+    }
+
     /**
      * Forgets an upstream that is no longer listed.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterPorts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterPorts.java
@@ -7,7 +7,7 @@
 import org.apricotstack.serving.http.UpstreamProtocol;
 import org.apricotstack.serving.publication.PublicationReader;
 import org.apricotstack.serving.publication.PublicationSource;
-import org.apricotstack.serving.run.MemoryReservations;
+import org.apricotstack.serving.run.EngineCalls;
 
 /**
  * What a router needs of the platform that it runs on.
@@ -16,11 +16,11 @@
  * @param upstreams writes requests and reads answers
  * @param reader decodes published documents
  * @param source makes the reader of what is published
- * @param reservations makes what reserves memory at engines
+ * @param engines makes the calls to engines
  */
 public record RouterPorts(
         CallerProtocol callers,
         UpstreamProtocol upstreams,
         PublicationReader reader,
         Function<HttpCalls, PublicationSource> source,
-        Function<HttpCalls, MemoryReservations> reservations) {}
+        Function<HttpCalls, EngineCalls> engines) {}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -94,7 +94,7 @@
                 board,
                 connections,
                 ports.upstreams(),
-                ports.reservations().apply(calls),
+                ports.engines().apply(calls),
                 hub,
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -49,13 +49,14 @@
      * @param request line and headers
      * @param body the body
      * @param timeoutMillis time for the whole answer, in milliseconds
+     * @param fresh whether a new connection is asked for
      * @return the answer, or an {@link ApricotException}
      */
-    public Mono<Answer> call(Address address, HttpRequest request, byte[] body, long timeoutMillis) {
+    public Mono<Answer> call(Address address, HttpRequest request, byte[] body, long timeoutMillis, boolean fresh) {
         return Mono.create(sink -> {
             Taker taker = new Taker(sink, address);
             UpstreamCall call =
-                    connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), false, taker);
+                    connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), fresh, taker);
             ScheduledFuture<?> timeout = loop.schedule(timeoutMillis, () -> {
                 if (!call.over()) {
                     call.cancel();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -113,13 +113,25 @@
             return;
         }
         answered();
+        long told = changes.documents().stream()
+                .mapToLong(Publication::revision)
+                .reduce(known, Math::max);
         if (changes.historyGone()) {
             log.line("platform_history_gone").put("known", known).write();
             readAll = true;
         } else {
             long now = loop.nowMillis();
             changes.documents().forEach(document -> state.take(document, "platform", now));
-            known = Math.max(known, changes.revision());
+            if (changes.revision() > told) {
+                // The platform counts a change that it did not tell, as a wait can be deaf for a while. Going on from
+                // its revision would lose that change for good.
+                log.line("platform_change_missed")
+                        .put("told", told)
+                        .put("revision", changes.revision())
+                        .write();
+                readAll = true;
+            }
+            known = told;
         }
         next();
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -25,6 +25,7 @@
     private final long startMillis;
     private UpstreamCall call;
     private ScheduledFuture<?> watch;
+    private long silenceMillis;
     private boolean over;
     private AnswerHead head;
     private HttpResponse raw;
@@ -38,27 +39,47 @@
     }
 
     /** Notes the call that carries the attempt, and how long it may be silent. */
-    void sent(UpstreamCall carrier, long silenceMillis) {
+    void sent(UpstreamCall carrier, long limitMillis) {
         call = carrier;
         if (!over) {
-            watch(silenceMillis);
+            watch(limitMillis);
         }
     }
 
     /** Expects something within a time; 0 expects nothing. */
-    final void watch(long silenceMillis) {
+    final void watch(long limitMillis) {
         if (watch != null) {
             watch.cancel(false);
         }
-        watch = silenceMillis <= 0 ? null : run.context().loop().schedule(silenceMillis, this::silent);
+        silenceMillis = limitMillis;
+        watch = limitMillis <= 0 ? null : run.context().loop().schedule(limitMillis, this::silent);
     }
 
-    /** Ends an attempt that is silent, if another one may be made. */
+    /** Ends an attempt that is silent, if another one may be made and would do better. */
     private void silent() {
-        if (!over && run.mayTryAgain(FailureKind.SILENT)) {
-            call.cancel();
-            failed(FailureKind.SILENT);
+        if (over || !run.mayTryAgain(FailureKind.SILENT)) {
+            return;
+        }
+        if (choice.placement() == null) {
+            giveUp();
+            return;
         }
+        run.silence().lost(upstream()).subscribe(lost -> {
+            if (over) {
+                return;
+            }
+            if (lost) {
+                giveUp();
+            } else {
+                watch(silenceMillis);
+            }
+        });
+    }
+
+    /** Ends the attempt as silent. */
+    private void giveUp() {
+        call.cancel();
+        failed(FailureKind.SILENT);
     }
 
     /** Returns the upstreams that it uses. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/MemoryReservations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
@@ -3,11 +3,18 @@
 import org.apricotstack.core.upstream.UpstreamEntry;
 import reactor.core.publisher.Mono;
 
-/** Reserves memory at engines for prompts that one engine cannot hold. */
-public interface MemoryReservations {
+/** What engines offer beside running prompts; each call ends by itself within a fraction of a second. */
+public interface EngineCalls {
 
     /**
-     * Reserves memory.
+     * What an engine says of itself.
+     *
+     * @param pace how slow it is: 1 for the published figures, more for a slow engine
+     */
+    record Report(double pace) {}
+
+    /**
+     * Reserves memory, or renews a reservation.
      *
      * @param engine the engine
      * @param reservation names the reservation
@@ -25,4 +32,12 @@
      * @return whether the engine took it; an error if nobody knows
      */
     Mono<Boolean> release(UpstreamEntry engine, String reservation);
+
+    /**
+     * Asks an engine for its state. It is priced, so it is asked only when its silence has to be explained.
+     *
+     * @param engine the engine
+     * @return the state; an error if it does not answer
+     */
+    Mono<Report> report(UpstreamEntry engine);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -62,6 +62,11 @@
         return context;
     }
 
+    /** Returns what finds out why an engine is silent. */
+    SilenceCheck silence() {
+        return chooser.silence();
+    }
+
     @Override
     public void body(ByteBuf whole) {
         if (over) {
@@ -181,7 +186,10 @@
         } else if (!kind.countsAgainst()) {
             return;
         }
-        long avoid = context.judge().failed(blamed, now);
+        long avoid = context.judge().failed(blamed, kind, now);
+        if (avoid == 0) {
+            return;
+        }
         context.news().avoided(blamed, avoid);
         context.log()
                 .line("avoided")
@@ -223,6 +231,7 @@
             return;
         }
         long now = context.nowMillis();
+        chooser.silence().progress(attempt.upstream().id());
         if (progress.firstOf(attempt)) {
             chooser.writing(attempt.choice());
             log.firstEvent(attempt, !exchange.begun(), now);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ScheduledFuture;
 
 import org.apricotstack.core.engine.EnginePart;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -10,24 +11,36 @@
 import reactor.core.publisher.Mono;
 
 /**
- * The memory that one send reserves at its helpers, released on every way out.
+ * The memory that one send reserves at its helpers, freed on every way out.
  *
- * <p>What goes wrong: an order is lost or carried out seconds late, and memory stays taken though no request uses it.
- * Each reservation therefore ends by itself soon, is never renewed, and its release is repeated until it is answered.
+ * <p>What goes wrong: this process dies, or an order is lost or carried out seconds late, and memory stays taken though
+ * no request uses it. So a reservation lasts less than the time for which unused memory may stay taken, and is renewed
+ * while the request runs: nobody has to know of it after a crash. A release is repeated until it is answered, and if any
+ * order was not answered, until no late one can be carried out any more.
  */
 final class ReservedHelpers {
 
-    /** Time that a reservation lasts, in milliseconds: less than the 9 s for which memory may lie unused. */
-    static final long HOLD_MILLIS = 8_500;
+    /** Time that a reservation lasts, in milliseconds; memory may stay taken for 4 s after its request. */
+    static final long HOLD_MILLIS = 3_600;
 
-    /** Times that a release is sent at the most, and the time between two, in milliseconds; together over 4 s. */
-    private static final int MOST_RELEASES = 12;
+    /** Time between two renewals, in milliseconds; two may be lost in a row. */
+    private static final long RENEW_MILLIS = 1_000;
 
-    private static final long RELEASE_PAUSE_MILLIS = 300;
+    /** Time between two releases, in milliseconds. */
+    private static final long RELEASE_MILLIS = 300;
+
+    /** Time between two releases against orders that may still be carried out, in milliseconds. */
+    private static final long LATE_RELEASE_MILLIS = 1_000;
+
+    /** Time after which an order that was not answered is no longer carried out, in milliseconds. */
+    private static final long LATE_MILLIS = 13_000;
 
     private final RunContext context;
     private final UpstreamChoice choice;
     private final List<Forwarding.Helper> helpers = new ArrayList<>();
+    private ScheduledFuture<?> renewal;
+    private long unansweredMillis = Long.MIN_VALUE / 2;
+    private boolean ended;
 
     /** Creates the helpers of a send; nothing is reserved yet. */
     ReservedHelpers(RunContext context, UpstreamChoice choice) {
@@ -46,39 +59,77 @@
         return helpers;
     }
 
-    /**
-     * Reserves the memory.
-     *
-     * @return whether all of it is reserved
-     */
+    /** Reserves the memory; the result says whether all of it is reserved. */
     Mono<Boolean> reserve() {
+        return order().doOnNext(done -> {
+            if (done && !ended) {
+                renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
+            }
+        });
+    }
+
+    /** Renews the reservations, whatever became of the orders before. */
+    private void renew() {
+        if (!ended) {
+            renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
+            order().subscribe();
+        }
+    }
+
+    /** Orders all reservations once. */
+    private Mono<Boolean> order() {
         return Flux.range(0, helpers.size())
                 .filter(i -> helpers.get(i).reservation() != null)
-                .flatMap(i -> context.reservations()
+                .flatMap(i -> context.engines()
                         .reserve(
                                 helpers.get(i).upstream(),
                                 helpers.get(i).reservation(),
                                 choice.placement().parts().get(i + 1).memoryTokens(),
                                 HOLD_MILLIS)
+                        .doOnError(e -> unanswered(helpers.get(i).upstream()))
                         .onErrorReturn(false))
                 .all(reserved -> reserved);
     }
 
+    /** Notes an order that was not answered and may be carried out late. */
+    private void unanswered(UpstreamEntry engine) {
+        unansweredMillis = context.nowMillis();
+        context.judge().ordersLost(engine.id(), unansweredMillis);
+    }
+
     /** Releases all memory. */
     void release() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (renewal != null) {
+            renewal.cancel(false);
+        }
         for (Forwarding.Helper helper : helpers) {
             if (helper.reservation() != null) {
-                release(helper.upstream(), helper.reservation(), MOST_RELEASES);
+                release(helper.upstream(), helper.reservation());
             }
         }
     }
 
-    /** Sends a release until it is answered. */
-    private void release(UpstreamEntry engine, String reservation, int left) {
-        context.reservations().release(engine, reservation).subscribe(done -> {}, error -> {
-            if (left > 1) {
-                context.loop().schedule(RELEASE_PAUSE_MILLIS, () -> release(engine, reservation, left - 1));
-            }
-        });
+    /** Sends a release, and again while it is not answered or a late order may follow. */
+    private void release(UpstreamEntry engine, String reservation) {
+        if (context.upstreams().find(engine.id()) == null) {
+            return;
+        }
+        context.engines()
+                .release(engine, reservation)
+                .subscribe(done -> releaseLater(engine, reservation, LATE_RELEASE_MILLIS), error -> {
+                    unanswered(engine);
+                    releaseLater(engine, reservation, RELEASE_MILLIS);
+                });
+    }
+
+    /** Plans another release if an order may still be carried out. */
+    private void releaseLater(UpstreamEntry engine, String reservation, long delayMillis) {
+        if (context.nowMillis() - unansweredMillis < LATE_MILLIS) {
+            context.loop().schedule(delayMillis, () -> release(engine, reservation));
+        }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
@@ -27,7 +27,7 @@
  * @param board what engines are doing
  * @param connections connections to upstreams
  * @param protocol the upstreams' headers
- * @param reservations memory at engines
+ * @param engines what engines offer beside running prompts
  * @param news tells other routers
  * @param budgets what may be repeated
  * @param bodies bounds the bytes of requests that are held
@@ -44,7 +44,7 @@
         EngineBoard board,
         UpstreamConnections connections,
         UpstreamProtocol protocol,
-        MemoryReservations reservations,
+        EngineCalls engines,
         PlacementNews news,
         RetryBudgets budgets,
         ByteBudget bodies,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -29,11 +29,18 @@
 
     private final RunContext context;
     private final Map<UpstreamId, Integer> inFlight = new HashMap<>();
+    private final SilenceCheck silence;
     private long placements;
 
     /** Creates a chooser. */
     UpstreamChooser(RunContext context) {
         this.context = context;
+        this.silence = new SilenceCheck(context);
+    }
+
+    /** Returns what finds out why an engine is silent. */
+    SilenceCheck silence() {
+        return silence;
     }
 
     /** Chooses the upstreams for the next send of a request; {@code null} if none can answer in time. */
@@ -74,7 +81,8 @@
                 candidates.add(new EngineCandidate(
                         entry.id(),
                         context.board().load(entry.id()),
-                        context.judge().failureProbability(entry.id(), now)));
+                        context.judge().failureProbability(entry.id(), now),
+                        context.judge().takesOrders(entry.id(), now)));
             }
         }
         PlacementChoice choice =
