Model an engine by its passes, and shared parts as going ahead of what came before

Cause: readings took up to 5 s longer than predicted. Change: EngineLoad follows passes and both orders; a part's delay counts as loss of all that it overtakes.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -8,32 +8,69 @@
 /**
  * What one engine is believed to be doing: who reads, who writes, and how much memory is taken.
  *
- * <p>An engine reads the parts that it does for others first, then the prompts that it will answer, each in the order of
- * their arrival; everything that waits is read in one pass, and the writers' next event comes at the end of the pass.
+ * <p>While something is written the engine works in passes: all reading that waits when a pass begins is done in it, and
+ * its results and the writers' next events come together at its end. While nothing is written, it reads without passes.
+ * Then a part of a shared reading goes ahead of everything that came before it, other parts included, and a prompt that
+ * it reads alone waits for all others. News that a prompt was read mark the end of a pass.
  */
 public final class EngineLoad {
 
-    private final List<Reading> helping = new ArrayList<>();
-    private final List<Reading> reading = new ArrayList<>();
+    /** Passes that are followed one by one after a time without news; then the engine counts as between two passes. */
+    private static final int MOST_PASSES = 64;
+
+    /** Parts of shared readings, the newest first, as the engine reads them. */
+    private final List<Reading> shared = new ArrayList<>();
+
+    /** Prompts that the engine reads alone, the oldest first. */
+    private final List<Reading> alone = new ArrayList<>();
+
     private final Map<PlacementId, EnginePlacement> writing = new HashMap<>();
     private final Map<PlacementId, Long> memoryByPlacement = new HashMap<>();
+    private EngineProfile profile;
     private long memoryTokens;
     private int shortLeads;
     private long advancedMillis;
+    private double passEndMillis;
     private double pace = 1;
 
     /** A part that is being read. */
     private static final class Reading {
         private final EnginePlacement placement;
-        private final long targetMillis;
+        private final boolean lead;
+        private final long sinceMillis;
         private double leftMillis;
+        private boolean inPass;
 
         /** Creates a part of which nothing was read. */
-        private Reading(EnginePlacement placement, long targetMillis, double leftMillis) {
+        private Reading(EnginePlacement placement, boolean lead, long sinceMillis, double leftMillis) {
             this.placement = placement;
-            this.targetMillis = targetMillis;
+            this.lead = lead;
+            this.sinceMillis = sinceMillis;
             this.leftMillis = leftMillis;
         }
+
+        /** Estimates what the request loses if it is read later than predicted. */
+        private double lossByDelay(double readyMillis, double delayMillis, long nowMillis) {
+            double waited = nowMillis - sinceMillis;
+            double target = Math.max(1, placement.targetLatencyMillis() - waited);
+            return placement.value()
+                    * (PromptValue.lossByWait(readyMillis + delayMillis, target, waited)
+                            - PromptValue.lossByWait(readyMillis, target, waited));
+        }
+
+        /** Returns what is left and not in the pass that runs. */
+        private double waitingMillis() {
+            return inPass ? 0 : leftMillis;
+        }
+    }
+
+    /**
+     * Sets the engine's figures.
+     *
+     * @param figures the published figures
+     */
+    public void profile(EngineProfile figures) {
+        profile = figures;
     }
 
     /** Adds a part of a placement. */
@@ -45,17 +82,26 @@
         memoryTokens += part.memoryTokens();
         boolean lead = placement.lead().engine().equals(part.engine());
         shortLeads += lead && placement.isShort() ? 1 : 0;
-        Reading added =
-                new Reading(placement, nowMillis + placement.targetLatencyMillis(), part.readMillis() * pace);
-        (lead ? reading : helping).add(added);
+        Reading added = new Reading(placement, lead, nowMillis, part.readMillis() * pace);
+        if (placement.parts().size() > 1) {
+            shared.add(0, added);
+        } else {
+            alone.add(added);
+        }
     }
 
-    /** Lets the time pass in which the engine read. */
+    /** Lets the time pass. */
     private void advance(long nowMillis) {
         double elapsed = Math.max(0, nowMillis - advancedMillis);
         advancedMillis = Math.max(advancedMillis, nowMillis);
-        elapsed = consume(helping, elapsed);
-        consume(reading, elapsed);
+        if (writing.isEmpty()) {
+            consume(alone, consume(shared, elapsed));
+            passEndMillis = nowMillis;
+            return;
+        }
+        for (int i = 0; passEndMillis <= nowMillis; i++) {
+            beginPass(i < MOST_PASSES ? passEndMillis : nowMillis);
+        }
     }
 
     /** Takes time off what is read, in its order; returns the rest. */
@@ -69,31 +115,56 @@
         return rest;
     }
 
-    /** Notes that the prompt of a placement was read. */
+    /** Ends the pass that runs and begins the next one with all that waits. */
+    private void beginPass(double atMillis) {
+        passEndMillis = atMillis + Math.max(1, passMillis()) + takeIntoPass(shared) + takeIntoPass(alone);
+    }
+
+    /** Ends what was in a pass and takes what waits into the next one; returns how long it will be read. */
+    private static double takeIntoPass(List<Reading> parts) {
+        double total = 0;
+        for (Reading part : parts) {
+            if (part.inPass) {
+                part.inPass = false;
+                part.leftMillis = 0;
+            } else if (part.leftMillis > 0) {
+                part.inPass = true;
+                total += part.leftMillis;
+            }
+        }
+        return total;
+    }
+
+    /** Notes that the prompt of a placement was read, which also ends a pass. */
     void startWriting(PlacementId id, long nowMillis) {
         advance(nowMillis);
-        helping.removeIf(part -> part.placement.id().equals(id));
-        for (Reading part : List.copyOf(reading)) {
-            if (part.placement.id().equals(id)) {
-                reading.remove(part);
-                writing.put(id, part.placement);
+        Reading read = take(id);
+        if (read != null && read.lead) {
+            writing.put(id, read.placement);
+            beginPass(nowMillis);
+        }
+    }
+
+    /** Takes the part of a placement off the reading; {@code null} if there is none. */
+    private Reading take(PlacementId id) {
+        for (List<Reading> parts : List.of(shared, alone)) {
+            for (Reading part : parts) {
+                if (part.placement.id().equals(id)) {
+                    parts.remove(part);
+                    return part;
+                }
             }
         }
+        return null;
     }
 
     /** Takes a placement off. */
     void remove(PlacementId id, long nowMillis) {
         advance(nowMillis);
-        helping.removeIf(part -> part.placement.id().equals(id));
-        for (Reading part : List.copyOf(reading)) {
-            if (part.placement.id().equals(id)) {
-                reading.remove(part);
-                shortLeads -= part.placement.isShort() ? 1 : 0;
-            }
-        }
+        Reading read = take(id);
         EnginePlacement written = writing.remove(id);
-        if (written != null) {
-            shortLeads -= written.isShort() ? 1 : 0;
+        if (read != null && read.lead && read.placement.isShort() || written != null && written.isShort()) {
+            shortLeads--;
         }
         Long memory = memoryByPlacement.remove(id);
         memoryTokens -= memory == null ? 0 : memory;
@@ -118,29 +189,36 @@
     }
 
     /**
-     * Predicts for how long the parts that it does for others will still be read.
+     * Predicts when a new part would have been read.
      *
+     * @param readMillis reading of the part at usual pace, in milliseconds
+     * @param isShared whether other engines share the reading
      * @param nowMillis the time
-     * @return milliseconds
+     * @return milliseconds from now
      */
-    public double helpingMillis(long nowMillis) {
+    public double readyMillis(double readMillis, boolean isShared, long nowMillis) {
         advance(nowMillis);
-        return sum(helping);
+        double own = readMillis * pace;
+        if (writing.isEmpty()) {
+            return isShared ? own : left(shared) + left(alone) + own;
+        }
+        return passEndMillis - nowMillis + passMillis() + waiting() + own;
     }
 
     /**
-     * Predicts for how long everything placed here will still be read.
+     * Predicts the pause of the writers in the pass that a new part would be read in.
      *
+     * @param readMillis reading of the part at usual pace, in milliseconds; 0 for the pass without a new part
      * @param nowMillis the time
      * @return milliseconds
      */
-    public double pendingReadMillis(long nowMillis) {
+    public double pauseMillis(double readMillis, long nowMillis) {
         advance(nowMillis);
-        return sum(helping) + sum(reading);
+        return passMillis() + waiting() + readMillis * pace;
     }
 
-    /** Adds up what is left to read. */
-    private static double sum(List<Reading> parts) {
+    /** Adds up what is left of some parts. */
+    private static double left(List<Reading> parts) {
         double total = 0;
         for (Reading part : parts) {
             total += part.leftMillis;
@@ -148,13 +226,25 @@
         return total;
     }
 
+    /** Adds up what is read in the next pass. */
+    private double waiting() {
+        double total = 0;
+        for (Reading part : shared) {
+            total += part.waitingMillis();
+        }
+        for (Reading part : alone) {
+            total += part.waitingMillis();
+        }
+        return total;
+    }
+
     /**
      * Returns how many requests it runs as the engine that answers.
      *
      * @return requests that read or write
      */
     public int leads() {
-        return reading.size() + writing.size();
+        return alone.size() + writing.size() + (int) shared.stream().filter(part -> part.lead).count();
     }
 
     /**
@@ -166,22 +256,13 @@
         return shortLeads;
     }
 
-    /**
-     * Returns how many requests are writing.
-     *
-     * @return requests
-     */
-    public int writers() {
-        return writing.size();
-    }
-
     /**
      * Returns for how many requests of other engines it reads.
      *
      * @return parts
      */
     public int helps() {
-        return helping.size();
+        return (int) shared.stream().filter(part -> !part.lead).count();
     }
 
     /**
@@ -193,13 +274,11 @@
         return memoryTokens;
     }
 
-    /**
-     * Predicts how long a pass takes in which nothing is read.
-     *
-     * @param profile the engine's figures
-     * @return milliseconds; 0 if nothing is written
-     */
-    public double passMillis(EngineProfile profile) {
+    /** Predicts how long a pass takes in which nothing is read; 0 if nothing is written. */
+    private double passMillis() {
+        if (profile == null) {
+            return 0;
+        }
         long context = 0;
         for (EnginePlacement placement : writing.values()) {
             context += placement.contextTokens();
@@ -222,23 +301,32 @@
     }
 
     /**
-     * Adds up what the requests that are still reading lose if their first event comes later.
+     * Adds up what the requests that wait for reading lose by a new part.
      *
-     * @param delayMillis how much later, in milliseconds
-     * @param passMillis a pass of the engine, in milliseconds
+     * @param readMillis reading of the part at usual pace, in milliseconds
+     * @param isShared whether other engines share the reading, so that it goes ahead of what waits
      * @param nowMillis the time
      * @return value lost beyond what is lost already, in the units of {@link PromptValue}
      */
-    public double lossByDelay(double delayMillis, double passMillis, long nowMillis) {
+    public double lossByDelay(double readMillis, boolean isShared, long nowMillis) {
         advance(nowMillis);
+        double delay = readMillis * pace;
         double loss = 0;
-        double ready = sum(helping) + passMillis;
-        for (Reading part : reading) {
-            ready += part.leftMillis;
-            double target = Math.max(1, part.targetMillis - nowMillis);
-            loss += part.placement.value()
-                    * PromptValue.LOST_WHEN_LATE
-                    * (Lateness.probability(ready + delayMillis, target) - Lateness.probability(ready, target));
+        if (writing.isEmpty()) {
+            double ready = 0;
+            for (List<Reading> parts : List.of(shared, alone)) {
+                for (Reading part : parts) {
+                    ready += part.leftMillis;
+                    loss += isShared && part.leftMillis > 0 ? part.lossByDelay(ready, delay, nowMillis) : 0;
+                }
+            }
+            return loss;
+        }
+        double ready = passEndMillis - nowMillis + passMillis() + waiting();
+        for (List<Reading> parts : List.of(shared, alone)) {
+            for (Reading part : parts) {
+                loss += part.waitingMillis() > 0 ? part.lossByDelay(ready, delay, nowMillis) : 0;
+            }
         }
         return loss;
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -39,9 +39,6 @@
     /** Cost of each helper as a share of the request's value, so that helpers are not used where they gain nothing. */
     private static final double HELPER_COST_SHARE = 0.002;
 
-    /** Cost of using up the whole target as a share of the request's value; prefers the faster of two safe choices. */
-    private static final double DELAY_COST_SHARE = 0.08;
-
     /** Share of an engine's memory that is planned with; the rest covers what peers placed a moment ago. */
     private static final double MEMORY_SHARE = 0.96;
 
@@ -66,7 +63,7 @@
      * @param leadMillis when it will have read the part as the engine that answers, from now
      * @param helpMillis when it will have read the part as a helper, from now
      * @param pauseMillis pause that its writers will have
-     * @param loss value that its writers lose, and the cost of its side of the border
+     * @param loss value that its writers and readers lose, and the cost of its side of the border
      * @param rank all that speaks against it
      */
     private record Score(
@@ -92,8 +89,8 @@
             if (shares > candidates.size() || shares > 1 && part < LEAST_PART_MILLIS) {
                 break;
             }
-            List<Score> scores = score(request, part, candidates, nowMillis);
-            PlacementChoice choice = chooseWith(request, scores, shares, part, nowMillis);
+            List<Score> scores = score(request, shares, part, candidates, nowMillis);
+            PlacementChoice choice = chooseWith(request, scores, shares, part);
             if (choice.found() && choice.cost() < best.cost()) {
                 best = choice;
             }
@@ -118,7 +115,7 @@
 
     /** Scores all engines for a part, the most suitable first. */
     private List<Score> score(
-            PromptRequest request, double partMillis, List<EngineCandidate> candidates, long nowMillis) {
+            PromptRequest request, int shares, double partMillis, List<EngineCandidate> candidates, long nowMillis) {
         boolean isShort = request.promptTokens() <= PromptValue.SHORT_TOKENS;
         double value = PromptValue.of(request.promptTokens());
         int border = border(candidates);
@@ -126,21 +123,18 @@
         for (int i = 0; i < candidates.size(); i++) {
             EngineCandidate candidate = candidates.get(i);
             EngineLoad load = candidate.load();
-            double pass = load.passMillis(profile);
-            double pending = load.pendingReadMillis(nowMillis);
-            double part = partMillis * load.pace();
-            double pause = pass + pending + part;
+            double lead = load.readyMillis(partMillis, shares > 1, nowMillis) + slotWaitMillis(load);
+            double pause = load.pauseMillis(partMillis, nowMillis);
             double loss = load.lossByPause(pause)
-                    - load.lossByPause(pass + pending)
+                    - load.lossByPause(load.pauseMillis(0, nowMillis))
                     + sideCost(isShort, i, border, candidates.size());
             double late = value
                     * PromptValue.LOST_WHEN_LATE
-                    * Lateness.probability(
-                            pending + part + 1.5 * pass + slotWaitMillis(load), request.targetLatencyMillis());
+                    * Lateness.probability(lead, request.targetLatencyMillis());
+            double waiting = load.lossByDelay(partMillis, shares > 1, nowMillis);
             double failing = value * candidate.failureProbability();
-            double rank = loss + late + failing;
-            double help = load.helpingMillis(nowMillis) + part;
-            scores.add(new Score(candidate, pending + part, help, pause, loss, rank));
+            double help = lead - slotWaitMillis(load);
+            scores.add(new Score(candidate, lead, help, pause, loss + waiting, loss + late + waiting + failing));
         }
         scores.sort(Comparator.comparingDouble(Score::rank));
         return scores;
@@ -162,7 +156,7 @@
 
     /** Makes the choice for one number of parts. */
     private PlacementChoice chooseWith(
-            PromptRequest request, List<Score> scores, int shares, double partMillis, long nowMillis) {
+            PromptRequest request, List<Score> scores, int shares, double partMillis) {
         long tokens = request.promptTokens() + request.answerTokens();
         Score lead = null;
         for (Score score : scores) {
@@ -189,7 +183,7 @@
             return none();
         }
         List<EnginePart> parts = reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
-        return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves, nowMillis);
+        return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves);
     }
 
     /** Returns the memory of an engine that is free to plan with. */
@@ -226,32 +220,23 @@
 
     /** Predicts what a choice costs. */
     private PlacementChoice rate(
-            PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves, long nowMillis) {
-        EngineLoad leadLoad = chosen.get(0).candidate().load();
-        double ready = chosen.get(0).leadMillis();
+            PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves) {
+        double firstToken = 0;
         double pause = 0;
         double loss = 0;
         double whole = 1;
         for (int i = 0; i < chosen.size(); i++) {
             Score score = chosen.get(i);
-            EngineLoad load = score.candidate().load();
-            if (i > 0) {
-                ready = Math.max(ready, score.helpMillis());
-                loss += load.lossByDelay(parts.get(i).readMillis(), load.passMillis(profile), nowMillis);
-            }
+            boolean lead = i == 0;
+            firstToken = Math.max(firstToken, lead ? score.leadMillis() : score.helpMillis());
             pause = Math.max(pause, score.pauseMillis());
             loss += score.loss();
             whole *= 1 - score.candidate().failureProbability();
         }
-        double writing = profile.passMillis(leadLoad.writers() + 1, request.promptTokens()) * leadLoad.pace();
-        double firstToken = ready + leadLoad.passMillis(profile) / 2 + writing + slotWaitMillis(leadLoad);
-        double late = Lateness.probability(firstToken, request.targetLatencyMillis()) * PromptValue.LOST_WHEN_LATE
-                + Lateness.probability(firstToken, request.patienceMillis()) * (1 - PromptValue.LOST_WHEN_LATE);
-        double share = late
+        double share = PromptValue.lossByWait(firstToken, request.targetLatencyMillis(), request.waitedMillis())
                 + 1
                 - whole
-                + HELPER_COST_SHARE * (chosen.size() - 1)
-                + DELAY_COST_SHARE * firstToken / Math.max(1, request.targetLatencyMillis());
+                + HELPER_COST_SHARE * (chosen.size() - 1);
         double cost = loss + PromptValue.of(request.promptTokens()) * share;
         return new PlacementChoice(parts, firstToken, pause, cost, reserves);
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineProfile.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineProfile.java
@@ -11,6 +11,7 @@
  * @param contextPerThousandMillis what a thousand tokens of writing requests' contexts add to a step, in milliseconds
  * @param readTokensPerMilli prompt tokens read in a millisecond
  * @param pairsPerMillionMillis time for a million pairs of a prompt token and an earlier one, in milliseconds
+ * @param chunkTokens prompt tokens read in one step, at most
  * @param usualAnswerTokens mean length of an answer, in tokens
  */
 public record EngineProfile(
@@ -22,6 +23,7 @@
         double contextPerThousandMillis,
         double readTokensPerMilli,
         double pairsPerMillionMillis,
+        int chunkTokens,
         long usualAnswerTokens) {
 
     private static final double TOKENS_PER_THOUSAND = 1_000;
@@ -36,7 +38,8 @@
      */
     public double readMillis(long promptTokens, int parts) {
         double pairs = (double) promptTokens * promptTokens / 2;
-        return (promptTokens / readTokensPerMilli + pairs / PAIRS_PER_MILLION * pairsPerMillionMillis) / parts;
+        double steps = (double) promptTokens / Math.max(1, chunkTokens) * stepMillis;
+        return (promptTokens / readTokensPerMilli + pairs / PAIRS_PER_MILLION * pairsPerMillionMillis + steps) / parts;
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptRequest.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptRequest.java
@@ -8,6 +8,7 @@
  * @param targetLatencyMillis time to the first event that is on time, from now, in milliseconds
  * @param pauseTargetMillis longest pause between events that is on time, in milliseconds
  * @param patienceMillis time to the first event after which the caller leaves, from now, in milliseconds
+ * @param waitedMillis how long the caller has waited already, in milliseconds
  */
 public record PromptRequest(
-        long promptTokens, long answerTokens, long targetLatencyMillis, long pauseTargetMillis, long patienceMillis) {}
+        long promptTokens, long answerTokens, long targetLatencyMillis, long pauseTargetMillis, long patienceMillis, long waitedMillis) {}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
@@ -26,6 +26,11 @@
 
     private static final double PAUSES_OF_PATIENCE = 8;
 
+    private static final double TARGETS_OF_PATIENCE = 4;
+
+    /** Share counted for each whole target that a caller waits; prefers the faster of two safe choices. */
+    private static final double LOST_PER_TARGET = 0.08;
+
     private PromptValue() {}
 
     /**
@@ -38,6 +43,22 @@
         return BASE + promptTokens / TOKENS_PER_UNIT;
     }
 
+    /**
+     * Estimates the share of an answer's value that waiting for the first event costs.
+     *
+     * @param waitMillis the wait from now, in milliseconds
+     * @param targetMillis wait from now that is on time, in milliseconds
+     * @param waitedMillis how long the caller has waited already, in milliseconds
+     * @return 0 to 1, and a little more for each further target that passes
+     */
+    static double lossByWait(double waitMillis, double targetMillis, double waitedMillis) {
+        double whole = targetMillis + waitedMillis;
+        double patience = Math.max(1, Math.max(LEAST_PATIENCE_MILLIS, TARGETS_OF_PATIENCE * whole) - waitedMillis);
+        return LOST_WHEN_LATE * Lateness.probability(waitMillis, targetMillis)
+                + (1 - LOST_WHEN_LATE) * Lateness.probability(waitMillis, patience)
+                + LOST_PER_TARGET * waitMillis / whole;
+    }
+
     /**
      * Estimates the share of an answer's value that a pause costs.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -77,7 +77,8 @@
                 answerTokens,
                 Math.max(1, route.targetLatencyMillis() - waited),
                 route.pauseTargetMillis(),
-                Math.min(leftMillis(nowMillis), CallerPatience.millis(route) - (begun ? 0 : waited)));
+                Math.min(leftMillis(nowMillis), CallerPatience.millis(route) - (begun ? 0 : waited)),
+                begun ? 0 : waited);
     }
 
     /** Returns the silence after which another upstream is tried, in milliseconds; 0 if none may be. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -1,6 +1,10 @@
 package org.apricotstack.serving.run;
 
+import java.util.List;
+import java.util.stream.Collectors;
+
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.RefusalCause;
 
@@ -44,7 +48,8 @@
         line("sent")
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
-                .put("helpers", choice.helpers().size())
+                .put("helpers", names(choice.helpers()))
+                .put("part_millis", choice.placement() == null ? 0 : Math.round(choice.placement().lead().readMillis()))
                 .put("predicted_millis", Math.round(choice.predictedMillis()))
                 .put("reserves", choice.reserves())
                 .put("left_millis", facts.leftMillis(nowMillis))
@@ -52,6 +57,13 @@
                 .write();
     }
 
+    /** Joins the names of upstreams; {@code null} if there are none. */
+    private static String names(List<UpstreamEntry> upstreams) {
+        return upstreams.isEmpty()
+                ? null
+                : upstreams.stream().map(entry -> entry.id().value()).collect(Collectors.joining(","));
+    }
+
     /** Notes a failed attempt; a cause says why no other follows. */
     void failed(Attempt attempt, FailureKind kind, RefusalCause cause, long nowMillis) {
         context.metrics().attemptFailed(kind);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -78,6 +78,7 @@
         List<EngineCandidate> candidates = new ArrayList<>();
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
             if (!excluded.contains(entry.id())) {
+                context.board().load(entry.id()).profile(profile);
                 candidates.add(new EngineCandidate(
                         entry.id(),
                         context.board().load(entry.id()),
