Stay behind until a document arrives, and read everything after a failed wait

A heartbeat of a peer that knew no more reset the time for which a router counted as behind, so it never asked those that knew more; and the wait that followed a reset was deaf. Change: core.peer.CatchUp keeps the newest revision that any peer named; after any failed wait the follower reads all. Ruled out: restarting the wait alone (the new one was deaf too).

--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
@@ -0,0 +1,57 @@
+package org.apricotstack.core.peer;
+
+/**
+ * Decides when a router asks a peer for documents that the platform should have told it.
+ *
+ * <p>What goes wrong without it: the platform turns this router away, or a wait for changes is deaf, while others were
+ * told of a new configuration. Peers that know no more than this router say nothing about it, so only a document that
+ * arrives ends the state of being behind.
+ */
+public final class CatchUp {
+
+    /** Time for which the platform itself may tell what a peer knows already, in milliseconds. */
+    static final long BEHIND_MILLIS = 200;
+
+    /** Time between two questions, in milliseconds. */
+    static final long ASK_MILLIS = 400;
+
+    private long newestConfiguration;
+    private long newestUpstreams;
+    private long behindSinceMillis = -1;
+    private long askedMillis = Long.MIN_VALUE / 2;
+
+    /**
+     * Takes in what a peer knows.
+     *
+     * @param peer the peer's heartbeat
+     * @param configurationRevision revision of the configuration that this router has; 0 if none
+     * @param upstreamsRevision revision up to which this router knows the upstreams; 0 if it knows none
+     * @param nowMillis the time
+     * @return whether to ask this peer now
+     */
+    public boolean shouldAsk(Peer peer, long configurationRevision, long upstreamsRevision, long nowMillis) {
+        newestConfiguration = Math.max(newestConfiguration, peer.configurationRevision());
+        newestUpstreams = Math.max(newestUpstreams, peer.upstreamsRevision());
+        if (configurationRevision >= newestConfiguration && upstreamsRevision >= newestUpstreams) {
+            behindSinceMillis = -1;
+            return false;
+        }
+        if (behindSinceMillis < 0) {
+            behindSinceMillis = nowMillis;
+        }
+        boolean knowsMore =
+                peer.configurationRevision() > configurationRevision || peer.upstreamsRevision() > upstreamsRevision;
+        boolean knowsNothing = configurationRevision == 0 || upstreamsRevision == 0;
+        boolean waited = knowsNothing || nowMillis - behindSinceMillis >= BEHIND_MILLIS;
+        return knowsMore && waited && nowMillis - askedMillis >= ASK_MILLIS;
+    }
+
+    /**
+     * Notes that a peer was asked.
+     *
+     * @param nowMillis the time
+     */
+    public void asked(long nowMillis) {
+        askedMillis = nowMillis;
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -18,6 +18,7 @@
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.CatchUp;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.upstream.UpstreamJudge;
@@ -44,12 +45,6 @@
     /** Added for each known router, in milliseconds, so that none sends more than about 100 heartbeats a second. */
     private static final long HEARTBEAT_MILLIS_EACH = 7;
 
-    /** Time for which the platform itself may tell what a peer knows already, in milliseconds. */
-    private static final long BEHIND_MILLIS = 200;
-
-    /** Time between two requests for documents, in milliseconds. */
-    private static final long REQUEST_MILLIS = 400;
-
     /** Addresses told in one heartbeat, at most. */
     private static final int MOST_ADDRESSES = 16;
 
@@ -62,11 +57,10 @@
     private final DecisionLog log;
     private final BooleanSupplier ready;
     private final Runnable whenBehind;
+    private final CatchUp catchUp = new CatchUp();
     private final Map<Address, NewsLink> links = new HashMap<>();
     private final Set<HostId> believedAlive = new HashSet<>();
     private NewsFrame.Builder pending;
-    private long behindSinceMillis = -1;
-    private long requestedMillis = Long.MIN_VALUE / 2;
     private int nextAddress;
     private boolean closed;
 
@@ -220,37 +214,32 @@
             board.removeProcess(before, now);
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
-        catchUp(peer, now);
+        askIfBehind(peer, now);
     }
 
     /** Asks a peer for what it knows and this router does not, if the platform does not tell it soon. */
-    private void catchUp(Peer peer, long now) {
-        boolean behind = peer.configurationRevision() > state.configurationRevision()
-                || peer.upstreamsRevision() > state.upstreamsRevision();
-        if (!behind) {
-            if (peer.configurationRevision() == state.configurationRevision()
-                    && peer.upstreamsRevision() == state.upstreamsRevision()) {
-                behindSinceMillis = -1;
-            }
+    private void askIfBehind(Peer peer, long now) {
+        NewsLink link = links.get(peer.peerAddress());
+        boolean ask = catchUp.shouldAsk(peer, state.configurationRevision(), state.upstreamsRevision(), now);
+        if (!ask || link == null) {
             return;
         }
-        if (behindSinceMillis < 0) {
-            behindSinceMillis = now;
-        }
-        boolean nothing = !state.complete();
-        if ((nothing || now - behindSinceMillis >= BEHIND_MILLIS) && now - requestedMillis >= REQUEST_MILLIS) {
-            NewsLink link = links.get(peer.peerAddress());
-            if (link == null) {
-                return;
-            }
-            requestedMillis = now;
-            link.send(NewsFrame.newBuilder()
-                    .setDocuments(DocumentRequest.newBuilder()
-                            .setConfigurationRevision(state.configurationRevision())
-                            .setUpstreamsRevision(state.upstreamsRevision()))
-                    .build());
-            whenBehind.run();
+        NewsFrame request = NewsFrame.newBuilder()
+                .setDocuments(DocumentRequest.newBuilder()
+                        .setConfigurationRevision(state.configurationRevision())
+                        .setUpstreamsRevision(state.upstreamsRevision()))
+                .build();
+        if (link.send(request)) {
+            catchUp.asked(now);
+            log.line("peer_asked")
+                    .put("peer", peer.process().host().value())
+                    .put("peer_configuration", peer.configurationRevision())
+                    .put("peer_upstreams", peer.upstreamsRevision())
+                    .put("own_configuration", state.configurationRevision())
+                    .put("own_upstreams", state.upstreamsRevision())
+                    .write();
         }
+        whenBehind.run();
     }
 
     /** Takes the placements of a peer in. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
@@ -62,16 +62,13 @@
         }
     }
 
-    /** Sends news; they are lost if there is no stream, as they are old when one is there again. */
-    void send(NewsFrame frame) {
-        if (stream != null && greeted && stream.isReady()) {
+    /** Sends news and tells whether a stream took them; lost ones are not kept, as they would be old later. */
+    boolean send(NewsFrame frame) {
+        boolean open = stream != null && greeted && stream.isReady();
+        if (open) {
             stream.onNext(frame);
         }
-    }
-
-    /** Tells whether the peer answered lately. */
-    boolean alive(long nowMillis) {
-        return stream != null && nowMillis - heardMillis < SILENT_MILLIS && heardMillis > openedMillis;
+        return open;
     }
 
     /** Opens a connection and a stream. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -158,6 +158,8 @@
             return;
         }
         faults++;
+        // A wait that follows a fault can be deaf for seconds; what a list says is true when it is read.
+        readAll = true;
         if (!away) {
             away = true;
             log.line("platform_lost").put("problem", error.getMessage()).write();
