--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -8,8 +8,8 @@
 /**
  * What one engine is believed to be doing: who reads, who writes, and how much memory is taken.
  *
- * <p>While something is written the engine works in passes: all reading that waits when a pass begins is done in it, and
- * its results and the writers' next events come together at its end. While nothing is written, it reads without passes.
+ * <p>While something is written the engine works in passes: all reading that waits when a pass begins is done in it,
+ * and its results and the writers' next events come together at its end. While nothing is written there are no passes.
  * Then a part of a shared reading goes ahead of everything that came before it, other parts included, and a prompt that
  * it reads alone waits for all others. News that a prompt was read mark the end of a pass.
  */
@@ -244,7 +244,9 @@
      * @return requests that read or write
      */
     public int leads() {
-        return alone.size() + writing.size() + (int) shared.stream().filter(part -> part.lead).count();
+        return alone.size()
+                + writing.size()
+                + (int) shared.stream().filter(part -> part.lead).count();
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
@@ -12,11 +12,7 @@
  * @param pauseTargetMillis longest pause in its stream that is on time, in milliseconds
  */
 public record EnginePlacement(
-        PlacementId id,
-        List<EnginePart> parts,
-        long contextTokens,
-        long targetLatencyMillis,
-        long pauseTargetMillis) {
+        PlacementId id, List<EnginePart> parts, long contextTokens, long targetLatencyMillis, long pauseTargetMillis) {
 
     /** Copies the list. */
     public EnginePlacement {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -128,9 +128,8 @@
             double loss = load.lossByPause(pause)
                     - load.lossByPause(load.pauseMillis(0, nowMillis))
                     + sideCost(isShort, i, border, candidates.size());
-            double late = value
-                    * PromptValue.LOST_WHEN_LATE
-                    * Lateness.probability(lead, request.targetLatencyMillis());
+            double late =
+                    value * PromptValue.LOST_WHEN_LATE * Lateness.probability(lead, request.targetLatencyMillis());
             double waiting = load.lossByDelay(partMillis, shares > 1, nowMillis);
             double failing = value * candidate.failureProbability();
             double help = lead - slotWaitMillis(load);
@@ -155,8 +154,7 @@
     }
 
     /** Makes the choice for one number of parts. */
-    private PlacementChoice chooseWith(
-            PromptRequest request, List<Score> scores, int shares, double partMillis) {
+    private PlacementChoice chooseWith(PromptRequest request, List<Score> scores, int shares, double partMillis) {
         long tokens = request.promptTokens() + request.answerTokens();
         Score lead = null;
         for (Score score : scores) {
@@ -182,7 +180,8 @@
         if (chosen.size() < shares) {
             return none();
         }
-        List<EnginePart> parts = reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
+        List<EnginePart> parts =
+                reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
         return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves);
     }
 
@@ -219,8 +218,7 @@
     }
 
     /** Predicts what a choice costs. */
-    private PlacementChoice rate(
-            PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves) {
+    private PlacementChoice rate(PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves) {
         double firstToken = 0;
         double pause = 0;
         double loss = 0;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptRequest.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptRequest.java
@@ -11,4 +11,9 @@
  * @param waitedMillis how long the caller has waited already, in milliseconds
  */
 public record PromptRequest(
-        long promptTokens, long answerTokens, long targetLatencyMillis, long pauseTargetMillis, long patienceMillis, long waitedMillis) {}
+        long promptTokens,
+        long answerTokens,
+        long targetLatencyMillis,
+        long pauseTargetMillis,
+        long patienceMillis,
+        long waitedMillis) {}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -44,7 +44,8 @@
     private record Heard(Peer peer, long atMillis) {}
 
     /**
-     * Takes a heartbeat in.
+     * Takes a heartbeat in. Incarnations are not compared: they come from the time of day, which can jump back between
+     * two starts, and only one process runs on a host.
      *
      * @param peer what it says
      * @param nowMillis the time
@@ -52,10 +53,6 @@
      */
     public ProcessId heartbeat(Peer peer, long nowMillis) {
         Heard before = heard.get(peer.process().host());
-        if (before != null
-                && before.peer().process().incarnation() > peer.process().incarnation()) {
-            return null;
-        }
         heard.put(peer.process().host(), new Heard(peer, nowMillis));
         addresses.add(peer.peerAddress());
         return before == null || before.peer().process().equals(peer.process())
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -28,6 +28,7 @@
 
     private final boolean concernsAll;
 
+    /** Creates a kind. */
     FailureKind(boolean mayHaveRun, boolean countsAgainst, boolean concernsAll) {
         this.mayHaveRun = mayHaveRun;
         this.countsAgainst = countsAgainst;
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
@@ -0,0 +1,90 @@
+package org.apricotstack.core.engine;
+
+import org.assertj.core.data.Offset;
+import org.junit.jupiter.api.Test;
+
+import static org.apricotstack.core.engine.EngineTestData.engine;
+import static org.apricotstack.core.engine.EngineTestData.placement;
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineLoadTest {
+
+    private static final Offset<Double> MILLI = Offset.offset(1.0);
+
+    private final EngineBoard board = EngineTestData.board(3);
+    private final EngineLoad load = board.load(engine(0));
+
+    @Test
+    void readsPromptsThatItReadsAloneOneAfterTheOther() {
+        board.place(placement(40_000, 0), 0, 60_000);
+        assertThat(load.readyMillis(100, false, 0)).isCloseTo(300, MILLI);
+        assertThat(load.readyMillis(100, false, 150)).isCloseTo(150, MILLI);
+        assertThat(load.readyMillis(100, false, 500)).isCloseTo(100, MILLI);
+    }
+
+    /**
+     * Symptom: readings took seconds longer than predicted, and newer requests were read before older ones. Sequence: a
+     * shared reading is under way, another shared reading gets a part at the same engine. Cause: the newer part goes
+     * ahead, so the older one ends later by the whole new part.
+     */
+    @Test
+    void readsANewSharedPartAheadOfAnOlderOne() {
+        EnginePlacement older = placement(80_000, 0, 1);
+        board.place(older, 0, 60_000);
+        assertThat(load.readyMillis(100, true, 100)).isCloseTo(100, MILLI);
+        double loss = load.lossByDelay(2_900, true, 100);
+        assertThat(loss).isGreaterThan(older.value() * 0.3);
+        assertThat(load.lossByDelay(2_900, false, 100)).isZero();
+    }
+
+    @Test
+    void endsAllReadingOfAPassTogether() {
+        EnginePlacement writer = placement(4_000, 0);
+        board.place(writer, 0, 60_000);
+        board.startWriting(writer.id(), 20);
+        // The pass lasts until 70 ms; both prompts are read in the next one, which takes 50 ms and their reading.
+        board.place(placement(20_000, 0), 30, 60_000);
+        assertThat(load.readyMillis(100, false, 40)).isCloseTo(30 + 50 + 100 + 100, MILLI);
+        assertThat(load.pauseMillis(100, 40)).isCloseTo(250, MILLI);
+        // In the pass that began at 70 ms the first is read, so a new one waits for that pass.
+        assertThat(load.readyMillis(100, false, 100)).isCloseTo(120 + 50 + 100, MILLI);
+    }
+
+    @Test
+    void countsWhatItRunsAndFreesItAgain() {
+        EnginePlacement lead = placement(10_000, 0, 1);
+        EnginePlacement helped = placement(100_000, 1, 0);
+        board.place(lead, 0, 60_000);
+        board.place(lead, 0, 60_000);
+        board.place(helped, 0, 60_000);
+        assertThat(load.leads()).isEqualTo(1);
+        assertThat(load.shortLeads()).isEqualTo(1);
+        assertThat(load.helps()).isEqualTo(1);
+        assertThat(load.memoryTokens()).isEqualTo(10_000);
+        board.startWriting(lead.id(), 10);
+        assertThat(load.leads()).isEqualTo(1);
+        board.remove(lead.id(), 20);
+        board.remove(helped.id(), 20);
+        board.remove(helped.id(), 20);
+        assertThat(load.leads()).isZero();
+        assertThat(load.shortLeads()).isZero();
+        assertThat(load.helps()).isZero();
+        assertThat(load.memoryTokens()).isZero();
+        assertThat(board.size()).isZero();
+    }
+
+    /**
+     * Symptom: engines looked full for good. Sequence: a router places a request and dies, the news of its end never
+     * come. Cause: nobody else takes the placement off.
+     */
+    @Test
+    void takesOffWhatAGoneRouterPlaced() {
+        board.place(placement(10_000, 0), 0, 60_000);
+        board.place(placement(10_000, 1), 0, 500);
+        board.expire(1_000);
+        assertThat(board.size()).isEqualTo(1);
+        board.removeProcess(EngineTestData.HERE, 1_000);
+        assertThat(board.size()).isZero();
+        assertThat(load.leads()).isZero();
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -0,0 +1,123 @@
+package org.apricotstack.core.engine;
+
+import java.util.List;
+
+import org.apricotstack.core.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.apricotstack.core.engine.EngineTestData.board;
+import static org.apricotstack.core.engine.EngineTestData.candidates;
+import static org.apricotstack.core.engine.EngineTestData.engine;
+import static org.apricotstack.core.engine.EngineTestData.placement;
+import static org.apricotstack.core.engine.EngineTestData.request;
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EnginePlacerTest {
+
+    private static final int ENGINES = 8;
+
+    private final EnginePlacer placer = new EnginePlacer(EngineTestData.PROFILE);
+    private final EngineBoard board = board(ENGINES);
+
+    private PlacementChoice choose(long tokens) {
+        return placer.choose(request(tokens), candidates(board, ENGINES), 0);
+    }
+
+    private void write(long tokens, int engine) {
+        EnginePlacement placement = placement(tokens, engine);
+        board.place(placement, 0, 60_000);
+        board.startWriting(placement.id(), 0);
+    }
+
+    private static List<UpstreamId> engines(PlacementChoice choice) {
+        return choice.parts().stream().map(EnginePart::engine).toList();
+    }
+
+    @Test
+    void beginsWithTheFirstEngineForShortPromptsAndTheLastForLongOnes() {
+        assertThat(engines(choose(4_000))).containsExactly(engine(0));
+        assertThat(engines(choose(60_000))).contains(engine(ENGINES - 1)).doesNotContain(engine(0));
+    }
+
+    /**
+     * Symptom: short streams paused for over a second in the busy part of a day. Sequence: short prompts write on some
+     * engines, a long one arrives. Cause: its reading was put beside the writers, whose pass then lasts as long as it.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {45_000, 150_000, 280_000})
+    void keepsLongReadingAwayFromShortWriters(long tokens) {
+        for (int i = 0; i < 12; i++) {
+            write(4_000, i % 2);
+        }
+        assertThat(engines(choose(tokens))).isNotEmpty().doesNotContain(engine(0), engine(1));
+    }
+
+    @Test
+    void movesTheBorderWithTheNumberOfShortPrompts() {
+        assertThat(EnginePlacer.border(candidates(board, ENGINES))).isEqualTo(2);
+        for (int i = 0; i < 30; i++) {
+            write(4_000, i % 4);
+        }
+        assertThat(EnginePlacer.border(candidates(board, ENGINES))).isEqualTo(6);
+    }
+
+    @Test
+    void sharesAReadingThatWouldBeLateAlone() {
+        PlacementChoice choice = choose(299_000);
+        assertThat(choice.parts().size()).isGreaterThan(1);
+        assertThat(choice.firstTokenMillis()).isLessThan(1_000);
+    }
+
+    @Test
+    void reservesMemoryForAPromptThatNoEngineHolds() {
+        PlacementChoice choice = choose(700_000);
+        assertThat(choice.reservesMemory()).isTrue();
+        assertThat(choice.parts().stream().mapToLong(EnginePart::memoryTokens).sum())
+                .isGreaterThanOrEqualTo(700_800);
+        assertThat(choice.parts())
+                .allSatisfy(part -> assertThat(part.memoryTokens()).isLessThanOrEqualTo(288_000));
+    }
+
+    /**
+     * Symptom: prompts that need several engines' memory failed one after the other. Sequence: some engines leave
+     * orders
+     * unanswered. Cause: memory was reserved at them again and again.
+     */
+    @Test
+    void reservesNoMemoryWhereOrdersAreLost() {
+        List<EngineCandidate> some = candidates(board, ENGINES).stream()
+                .map(candidate -> new EngineCandidate(
+                        candidate.engine(),
+                        candidate.load(),
+                        0,
+                        candidate.engine().compareTo(engine(4)) < 0))
+                .toList();
+        PlacementChoice choice = placer.choose(request(700_000), some, 0);
+        assertThat(choice.parts().subList(1, choice.parts().size())).allSatisfy(part -> assertThat(
+                        part.memoryTokens() > 0 && part.engine().compareTo(engine(4)) >= 0)
+                .isFalse());
+    }
+
+    @Test
+    void avoidsAnEngineThatIsLikelyToFail() {
+        List<EngineCandidate> candidates = candidates(board, ENGINES).stream()
+                .map(candidate -> candidate.engine().equals(engine(0))
+                        ? new EngineCandidate(candidate.engine(), candidate.load(), 0.95, true)
+                        : candidate)
+                .toList();
+        assertThat(engines(placer.choose(request(4_000), candidates, 0))).doesNotContain(engine(0));
+    }
+
+    @Test
+    void findsNoEngineOnceTheCallerWouldHaveLeft() {
+        for (int i = 0; i < ENGINES; i++) {
+            board.place(placement(290_000, i), 0, 60_000);
+            write(4_000, i);
+            board.place(placement(290_000, i), 0, 60_000);
+            board.place(placement(290_000, i), 0, 60_000);
+        }
+        assertThat(choose(4_000).found()).isFalse();
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -0,0 +1,76 @@
+package org.apricotstack.core.peer;
+
+import java.util.List;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerTableTest {
+
+    private static final DataCentreId EAST = new DataCentreId("east");
+    private static final DataCentreId WEST = new DataCentreId("west");
+
+    private final PeerTable table = new PeerTable();
+
+    private static Peer peer(int number, long incarnation, DataCentreId dataCentre, boolean ready) {
+        return new Peer(
+                new ProcessId(new HostId("host-" + number), incarnation),
+                dataCentre,
+                new Address("127.0.0." + number, 80),
+                new Address("127.0.0." + number, 90),
+                ready,
+                1,
+                1);
+    }
+
+    private List<String> named(DataCentreId dataCentre, long nowMillis) {
+        return table.callerAddresses(null, dataCentre, 64, nowMillis).stream()
+                .map(Address::ip)
+                .toList();
+    }
+
+    @Test
+    void namesTheOwnDataCentreWhileTwoAreThere() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.heartbeat(peer(2, 1, EAST, true), 0);
+        table.heartbeat(peer(3, 1, WEST, true), 0);
+        assertThat(named(EAST, 0)).containsExactly("127.0.0.1", "127.0.0.2");
+        assertThat(named(WEST, 0)).containsExactly("127.0.0.1", "127.0.0.2", "127.0.0.3");
+        assertThat(named(null, 0)).hasSize(3);
+    }
+
+    @Test
+    void namesNeitherSilentRoutersNorThoseThatAreNotReady() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.heartbeat(peer(2, 1, EAST, true), 1_000);
+        table.heartbeat(peer(3, 1, EAST, false), 1_000);
+        assertThat(named(EAST, PeerTable.SUSPECT_MILLIS)).containsExactly("127.0.0.2");
+    }
+
+    /**
+     * Symptom: a restarted router was not named for minutes. Sequence: its time of day jumped back before it started
+     * again, so its new incarnation is a smaller number. Cause: heartbeats of smaller incarnations were dropped.
+     */
+    @Test
+    void takesARestartedRouterWhateverItsTimeOfDay() {
+        table.heartbeat(peer(1, 500, EAST, true), 0);
+        ProcessId before = table.heartbeat(peer(1, 400, EAST, true), 5_000);
+        assertThat(before.incarnation()).isEqualTo(500);
+        assertThat(named(EAST, 5_000)).containsExactly("127.0.0.1");
+    }
+
+    @Test
+    void givesUpPlacementsLaterThanTheName() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        assertThat(table.expire(PeerTable.SUSPECT_MILLIS)).isEmpty();
+        assertThat(table.expire(PeerTable.GONE_MILLIS + 1)).hasSize(1);
+        assertThat(table.addresses()).hasSize(1);
+        table.expire(PeerTable.FORGET_MILLIS + 1);
+        assertThat(table.addresses()).isEmpty();
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamTableTest.java
@@ -0,0 +1,83 @@
+package org.apricotstack.core.upstream;
+
+import java.util.List;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamTableTest {
+
+    private static final ServiceId SERVICE = new ServiceId("service");
+
+    private final UpstreamTable table = new UpstreamTable();
+
+    private static UpstreamEntry entry(String id, long revision, boolean draining) {
+        return new UpstreamEntry(
+                new UpstreamId(id), SERVICE, new Address("127.0.0.1", 1), new DataCentreId("a"), 4, draining, revision);
+    }
+
+    private List<String> usable() {
+        return table.usable(SERVICE).stream().map(entry -> entry.id().value()).toList();
+    }
+
+    @Test
+    void listsWhatIsReadyInOneOrder() {
+        table.put(entry("b", 2, false));
+        table.put(entry("a", 3, false));
+        table.put(entry("c", 4, true));
+        assertThat(usable()).containsExactly("a", "b");
+        table.put(entry("a", 5, true));
+        assertThat(usable()).containsExactly("b");
+    }
+
+    @Test
+    void ignoresWhatIsOlderThanWhatItKnows() {
+        table.put(entry("a", 5, true));
+        assertThat(table.put(entry("a", 4, false))).isFalse();
+        table.remove(new UpstreamId("a"), 7, 0);
+        assertThat(table.put(entry("a", 6, false))).isFalse();
+        assertThat(usable()).isEmpty();
+        assertThat(table.put(entry("a", 8, false))).isTrue();
+        table.remove(new UpstreamId("a"), 6, 0);
+        assertThat(usable()).containsExactly("a");
+    }
+
+    /**
+     * Symptom: a service had no upstreams right after the platform came back. Sequence: the platform is away
+     * longer than
+     * entries last, comes back without them, and they return within two seconds. Cause: missing entries were taken for
+     * upstreams that had left.
+     */
+    @Test
+    void holdsEntriesThatAreMissingRightAfterAnOutage() {
+        table.put(entry("a", 1, false));
+        table.put(entry("b", 2, false));
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(), 10, 1_000);
+        table.remove(new UpstreamId("b"), 11, 1_500);
+        assertThat(usable()).containsExactly("a", "b");
+        table.put(entry("a", 12, false));
+        assertThat(table.dropLapsed(1_000 + UpstreamTable.LAPSE_MILLIS)).containsExactly(new UpstreamId("b"));
+        assertThat(usable()).containsExactly("a");
+    }
+
+    @Test
+    void takesAMissingEntryOffAtOnceAtAnyOtherTime() {
+        table.put(entry("a", 1, false));
+        table.put(entry("b", 2, false));
+        assertThat(table.replaceAll(List.of(entry("b", 2, false)), 10, 1_000)).isTrue();
+        assertThat(usable()).containsExactly("b");
+    }
+
+    @Test
+    void keepsAnEntryThatIsNewerThanAList() {
+        table.put(entry("a", 20, false));
+        table.replaceAll(List.of(), 10, 0);
+        assertThat(usable()).containsExactly("a");
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -20,6 +20,7 @@
 import org.apricotstack.serving.http.UpstreamConnections;
 import org.apricotstack.serving.news.NewsHub;
 import org.apricotstack.serving.news.NewsServer;
+import org.apricotstack.serving.news.RouterIdentity;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.ServingMetrics;
 import org.apricotstack.serving.publication.PublicationFollower;
@@ -58,6 +59,7 @@
     private final RequestRuns runs;
     private final CallerServer callers;
     private final StopSequence stop;
+    private RouterIdentity identity;
     private NewsServer newsServer;
     private long sweptMillis;
 
@@ -82,8 +84,7 @@
         connections = new UpstreamConnections(loop);
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
-        hub = new NewsHub(
-                loop, options.identity(), peers, board, judge, state, log, this::ready, follower::restartIfSilent);
+        hub = new NewsHub(loop, peers, board, judge, state, log, this::ready, follower::restartIfSilent);
         RunContext context = new RunContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -123,18 +124,27 @@
         metrics.gauge("log.lines_dropped", log::dropped);
     }
 
-    /** Starts everything. */
-    public void start() {
+    /**
+     * Starts everything.
+     *
+     * @return who the router is, with the ports that it listens on
+     */
+    public RouterIdentity start() {
+        RouterIdentity asked = options.identity();
+        newsServer = new NewsServer(loop, asked.peerAddress(), hub);
+        identity = new RouterIdentity(
+                asked.process(),
+                asked.dataCentre(),
+                callers.listen(asked.callerAddress()),
+                new Address(asked.peerAddress().ip(), newsServer.port()));
         options.seeds().forEach(peers::mention);
-        peers.mention(options.identity().peerAddress());
-        newsServer = new NewsServer(loop, options.identity().peerAddress(), hub);
-        callers.listen(options.identity().callerAddress());
         sweptMillis = loop.nowMillis();
         loop.execute(() -> {
             follower.start();
-            hub.start();
+            hub.start(identity);
             loop.every(SWEEP_MILLIS, this::sweep);
         });
+        return identity;
     }
 
     /** Looks at times that have passed. */
@@ -174,10 +184,10 @@
      */
     public List<Address> callerAddresses(DataCentreId dataCentre) {
         Peer own = new Peer(
-                options.identity().process(),
-                options.identity().dataCentre(),
-                options.identity().callerAddress(),
-                options.identity().peerAddress(),
+                identity.process(),
+                identity.dataCentre(),
+                identity.callerAddress(),
+                identity.peerAddress(),
                 ready(),
                 state.configurationRevision(),
                 state.upstreamsRevision());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -49,7 +49,6 @@
     private static final int MOST_ADDRESSES = 16;
 
     private final ServingLoop loop;
-    private final RouterIdentity self;
     private final PeerTable peers;
     private final EngineBoard board;
     private final UpstreamJudge judge;
@@ -60,6 +59,7 @@
     private final CatchUp catchUp = new CatchUp();
     private final Map<Address, NewsLink> links = new HashMap<>();
     private final Set<HostId> believedAlive = new HashSet<>();
+    private RouterIdentity self;
     private NewsFrame.Builder pending;
     private int nextAddress;
     private boolean closed;
@@ -68,7 +68,6 @@
      * Creates a hub that sends nothing yet.
      *
      * @param loop the thread
-     * @param self who this router is
      * @param peers takes heartbeats
      * @param board takes placements
      * @param judge takes failures that others saw
@@ -79,7 +78,6 @@
      */
     public NewsHub(
             ServingLoop loop,
-            RouterIdentity self,
             PeerTable peers,
             EngineBoard board,
             UpstreamJudge judge,
@@ -88,7 +86,6 @@
             BooleanSupplier ready,
             Runnable whenBehind) {
         this.loop = loop;
-        this.self = self;
         this.peers = peers;
         this.board = board;
         this.judge = judge;
@@ -98,8 +95,14 @@
         this.whenBehind = whenBehind;
     }
 
-    /** Begins to send heartbeats. */
-    public void start() {
+    /**
+     * Begins to send heartbeats.
+     *
+     * @param identity who this router is
+     */
+    public void start(RouterIdentity identity) {
+        self = identity;
+        peers.mention(identity.peerAddress());
         beat();
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -113,9 +113,8 @@
             return;
         }
         answered();
-        long told = changes.documents().stream()
-                .mapToLong(Publication::revision)
-                .reduce(known, Math::max);
+        long told =
+                changes.documents().stream().mapToLong(Publication::revision).reduce(known, Math::max);
         if (changes.historyGone()) {
             log.line("platform_history_gone").put("known", known).write();
             readAll = true;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -15,8 +15,8 @@
  *
  * <p>What goes wrong: this process dies, or an order is lost or carried out seconds late, and memory stays taken though
  * no request uses it. So a reservation lasts less than the time for which unused memory may stay taken, and is renewed
- * while the request runs: nobody has to know of it after a crash. A release is repeated until it is answered, and if any
- * order was not answered, until no late one can be carried out any more.
+ * while the request runs: nobody has to know of it after a crash. A release is repeated until it is answered, and if
+ * any order was not answered, until no late one can be carried out any more.
  */
 final class ReservedHelpers {
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -49,7 +49,11 @@
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
-                .put("part_millis", choice.placement() == null ? 0 : Math.round(choice.placement().lead().readMillis()))
+                .put(
+                        "part_millis",
+                        choice.placement() == null
+                                ? 0
+                                : Math.round(choice.placement().lead().readMillis()))
                 .put("predicted_millis", Math.round(choice.predictedMillis()))
                 .put("reserves", choice.reserves())
                 .put("left_millis", facts.leftMillis(nowMillis))
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -93,11 +93,7 @@
         }
         PlacementId id = new PlacementId(context.process(), ++placements);
         EnginePlacement placement = new EnginePlacement(
-                id,
-                choice.parts(),
-                request.promptTokens(),
-                request.targetLatencyMillis(),
-                request.pauseTargetMillis());
+                id, choice.parts(), request.promptTokens(), request.targetLatencyMillis(), request.pauseTargetMillis());
         List<UpstreamEntry> helpers = new ArrayList<>();
         for (EnginePart part : choice.parts().subList(1, choice.parts().size())) {
             helpers.add(context.upstreams().find(part.engine()));
