Price the time of engines when they are scarce, and count what holds an engine unseen

Change: an engine that owes a predicted first event is predicted later by what it owes; what a dead router's parts still have to read stays; engine time has a price that grows with the share of engines in use, and a prompt that would cost others more than it is worth waits while its time allows. Ruled out: a border that is too far back (the idle-looking engines were busy with those readings).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
@@ -92,7 +92,10 @@
                 gone.add(id);
             }
         }
-        gone.forEach(id -> remove(id, nowMillis));
+        for (PlacementId id : gone) {
+            Placed placed = placements.remove(id);
+            placed.placement().parts().forEach(part -> load(part.engine()).orphan(id, nowMillis));
+        }
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -15,6 +15,12 @@
  */
 public final class EngineLoad {
 
+    /** Lateness of a first event that is within the prediction's error, in milliseconds. */
+    private static final double OVERDUE_MILLIS = 150;
+
+    /** Reading that takes an engine away from short prompts, in milliseconds. */
+    private static final double BUSY_READ_MILLIS = 400;
+
     /** Passes that are followed one by one after a time without news; then the engine counts as between two passes. */
     private static final int MOST_PASSES = 64;
 
@@ -31,6 +37,8 @@
     private int shortLeads;
     private long advancedMillis;
     private double passEndMillis;
+    private double orphanedEndMillis;
+    private double progressMillis = Double.NEGATIVE_INFINITY;
     private double pace = 1;
 
     /** A part that is being read. */
@@ -39,6 +47,7 @@
         private final boolean lead;
         private final long sinceMillis;
         private double leftMillis;
+        private double dueMillis;
         private boolean inPass;
 
         /** Creates a part of which nothing was read. */
@@ -82,14 +91,48 @@
         memoryTokens += part.memoryTokens();
         boolean lead = placement.lead().engine().equals(part.engine());
         shortLeads += lead && placement.isShort() ? 1 : 0;
+        boolean isShared = placement.parts().size() > 1;
         Reading added = new Reading(placement, lead, nowMillis, part.readMillis() * pace);
-        if (placement.parts().size() > 1) {
+        added.dueMillis = nowMillis + readyMillis(part.readMillis(), isShared, nowMillis);
+        postpone(isShared, added.leftMillis);
+        if (isShared) {
             shared.add(0, added);
         } else {
             alone.add(added);
         }
     }
 
+    /** Lets what waits be due later, as a new part is read before or with it. */
+    private void postpone(boolean isShared, double byMillis) {
+        for (List<Reading> parts : List.of(shared, alone)) {
+            for (Reading part : parts) {
+                boolean delayed = writing.isEmpty() ? isShared : !part.inPass;
+                part.dueMillis += delayed ? byMillis : 0;
+            }
+        }
+    }
+
+    /**
+     * Returns for how long the engine has owed a first event that was predicted.
+     *
+     * <p>It works on something that is not known here, or is stuck: whatever it is, new requests wait behind it too.
+     */
+    private double overdueMillis(long nowMillis) {
+        double overdue = 0;
+        for (List<Reading> parts : List.of(shared, alone)) {
+            for (Reading part : parts) {
+                boolean owed = part.lead && part.dueMillis > progressMillis;
+                overdue = owed ? Math.max(overdue, nowMillis - part.dueMillis) : overdue;
+            }
+        }
+        return overdue > OVERDUE_MILLIS ? overdue : 0;
+    }
+
+    /** Returns for how long the engine is held by what no living router placed, as far as it is known. */
+    private double foreignMillis(long nowMillis) {
+        return Math.max(overdueMillis(nowMillis), orphanedEndMillis - nowMillis);
+    }
+
     /** Lets the time pass. */
     private void advance(long nowMillis) {
         double elapsed = Math.max(0, nowMillis - advancedMillis);
@@ -140,6 +183,7 @@
         advance(nowMillis);
         Reading read = take(id);
         if (read != null && read.lead) {
+            progressMillis = nowMillis;
             writing.put(id, read.placement);
             beginPass(nowMillis);
         }
@@ -158,6 +202,23 @@
         return null;
     }
 
+    /**
+     * Takes a placement off whose router is gone. The engine may not notice and goes on reading, so what is left to
+     * read
+     * stays until it would have been read.
+     */
+    void orphan(PlacementId id, long nowMillis) {
+        advance(nowMillis);
+        double left = 0;
+        for (List<Reading> parts : List.of(shared, alone)) {
+            for (Reading part : parts) {
+                left += part.placement.id().equals(id) ? part.leftMillis : 0;
+            }
+        }
+        remove(id, nowMillis);
+        orphanedEndMillis = Math.max(orphanedEndMillis, nowMillis) + left;
+    }
+
     /** Takes a placement off. */
     void remove(PlacementId id, long nowMillis) {
         advance(nowMillis);
@@ -200,9 +261,9 @@
         advance(nowMillis);
         double own = readMillis * pace;
         if (writing.isEmpty()) {
-            return isShared ? own : left(shared) + left(alone) + own;
+            return foreignMillis(nowMillis) + (isShared ? own : left(shared) + left(alone) + own);
         }
-        return passEndMillis - nowMillis + passMillis() + waiting() + own;
+        return foreignMillis(nowMillis) + passEndMillis - nowMillis + passMillis() + waiting() + own;
     }
 
     /**
@@ -258,6 +319,19 @@
         return shortLeads;
     }
 
+    /**
+     * Estimates how much of the engine is in use.
+     *
+     * @param nowMillis the time
+     * @return 0 if it is idle, 1 if its slots are taken or it reads for longer than short prompts can wait
+     */
+    public double busyShare(long nowMillis) {
+        advance(nowMillis);
+        double reads = left(shared) + left(alone) + Math.max(0, foreignMillis(nowMillis));
+        double slots = profile == null ? 1 : profile.slots();
+        return Math.min(1, Math.max(leads() / slots, reads / BUSY_READ_MILLIS));
+    }
+
     /**
      * Returns for how many requests of other engines it reads.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -45,6 +45,19 @@
     /** Mean time that a request holds a slot, in milliseconds, for predicting when a full engine has room. */
     private static final double SLOT_HOLD_MILLIS = 1_700;
 
+    /** Share of the engines in use from which their time is scarce, and share at which it has its full price. */
+    private static final double SCARCE_FROM = 0.55;
+
+    private static final double SCARCE_TO = 0.95;
+
+    /**
+     * Value of a second of an engine when all are in use: what short prompts, which take 0.2 s of an engine each with
+     * their share of its passes, would earn in it.
+     */
+    private static final double VALUE_PER_SECOND = 6;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final EngineProfile profile;
 
     /**
@@ -84,13 +97,14 @@
      */
     public PlacementChoice choose(PromptRequest request, List<EngineCandidate> candidates, long nowMillis) {
         PlacementChoice best = none();
+        double price = pricePerMilli(candidates, nowMillis) * profile.readMillis(request.promptTokens(), 1);
         for (int shares : SHARES) {
             double part = profile.readMillis(request.promptTokens(), shares);
             if (shares > candidates.size() || shares > 1 && part < LEAST_PART_MILLIS) {
                 break;
             }
             List<Score> scores = score(request, shares, part, candidates, nowMillis);
-            PlacementChoice choice = chooseWith(request, scores, shares, part);
+            PlacementChoice choice = chooseWith(request, scores, shares, part).plus(price);
             if (choice.found() && choice.cost() < best.cost()) {
                 best = choice;
             }
@@ -98,6 +112,16 @@
         return best.firstTokenMillis() > request.patienceMillis() ? none() : best;
     }
 
+    /** Returns what a millisecond of an engine is worth to others now. */
+    private static double pricePerMilli(List<EngineCandidate> candidates, long nowMillis) {
+        double busy = 0;
+        for (EngineCandidate candidate : candidates) {
+            busy += candidate.load().busyShare(nowMillis);
+        }
+        double scarcity = (busy / Math.max(1, candidates.size()) - SCARCE_FROM) / (SCARCE_TO - SCARCE_FROM);
+        return Math.max(0, Math.min(1, scarcity)) * VALUE_PER_SECOND / MILLIS_PER_SECOND;
+    }
+
     /** The choice of no engine. */
     private static PlacementChoice none() {
         return new PlacementChoice(List.of(), 0, 0, Double.MAX_VALUE, false);
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementChoice.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementChoice.java
@@ -19,6 +19,16 @@
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Returns the same choice at a higher cost.
+     *
+     * @param price what is added
+     * @return the choice
+     */
+    PlacementChoice plus(double price) {
+        return new PlacementChoice(parts, firstTokenMillis, pauseMillis, cost + price, reservesMemory);
+    }
+
     /**
      * Tells whether engines were found.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -194,6 +194,15 @@
         return peers.callerAddresses(own, dataCentre, MOST_ADDRESSES, loop.nowMillis());
     }
 
+    /**
+     * Takes in addresses at which other routers may be; called on the loop.
+     *
+     * @param addresses the addresses
+     */
+    public void learnOf(List<Address> addresses) {
+        addresses.forEach(peers::mention);
+    }
+
     /**
      * Returns the metrics.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
@@ -36,6 +36,12 @@
     /** Time after which a full service usually has room, in milliseconds: about the length of a short answer. */
     private static final long ROOM_MILLIS = 700;
 
+    /** Time between two looks of a request that waits for room, in milliseconds: two passes. */
+    static final long LOOK_MILLIS = 100;
+
+    /** Time that an answer takes after its first event, in milliseconds: most long ones have 16 to 20 events. */
+    static final long WRITING_MILLIS = 2_500;
+
     private CallerPatience() {}
 
     /** Returns how long a caller waits for the first event, as far as a prediction may use it. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -40,6 +40,7 @@
     private int bodyBytes;
     private Attempt current;
     private ReservedHelpers reserved;
+    private boolean waiting;
     private boolean over;
 
     /** Begins a run; it waits for the body. */
@@ -98,6 +99,10 @@
             endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
             return;
         }
+        if (choice.dear() && left - choice.predictedMillis() > CallerPatience.WRITING_MILLIS) {
+            waitForRoom();
+            return;
+        }
         chooser.begin(choice, left);
         reserved = new ReservedHelpers(context, choice);
         Attempt attempt = newAttempt(choice, now);
@@ -109,6 +114,19 @@
         }
     }
 
+    /** Looks again a little later, while engines are worth more to others. */
+    private void waitForRoom() {
+        if (!waiting) {
+            waiting = true;
+            log.waits(context.nowMillis());
+        }
+        context.loop().schedule(CallerPatience.LOOK_MILLIS, () -> {
+            if (!over && current == null) {
+                send();
+            }
+        });
+    }
+
     /** Goes on once the memory is reserved. */
     private void afterReserving(Attempt attempt, boolean done) {
         if (attempt != current || attempt.over()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -43,6 +43,14 @@
                 .write();
     }
 
+    /** Notes that the request waits, as placing it now would cost others more than it is worth. */
+    void waits(long nowMillis) {
+        line("waits")
+                .put("left_millis", facts.leftMillis(nowMillis))
+                .put("board", context.board().size())
+                .write();
+    }
+
     /** Notes a send. */
     void sent(UpstreamChoice choice, long nowMillis) {
         line("sent")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChoice.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChoice.java
@@ -13,10 +13,12 @@
  * @param placement the placement on engines, or {@code null} for a plain service
  * @param predictedMillis predicted time to the first event, in milliseconds; 0 for a plain service
  * @param reserves whether memory must be reserved first
+ * @param dear whether others would lose more by it now than the answer is worth, so that it should wait
  */
 record UpstreamChoice(
         UpstreamEntry upstream,
         List<UpstreamEntry> helpers,
         EnginePlacement placement,
         double predictedMillis,
-        boolean reserves) {}
+        boolean reserves,
+        boolean dear) {}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -67,7 +67,7 @@
                 bestCost = cost;
             }
         }
-        return best == null ? null : new UpstreamChoice(best, List.of(), null, 0, false);
+        return best == null ? null : new UpstreamChoice(best, List.of(), null, 0, false, false);
     }
 
     /** Chooses engines for a prompt; {@code null} if none can give a first event in time. */
@@ -99,7 +99,13 @@
             helpers.add(context.upstreams().find(part.engine()));
         }
         UpstreamEntry lead = context.upstreams().find(placement.lead().engine());
-        return new UpstreamChoice(lead, helpers, placement, choice.firstTokenMillis(), choice.reservesMemory());
+        return new UpstreamChoice(
+                lead,
+                helpers,
+                placement,
+                choice.firstTokenMillis(),
+                choice.reservesMemory(),
+                choice.cost() > placement.value());
     }
 
     /** Notes that a choice is used. */
