--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -1,8 +1,6 @@
 package org.apricotstack.core.engine;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -24,12 +22,7 @@
     /** Passes that are followed one by one after a time without news; then the engine counts as between two passes. */
     private static final int MOST_PASSES = 64;
 
-    /** Parts of shared readings, the newest first, as the engine reads them. */
-    private final List<Reading> shared = new ArrayList<>();
-
-    /** Prompts that the engine reads alone, the oldest first. */
-    private final List<Reading> alone = new ArrayList<>();
-
+    private final ReadingQueue reading = new ReadingQueue();
     private final Map<PlacementId, EnginePlacement> writing = new HashMap<>();
     private final Map<PlacementId, Long> memoryByPlacement = new HashMap<>();
     private EngineProfile profile;
@@ -41,38 +34,6 @@
     private double progressMillis = Double.NEGATIVE_INFINITY;
     private double pace = 1;
 
-    /** A part that is being read. */
-    private static final class Reading {
-        private final EnginePlacement placement;
-        private final boolean lead;
-        private final long sinceMillis;
-        private double leftMillis;
-        private double dueMillis;
-        private boolean inPass;
-
-        /** Creates a part of which nothing was read. */
-        private Reading(EnginePlacement placement, boolean lead, long sinceMillis, double leftMillis) {
-            this.placement = placement;
-            this.lead = lead;
-            this.sinceMillis = sinceMillis;
-            this.leftMillis = leftMillis;
-        }
-
-        /** Estimates what the request loses if it is read later than predicted. */
-        private double lossByDelay(double readyMillis, double delayMillis, long nowMillis) {
-            double waited = nowMillis - sinceMillis;
-            double target = Math.max(1, placement.targetLatencyMillis() - waited);
-            return placement.value()
-                    * (PromptValue.lossByWait(readyMillis + delayMillis, target, waited)
-                            - PromptValue.lossByWait(readyMillis, target, waited));
-        }
-
-        /** Returns what is left and not in the pass that runs. */
-        private double waitingMillis() {
-            return inPass ? 0 : leftMillis;
-        }
-    }
-
     /**
      * Sets the engine's figures.
      *
@@ -91,25 +52,10 @@
         memoryTokens += part.memoryTokens();
         boolean lead = placement.lead().engine().equals(part.engine());
         shortLeads += lead && placement.isShort() ? 1 : 0;
-        boolean isShared = placement.parts().size() > 1;
-        Reading added = new Reading(placement, lead, nowMillis, part.readMillis() * pace);
-        added.dueMillis = nowMillis + readyMillis(part.readMillis(), isShared, nowMillis);
-        postpone(isShared, added.leftMillis);
-        if (isShared) {
-            shared.add(0, added);
-        } else {
-            alone.add(added);
-        }
-    }
-
-    /** Lets what waits be due later, as a new part is read before or with it. */
-    private void postpone(boolean isShared, double byMillis) {
-        for (List<Reading> parts : List.of(shared, alone)) {
-            for (Reading part : parts) {
-                boolean delayed = writing.isEmpty() ? isShared : !part.inPass;
-                part.dueMillis += delayed ? byMillis : 0;
-            }
-        }
+        double due = nowMillis + readyMillis(part.readMillis(), placement.isShared(), nowMillis);
+        double own = part.readMillis() * pace;
+        reading.postpone(placement.isShared(), !writing.isEmpty(), own);
+        reading.add(new PartReading(placement, lead, nowMillis, own, due));
     }
 
     /**
@@ -118,13 +64,7 @@
      * <p>It works on something that is not known here, or is stuck: whatever it is, new requests wait behind it too.
      */
     private double overdueMillis(long nowMillis) {
-        double overdue = 0;
-        for (List<Reading> parts : List.of(shared, alone)) {
-            for (Reading part : parts) {
-                boolean owed = part.lead && part.dueMillis > progressMillis;
-                overdue = owed ? Math.max(overdue, nowMillis - part.dueMillis) : overdue;
-            }
-        }
+        double overdue = reading.owedMillis(progressMillis, nowMillis);
         return overdue > OVERDUE_MILLIS ? overdue : 0;
     }
 
@@ -138,7 +78,7 @@
         double elapsed = Math.max(0, nowMillis - advancedMillis);
         advancedMillis = Math.max(advancedMillis, nowMillis);
         if (writing.isEmpty()) {
-            consume(alone, consume(shared, elapsed));
+            reading.read(elapsed);
             passEndMillis = nowMillis;
             return;
         }
@@ -147,61 +87,22 @@
         }
     }
 
-    /** Takes time off what is read, in its order; returns the rest. */
-    private static double consume(List<Reading> parts, double millis) {
-        double rest = millis;
-        for (Reading part : parts) {
-            double taken = Math.min(rest, part.leftMillis);
-            part.leftMillis -= taken;
-            rest -= taken;
-        }
-        return rest;
-    }
-
     /** Ends the pass that runs and begins the next one with all that waits. */
     private void beginPass(double atMillis) {
-        passEndMillis = atMillis + Math.max(1, passMillis()) + takeIntoPass(shared) + takeIntoPass(alone);
-    }
-
-    /** Ends what was in a pass and takes what waits into the next one; returns how long it will be read. */
-    private static double takeIntoPass(List<Reading> parts) {
-        double total = 0;
-        for (Reading part : parts) {
-            if (part.inPass) {
-                part.inPass = false;
-                part.leftMillis = 0;
-            } else if (part.leftMillis > 0) {
-                part.inPass = true;
-                total += part.leftMillis;
-            }
-        }
-        return total;
+        passEndMillis = atMillis + Math.max(1, passMillis()) + reading.nextPass();
     }
 
     /** Notes that the prompt of a placement was read, which also ends a pass. */
     void startWriting(PlacementId id, long nowMillis) {
         advance(nowMillis);
-        Reading read = take(id);
-        if (read != null && read.lead) {
+        PartReading read = reading.take(id);
+        if (read != null && read.lead()) {
             progressMillis = nowMillis;
-            writing.put(id, read.placement);
+            writing.put(id, read.placement());
             beginPass(nowMillis);
         }
     }
 
-    /** Takes the part of a placement off the reading; {@code null} if there is none. */
-    private Reading take(PlacementId id) {
-        for (List<Reading> parts : List.of(shared, alone)) {
-            for (Reading part : parts) {
-                if (part.placement.id().equals(id)) {
-                    parts.remove(part);
-                    return part;
-                }
-            }
-        }
-        return null;
-    }
-
     /**
      * Takes a placement off whose router is gone. The engine may not notice and goes on reading, so what is left to
      * read
@@ -210,10 +111,8 @@
     void orphan(PlacementId id, long nowMillis) {
         advance(nowMillis);
         double left = 0;
-        for (List<Reading> parts : List.of(shared, alone)) {
-            for (Reading part : parts) {
-                left += part.placement.id().equals(id) ? part.leftMillis : 0;
-            }
+        for (PartReading part : reading.parts()) {
+            left += part.placement().id().equals(id) ? part.leftMillis() : 0;
         }
         remove(id, nowMillis);
         orphanedEndMillis = Math.max(orphanedEndMillis, nowMillis) + left;
@@ -222,9 +121,9 @@
     /** Takes a placement off. */
     void remove(PlacementId id, long nowMillis) {
         advance(nowMillis);
-        Reading read = take(id);
+        PartReading read = reading.take(id);
         EnginePlacement written = writing.remove(id);
-        if (read != null && read.lead && read.placement.isShort() || written != null && written.isShort()) {
+        if (read != null && read.lead() && read.placement().isShort() || written != null && written.isShort()) {
             shortLeads--;
         }
         Long memory = memoryByPlacement.remove(id);
@@ -261,9 +160,9 @@
         advance(nowMillis);
         double own = readMillis * pace;
         if (writing.isEmpty()) {
-            return foreignMillis(nowMillis) + (isShared ? own : left(shared) + left(alone) + own);
+            return foreignMillis(nowMillis) + (isShared ? own : reading.leftMillis() + own);
         }
-        return foreignMillis(nowMillis) + passEndMillis - nowMillis + passMillis() + waiting() + own;
+        return foreignMillis(nowMillis) + passEndMillis - nowMillis + passMillis() + reading.waitingMillis() + own;
     }
 
     /**
@@ -275,28 +174,7 @@
      */
     public double pauseMillis(double readMillis, long nowMillis) {
         advance(nowMillis);
-        return passMillis() + waiting() + readMillis * pace;
-    }
-
-    /** Adds up what is left of some parts. */
-    private static double left(List<Reading> parts) {
-        double total = 0;
-        for (Reading part : parts) {
-            total += part.leftMillis;
-        }
-        return total;
-    }
-
-    /** Adds up what is read in the next pass. */
-    private double waiting() {
-        double total = 0;
-        for (Reading part : shared) {
-            total += part.waitingMillis();
-        }
-        for (Reading part : alone) {
-            total += part.waitingMillis();
-        }
-        return total;
+        return passMillis() + reading.waitingMillis() + readMillis * pace;
     }
 
     /**
@@ -305,9 +183,7 @@
      * @return requests that read or write
      */
     public int leads() {
-        return alone.size()
-                + writing.size()
-                + (int) shared.stream().filter(part -> part.lead).count();
+        return reading.leads() + writing.size();
     }
 
     /**
@@ -327,7 +203,7 @@
      */
     public double busyShare(long nowMillis) {
         advance(nowMillis);
-        double reads = left(shared) + left(alone) + Math.max(0, foreignMillis(nowMillis));
+        double reads = reading.leftMillis() + Math.max(0, foreignMillis(nowMillis));
         double slots = profile == null ? 1 : profile.slots();
         return Math.min(1, Math.max(leads() / slots, reads / BUSY_READ_MILLIS));
     }
@@ -338,7 +214,7 @@
      * @return parts
      */
     public int helps() {
-        return (int) shared.stream().filter(part -> !part.lead).count();
+        return reading.helps();
     }
 
     /**
@@ -388,21 +264,12 @@
         advance(nowMillis);
         double delay = readMillis * pace;
         double loss = 0;
-        if (writing.isEmpty()) {
-            double ready = 0;
-            for (List<Reading> parts : List.of(shared, alone)) {
-                for (Reading part : parts) {
-                    ready += part.leftMillis;
-                    loss += isShared && part.leftMillis > 0 ? part.lossByDelay(ready, delay, nowMillis) : 0;
-                }
-            }
-            return loss;
-        }
-        double ready = passEndMillis - nowMillis + passMillis() + waiting();
-        for (List<Reading> parts : List.of(shared, alone)) {
-            for (Reading part : parts) {
-                loss += part.waitingMillis() > 0 ? part.lossByDelay(ready, delay, nowMillis) : 0;
-            }
+        boolean passes = !writing.isEmpty();
+        double ready = passes ? passEndMillis - nowMillis + passMillis() + reading.waitingMillis() : 0;
+        for (PartReading part : reading.parts()) {
+            ready += passes ? 0 : part.leftMillis();
+            boolean waits = part.waitingMillis() > 0 && part.delayedBy(isShared, passes);
+            loss += waits ? part.lossByDelay(ready, delay, nowMillis) : 0;
         }
         return loss;
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacement.java
@@ -28,6 +28,15 @@
         return parts.get(0);
     }
 
+    /**
+     * Tells whether several engines read its prompt.
+     *
+     * @return whether it has helpers
+     */
+    public boolean isShared() {
+        return parts.size() > 1;
+    }
+
     /**
      * Tells whether its prompt is short.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
@@ -16,9 +16,11 @@
 
     @Test
     void readsPromptsThatItReadsAloneOneAfterTheOther() {
-        board.place(placement(40_000, 0), 0, 60_000);
+        EnginePlacement placed = placement(40_000, 0);
+        board.place(placed, 0, 60_000);
         assertThat(load.readyMillis(100, false, 0)).isCloseTo(300, MILLI);
         assertThat(load.readyMillis(100, false, 150)).isCloseTo(150, MILLI);
+        board.remove(placed.id(), 300);
         assertThat(load.readyMillis(100, false, 500)).isCloseTo(100, MILLI);
     }
 
@@ -87,4 +89,36 @@
         assertThat(board.size()).isZero();
         assertThat(load.leads()).isZero();
     }
+
+    /**
+     * Symptom: twenty short prompts at a time were put on engines that gave nothing for five seconds. Sequence: an
+     * engine
+     * reads something that no router knows of; each new prompt there waits, and still looks cheap. Cause: a first event
+     * that was predicted and did not come told nobody anything.
+     */
+    @Test
+    void predictsLaterWhatWaitsAtAnEngineThatOwesAFirstEvent() {
+        EnginePlacement owed = placement(4_000, 0);
+        board.place(owed, 0, 60_000);
+        assertThat(load.readyMillis(10, false, 100)).isCloseTo(10, MILLI);
+        assertThat(load.readyMillis(10, false, 1_020)).isCloseTo(1_010, MILLI);
+        assertThat(load.busyShare(1_020)).isEqualTo(1);
+        board.startWriting(owed.id(), 1_030);
+        assertThat(load.readyMillis(10, false, 1_040)).isLessThan(120);
+    }
+
+    /**
+     * Symptom: an engine looked idle and was blocked for seven seconds. Sequence: a router shares a long reading,
+     * and is
+     * killed; the engine reads on. Cause: its placement was taken off together with what was left to read.
+     */
+    @Test
+    void countsReadingWhoseRouterIsGoneUntilItWouldBeDone() {
+        board.place(placement(800_000, 1, 0), 0, 60_000);
+        board.removeProcess(EngineTestData.HERE, 500);
+        assertThat(load.leads()).isZero();
+        assertThat(load.memoryTokens()).isZero();
+        assertThat(load.readyMillis(10, true, 500)).isCloseTo(1_510, MILLI);
+        assertThat(load.readyMillis(10, true, 2_100)).isCloseTo(10, MILLI);
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -120,4 +120,20 @@
         }
         assertThat(choose(4_000).found()).isFalse();
     }
+
+    /**
+     * Symptom: short prompts were late for seconds in the busiest phase. Sequence: all engines are busy with short
+     * prompts, a prompt of 500,000 tokens arrives and is placed. Cause: its 2.5 s of engine time had no price.
+     */
+    @Test
+    void pricesEngineTimeOnlyWhileEnginesAreScarce() {
+        double idle = choose(290_000).cost();
+        for (int i = 0; i < ENGINES * 10; i++) {
+            write(4_000, i % ENGINES);
+        }
+        PlacementChoice busy = choose(290_000);
+        assertThat(idle).isLessThan(PromptValue.of(290_000) / 4);
+        assertThat(busy.cost()).isGreaterThan(idle + 8);
+        assertThat(choose(2_000).cost()).isLessThan(PromptValue.of(2_000));
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -181,7 +181,9 @@
         endAttempt(attempt);
         attempts.failed(kind);
         judge(attempt, kind, now);
-        excluded.add(attempt.upstream().id());
+        if (kind != FailureKind.HELPER_GONE) {
+            excluded.add(attempt.upstream().id());
+        }
         RefusalCause cause = attempts.whyNotAgain(kind, facts.leftMillis(now));
         boolean repeats = kind != FailureKind.NO_CONNECTION;
         if (cause == null && repeats && !context.budgets().of(facts.service()).trySpend(now)) {
