--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
@@ -86,6 +86,7 @@
         commands.put("experiment", new ExperimentCommand());
         commands.put("measure", new MeasureCommand());
         commands.put("stand-in", new StandInCommand());
+        commands.put("trace-request", new TraceRequestCommand());
         return commands;
     }
 }
--- /dev/null
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/RequestTrace.java
@@ -0,0 +1,174 @@
+package org.apricotstack.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apricotstack.adapters.json.Json;
+import org.apricotstack.core.failure.ApricotException;
+import org.apricotstack.core.failure.ErrorCode;
+
+/**
+ * The life of one request, read from the log lines of routers.
+ *
+ * <p>A request is served by one router, so its lines carry one clock. Beside them stand the lines on what that router
+ * believed of the upstreams that the request used, from a second before it arrived until it ended.
+ */
+final class RequestTrace {
+
+    /** What was believed this long before the request still decided about it, in milliseconds. */
+    private static final long BEFORE_MILLIS = 1_000;
+
+    /** Fields that each line has and that are not repeated. */
+    private static final Set<String> COMMON = Set.of("time", "host", "event", "request");
+
+    private final List<JsonNode> lines;
+
+    /** Creates a trace of lines in their order. */
+    private RequestTrace(List<JsonNode> lines) {
+        this.lines = lines;
+    }
+
+    /**
+     * Reads a trace.
+     *
+     * @param request the request's id
+     * @param files collected logs; text before the JSON object of a line is passed over
+     * @return the trace, without lines if no file knows the request
+     */
+    static RequestTrace read(String request, List<Path> files) {
+        List<JsonNode> all = new ArrayList<>();
+        for (Path file : files) {
+            try (Stream<String> texts = Files.lines(file)) {
+                texts.forEach(text -> add(all, text));
+            } catch (IOException e) {
+                throw new ApricotException(
+                        ErrorCode.ENVIRONMENT, "Cannot read " + file + "; give the files of collected logs.", e);
+            }
+        }
+        List<JsonNode> own = new ArrayList<>(all.stream()
+                .filter(line -> request.equals(line.path("request").asText()))
+                .toList());
+        if (own.isEmpty()) {
+            return new RequestTrace(own);
+        }
+        own.addAll(beliefs(all, own));
+        own.sort(Comparator.comparingLong(line -> line.path("time").asLong()));
+        return new RequestTrace(own);
+    }
+
+    /** Adds a line if it holds a JSON object. */
+    private static void add(List<JsonNode> lines, String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return;
+        }
+        try {
+            JsonNode line = Json.STRICT.readTree(text.substring(start));
+            if (line.hasNonNull("event")) {
+                lines.add(line);
+            }
+        } catch (JsonProcessingException e) {
+            // Collected logs hold lines of other programs too.
+            return;
+        }
+    }
+
+    /** Finds what the routers of a request believed meanwhile. */
+    private static List<JsonNode> beliefs(List<JsonNode> all, List<JsonNode> own) {
+        Set<String> upstreams = new HashSet<>();
+        for (JsonNode line : own) {
+            upstreams.add(line.path("upstream").asText());
+            upstreams.addAll(Arrays.asList(line.path("helpers").asText().split(",")));
+        }
+        String host = own.get(0).path("host").asText();
+        long first = own.get(0).path("time").asLong() - BEFORE_MILLIS;
+        long last = own.get(own.size() - 1).path("time").asLong();
+        return all.stream()
+                .filter(line ->
+                        !line.has("request") && host.equals(line.path("host").asText()))
+                .filter(line ->
+                        line.path("time").asLong() >= first && line.path("time").asLong() <= last)
+                .filter(line -> !line.has("upstream")
+                        || upstreams.contains(line.path("upstream").asText()))
+                .toList();
+    }
+
+    /**
+     * Tells whether no file knows the request.
+     *
+     * @return whether there are no lines
+     */
+    boolean isEmpty() {
+        return lines.isEmpty();
+    }
+
+    /**
+     * Writes the trace: a line for each event, with the milliseconds since the arrival, then a first guess of the
+     * cause.
+     *
+     * @return the text
+     */
+    String describe() {
+        long arrival = lines.stream()
+                .filter(line -> line.has("request"))
+                .findFirst()
+                .orElseThrow()
+                .path("time")
+                .asLong();
+        StringBuilder text =
+                new StringBuilder("host " + lines.get(0).path("host").asText() + "\n");
+        for (JsonNode line : lines) {
+            text.append(String.format("%+7d ms  ", line.path("time").asLong() - arrival))
+                    .append(line.has("request") ? "  " : "* ")
+                    .append(line.path("event").asText());
+            line.fields().forEachRemaining(field -> {
+                if (!COMMON.contains(field.getKey())) {
+                    text.append(' ')
+                            .append(field.getKey())
+                            .append('=')
+                            .append(field.getValue().asText());
+                }
+            });
+            text.append('\n');
+        }
+        return text.append("first guess: ").append(guess()).append('\n').toString();
+    }
+
+    /** Guesses why the request ended as it did. */
+    private String guess() {
+        JsonNode end = null;
+        String failure = "";
+        for (JsonNode line : lines) {
+            if (!line.has("request")) {
+                continue;
+            }
+            end = line;
+            if ("attempt_failed".equals(line.path("event").asText())) {
+                failure = " after upstream " + line.path("upstream").asText() + " failed ("
+                        + line.path("kind").asText() + ")";
+            }
+        }
+        return switch (end.path("event").asText()) {
+            case "refused" -> "ended by the router, " + end.path("cause").asText() + failure;
+            case "caller_left" -> "the caller left"
+                    + (end.hasNonNull("last_event") ? " in the middle of the stream" : " before the first event")
+                    + failure;
+            case "answered", "streamed" -> "served with status "
+                    + end.path("status").asText() + " in "
+                    + end.path("took_millis").asText()
+                    + " ms, longest pause " + end.path("longest_pause_millis").asText() + " ms" + failure;
+            default -> "the log ends with " + end.path("event").asText()
+                    + "; look whether the process was stopped or lines were dropped";
+        };
+    }
+}
--- /dev/null
+++ b/apricotstack-cli/src/test/java/org/apricotstack/cli/RequestTraceTest.java
@@ -0,0 +1,78 @@
+package org.apricotstack.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestTraceTest {
+
+    private static final String LOG =
+            """
+            noise of another program
+            host-1 {'time':800,'host':'host-1','event':'platform_lost','problem':'reset'}
+            host-1 {'time':900,'host':'host-1','event':'avoided','upstream':'other','kind':'silent'}
+            host-1 {'time':1000,'host':'host-1','event':'arrived','request':'r1','route':'a'}
+            host-1 {'time':1000,'host':'host-1','event':'sent','request':'r1','upstream':'u1','helpers':'u2'}
+            host-2 {'time':1100,'host':'host-2','event':'avoided','upstream':'u1','kind':'silent'}
+            host-1 {'time':1500,'host':'host-1','event':'engine_reported','upstream':'u2','pace_percent':500}
+            host-1 {'time':1600,'host':'host-1','event':'attempt_failed','request':'r1','upstream':'u1','kind':'cut'}
+            host-1 {'time':1600,'host':'host-1','event':'refused','request':'r1','cause':'attempts_used','status':502}
+            host-1 {'time':1700,'host':'host-1','event':'arrived','request':'r2','route':'a'}
+            host-1 {'time':1900,'host':'host-1','event':'caller_left','request':'r2','last_event':'5'}
+            host-1 {'time':1950,'host':'host-1','event':'arrived','request':'r3','route':'a'}
+            {broken
+            """
+                    .replace('\'', '"');
+
+    @TempDir
+    private Path folder;
+
+    private Path file;
+
+    @BeforeEach
+    void write() throws IOException {
+        file = Files.writeString(folder.resolve("log"), LOG);
+    }
+
+    @Test
+    void showsWhatTheRouterBelievedOfTheUpstreamsThatWereUsed() {
+        String text = RequestTrace.read("r1", List.of(file)).describe();
+        assertThat(text)
+                .contains("-200 ms  * platform_lost problem=reset")
+                .contains("+500 ms  * engine_reported upstream=u2 pace_percent=500")
+                .contains("+600 ms    attempt_failed upstream=u1 kind=cut")
+                .doesNotContain("other")
+                .doesNotContain("r2")
+                .contains("host host-1");
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "r1 | ended by the router, attempts_used after upstream u1 failed (cut)",
+                "r2 | the caller left in the middle of the stream",
+                "r3 | the log ends with arrived"
+            })
+    void guessesTheCause(String request, String guess) {
+        assertThat(RequestTrace.read(request, List.of(file)).describe()).contains("first guess: " + guess);
+    }
+
+    @Test
+    void isACommandWithDocumentedExitCodes() {
+        assertThat(MainTest.run("trace-request", "--request", "r1", file.toString()))
+                .startsWith("0 host host-1");
+        assertThat(MainTest.run("trace-request", "--request", "nobody", file.toString()))
+                .startsWith("1 No file knows");
+        assertThat(MainTest.run("trace-request", "--request", "r1", "/nowhere")).startsWith("3 Cannot read");
+    }
+}
