--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -165,6 +165,17 @@
         return foreignMillis(nowMillis) + passEndMillis - nowMillis + passMillis() + reading.waitingMillis() + own;
     }
 
+    /**
+     * Predicts when its writers get their next events.
+     *
+     * @param nowMillis the time
+     * @return milliseconds from now
+     */
+    public double nextEventMillis(long nowMillis) {
+        advance(nowMillis);
+        return foreignMillis(nowMillis) + passEndMillis - nowMillis;
+    }
+
     /**
      * Predicts the pause of the writers in the pass that a new part would be read in.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -105,11 +105,12 @@
             }
             List<Score> scores = score(request, shares, part, candidates, nowMillis);
             PlacementChoice choice = chooseWith(request, scores, shares, part).plus(price);
-            if (choice.found() && choice.cost() < best.cost()) {
+            boolean inTime = choice.found() && choice.firstTokenMillis() <= request.patienceMillis();
+            if (inTime && choice.cost() < best.cost()) {
                 best = choice;
             }
         }
-        return best.firstTokenMillis() > request.patienceMillis() ? none() : best;
+        return best;
     }
 
     /** Returns what a millisecond of an engine is worth to others now. */
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -136,4 +136,24 @@
         assertThat(busy.cost()).isGreaterThan(idle + 8);
         assertThat(choose(2_000).cost()).isLessThan(PromptValue.of(2_000));
     }
+
+    /**
+     * Symptom: a prompt was refused for want of room though helpers could have read it in time. Sequence: engines are
+     * scarce, few helpers cost others least but take longer than the caller waits. Cause: patience was looked at only
+     * after the cheapest number of helpers had been chosen.
+     */
+    @Test
+    void choosesAmongNumbersOfHelpersThatAreFastEnoughForTheCaller() {
+        for (int i = 0; i < ENGINES * 9; i++) {
+            write(4_000, i % ENGINES);
+        }
+        PromptRequest patient = new PromptRequest(280_000, 800, 3_000, 1_000, 10_800, 0);
+        PromptRequest hasty = new PromptRequest(280_000, 800, 3_000, 1_000, 500, 0);
+        int cheapest =
+                placer.choose(patient, candidates(board, ENGINES), 0).parts().size();
+        PlacementChoice fast = placer.choose(hasty, candidates(board, ENGINES), 0);
+        assertThat(fast.found()).isTrue();
+        assertThat(fast.firstTokenMillis()).isLessThanOrEqualTo(500);
+        assertThat(fast.parts().size()).isGreaterThan(cheapest);
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -68,7 +68,7 @@
             if (over) {
                 return;
             }
-            if (lost) {
+            if (lost || run.wouldBeFasterElsewhere(this)) {
                 giveUp();
             } else {
                 watch(silenceMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -94,6 +94,10 @@
             return;
         }
         UpstreamChoice choice = chooser.choose(facts, progress.begun(), excluded);
+        if (choice == null && waitsForRoom(now)) {
+            waitForRoom();
+            return;
+        }
         if (choice == null) {
             boolean listed = !context.upstreams().usable(facts.service()).isEmpty();
             endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
@@ -114,6 +118,19 @@
         }
     }
 
+    /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
+    private boolean waitsForRoom(long now) {
+        return facts.runsOnEngines()
+                && !context.upstreams().usable(facts.service()).isEmpty()
+                && now - facts.arrivedMillis() < CallerPatience.roomMillis(facts.route())
+                && !progress.begun();
+    }
+
+    /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
+    boolean wouldBeFasterElsewhere(Attempt attempt) {
+        return chooser.fasterElsewhere(facts, attempt.choice(), progress.begun(), excluded);
+    }
+
     /** Looks again a little later, while engines are worth more to others. */
     private void waitForRoom() {
         if (!waiting) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -108,6 +109,21 @@
                 choice.cost() > placement.value());
     }
 
+    /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
+    boolean fasterElsewhere(RequestFacts facts, UpstreamChoice used, boolean begun, Set<UpstreamId> excluded) {
+        UpstreamId engine = used.upstream().id();
+        double here = context.board().load(engine).nextEventMillis(context.nowMillis());
+        if (here < CallerPatience.WORTH_MOVING_MILLIS) {
+            return false;
+        }
+        Set<UpstreamId> others = new HashSet<>(excluded);
+        others.add(engine);
+        UpstreamChoice elsewhere = choose(facts, begun, others);
+        return elsewhere != null
+                && !elsewhere.dear()
+                && elsewhere.predictedMillis() + CallerPatience.WORTH_MOVING_MILLIS < here;
+    }
+
     /** Notes that a choice is used. */
     void begin(UpstreamChoice choice, long limitMillis) {
         inFlight.merge(choice.upstream().id(), 1, Integer::sum);
