Blame the own connections when upstreams fail together, and count as harm only what others lose

Change: failures of two upstreams within 50 ms count against neither; harm leaves the prompt's own loss out; a stream that has begun never waits. Tests: blamesItselfIfUpstreamsFailTogether, countsAsHarmOnlyWhatOthersLose failed first.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
@@ -32,6 +32,11 @@
         print(files.write("control", new ControlMeasurement().run()));
     }
 
+    /** Measures the news between routers that place requests by themselves. */
+    public void news() {
+        print(files.write("news", new NewsMeasurement().run()));
+    }
+
     /** Prints lines. */
     private void print(List<Slope> slopes) {
         for (Slope slope : slopes) {
--- /dev/null
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsMeasurement.java
@@ -0,0 +1,83 @@
+package org.apricotstack.bench.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apricotstack.core.id.Address;
+import reactor.core.publisher.Mono;
+
+/** Measures what the news between routers of one cell cost: heartbeats, and the news of requests. */
+final class NewsMeasurement {
+
+    private static final List<Integer> ROUTERS = List.of(4, 8, 16, 32, 64);
+    private static final int WINDOWS = 2;
+    private static final int REQUESTS = 200;
+    private static final Duration WARM_UP = Duration.ofSeconds(6);
+    private static final Duration WINDOW = Duration.ofSeconds(6);
+    private static final Duration SETTLE = Duration.ofMillis(600);
+    private static final Duration BETWEEN = Duration.ofMillis(4);
+    private static final double PERCENT = 100;
+    private static final double MICROS_PER_SECOND = 1e6;
+
+    private final List<Sample> samples = new ArrayList<>();
+
+    /** Runs all measurements. */
+    List<Sample> run() {
+        for (int routers : ROUTERS) {
+            List<NewsRouter> fleet = new ArrayList<>();
+            try {
+                for (int i = 0; i < routers; i++) {
+                    List<Address> seeds =
+                            fleet.stream().limit(3).map(NewsRouter::address).toList();
+                    fleet.add(new NewsRouter(i, seeds));
+                }
+                pause(WARM_UP);
+                idle(routers);
+                requests(fleet);
+            } finally {
+                fleet.forEach(NewsRouter::close);
+            }
+        }
+        return samples;
+    }
+
+    /** Measures heartbeats. */
+    private void idle(int routers) {
+        for (int i = 0; i < WINDOWS; i++) {
+            MachineReadings before = MachineReadings.now();
+            pause(WINDOW);
+            MachineReadings after = MachineReadings.now();
+            double bytes = 2.0 * (after.sentBytes() - before.sentBytes()) / after.secondsSince(before) / routers;
+            samples.add(new Sample("news-idle-bytes-per-second-by-routers", routers, bytes));
+            double percent = PERCENT * after.coreSince(before) / routers;
+            samples.add(new Sample("news-idle-core-percent-by-routers", routers, percent));
+        }
+    }
+
+    /** Measures the news of requests beyond the heartbeats, for each router of the cell. */
+    private void requests(List<NewsRouter> fleet) {
+        MachineReadings start = MachineReadings.now();
+        pause(SETTLE);
+        MachineReadings before = MachineReadings.now();
+        double idleBytes = (before.sentBytes() - start.sentBytes()) / before.secondsSince(start);
+        double idleCore = before.coreSince(start);
+        for (int i = 0; i < REQUESTS; i++) {
+            fleet.get(i % fleet.size()).tellRequest();
+            pause(BETWEEN);
+        }
+        pause(SETTLE);
+        MachineReadings after = MachineReadings.now();
+        double seconds = after.secondsSince(before);
+        double bytes = 2.0 * (after.sentBytes() - before.sentBytes() - idleBytes * seconds);
+        double micros = (after.coreSince(before) - idleCore) * seconds * MICROS_PER_SECOND;
+        int each = REQUESTS * fleet.size();
+        samples.add(new Sample("news-bytes-per-request-and-router-by-routers", fleet.size(), bytes / each));
+        samples.add(new Sample("news-cpu-micros-per-request-and-router-by-routers", fleet.size(), micros / each));
+    }
+
+    /** Lets time pass. */
+    private static void pause(Duration duration) {
+        Mono.delay(duration).block();
+    }
+}
--- /dev/null
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -0,0 +1,91 @@
+package org.apricotstack.bench.measure;
+
+import java.util.List;
+
+import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.upstream.UpstreamJudge;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.news.NewsHub;
+import org.apricotstack.serving.news.NewsServer;
+import org.apricotstack.serving.news.RouterIdentity;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.publication.PublishedState;
+
+/** The part of a router that exchanges news, without callers, upstreams and a platform. */
+final class NewsRouter implements AutoCloseable {
+
+    private static final Address ANY = new Address("127.0.0.1", 0);
+
+    /** Usual length of a short prompt and of its reading, as the users' sheets give them. */
+    private static final long PROMPT_TOKENS = 5_000;
+
+    private static final double READ_MILLIS = 30;
+
+    private static final long LIMIT_MILLIS = 10_000;
+    private static final long TARGET_MILLIS = 300;
+    private static final long PAUSE_MILLIS = 250;
+
+    private final ServingLoop loop = new ServingLoop(System::nanoTime);
+    private final EngineBoard board = new EngineBoard();
+    private final PeerTable peers = new PeerTable();
+    private final DecisionLog log;
+    private final NewsHub hub;
+    private final NewsServer server;
+    private final RouterIdentity identity;
+    private long placements;
+
+    /** Starts a router that knows some others. */
+    NewsRouter(int number, List<Address> seeds) {
+        log = new DecisionLog("host-" + number, System::currentTimeMillis);
+        UpstreamJudge judge = new UpstreamJudge();
+        PublishedState state = new PublishedState(null, new UpstreamTable(), judge, board, log);
+        hub = new NewsHub(loop, peers, board, judge, state, log, () -> true, () -> {});
+        server = new NewsServer(loop, ANY, hub);
+        identity = new RouterIdentity(
+                new ProcessId(new HostId("host-" + number), 1),
+                new DataCentreId("dc"),
+                ANY,
+                new Address(ANY.ip(), server.port()));
+        loop.execute(() -> {
+            seeds.forEach(peers::mention);
+            hub.start(identity);
+        });
+    }
+
+    /** Returns where others reach it. */
+    Address address() {
+        return identity.peerAddress();
+    }
+
+    /** Tells of a whole request: its placement, its first event, and its end, each in a frame of its own. */
+    void tellRequest() {
+        PlacementId id = new PlacementId(identity.process(), ++placements);
+        EnginePlacement placement = new EnginePlacement(
+                id,
+                List.of(new EnginePart(new UpstreamId("i-0123456789"), READ_MILLIS, PROMPT_TOKENS)),
+                PROMPT_TOKENS,
+                TARGET_MILLIS,
+                PAUSE_MILLIS);
+        loop.execute(() -> hub.placed(placement, LIMIT_MILLIS));
+        loop.schedule(1, () -> hub.writing(placement));
+        loop.schedule(2, () -> hub.ended(placement));
+    }
+
+    @Override
+    public void close() {
+        hub.close();
+        server.close();
+        loop.close();
+        log.close();
+    }
+}
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
@@ -13,18 +13,21 @@
     @Parameter(names = "--out", description = "Folder for the results.")
     private String out = "docs/measurements";
 
-    @Parameter(names = "--only", description = "state or control; both if left out.")
+    @Parameter(names = "--only", description = "state, control or news; all if left out.")
     private String only = "";
 
     @Override
     int run() {
         Measurements measurements = new Measurements(Path.of(out), System.out);
-        if (!only.equals("control")) {
+        if (only.isEmpty() || only.equals("state")) {
             measurements.state();
         }
-        if (!only.equals("state")) {
+        if (only.isEmpty() || only.equals("control")) {
             measurements.control();
         }
+        if (only.isEmpty() || only.equals("news")) {
+            measurements.news();
+        }
         return ExitCode.OK;
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -125,7 +125,7 @@
 
     /** The choice of no engine. */
     private static PlacementChoice none() {
-        return new PlacementChoice(List.of(), 0, 0, Double.MAX_VALUE, false);
+        return new PlacementChoice(List.of(), 0, 0, Double.MAX_VALUE, 0, false);
     }
 
     /** Returns how many engines, from the first on, are kept for short prompts now. */
@@ -261,6 +261,6 @@
                 - whole
                 + HELPER_COST_SHARE * (chosen.size() - 1);
         double cost = loss + PromptValue.of(request.promptTokens()) * share;
-        return new PlacementChoice(parts, firstToken, pause, cost, reserves);
+        return new PlacementChoice(parts, firstToken, pause, cost, loss, reserves);
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -35,7 +35,12 @@
     /** Time for which no orders are given to an upstream that left one unanswered, in milliseconds. */
     private static final long ORDERS_LOST_MILLIS = 15_000;
 
+    /** Time between failures of two upstreams that have one cause here, in milliseconds. */
+    private static final long TOGETHER_MILLIS = 50;
+
     private final Map<UpstreamId, Judgement> judgements = new HashMap<>();
+    private UpstreamId lastFailed;
+    private long lastFailedMillis;
 
     /** What is known of one upstream. */
     private static final class Judgement {
@@ -71,7 +76,9 @@
         Judgement judgement = judgements.computeIfAbsent(id, key -> new Judgement());
         judgement.failuresInRow++;
         judgement.rate += (1 - judgement.rate) * RATE_WEIGHT;
-        if (!kind.concernsAll() && judgement.failuresInRow < ROW_OF_SINGLE_FAILURES) {
+        boolean others = kind != FailureKind.NO_CONNECTION && failsTogether(id, nowMillis);
+        if (!kind.concernsAll() && (others || judgement.failuresInRow < ROW_OF_SINGLE_FAILURES)) {
+            judgement.failuresInRow -= others ? 1 : 0;
             return 0;
         }
         long avoid = Math.min(
@@ -80,6 +87,19 @@
         return avoid;
     }
 
+    /**
+     * Tells whether another upstream failed at the same moment. Then it is this router's own connections that broke,
+     * and
+     * to avoid the upstreams would leave none.
+     */
+    private boolean failsTogether(UpstreamId id, long nowMillis) {
+        boolean together =
+                lastFailed != null && !lastFailed.equals(id) && nowMillis - lastFailedMillis <= TOGETHER_MILLIS;
+        lastFailed = id;
+        lastFailedMillis = nowMillis;
+        return together;
+    }
+
     /**
      * Takes in that a peer avoids an upstream.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -156,4 +156,18 @@
         assertThat(fast.firstTokenMillis()).isLessThanOrEqualTo(500);
         assertThat(fast.parts().size()).isGreaterThan(cheapest);
     }
+
+    /**
+     * Symptom: a broken stream waited until its caller left, beside idle engines. Sequence: all engines are likely to
+     * fail. Cause: the likely failure of the prompt itself counted as harm to others.
+     */
+    @Test
+    void countsAsHarmOnlyWhatOthersLose() {
+        List<EngineCandidate> doubtful = candidates(board, ENGINES).stream()
+                .map(candidate -> new EngineCandidate(candidate.engine(), candidate.load(), 0.95, true))
+                .toList();
+        PlacementChoice choice = placer.choose(request(4_000), doubtful, 0);
+        assertThat(choice.cost()).isGreaterThan(PromptValue.of(4_000) * 0.9);
+        assertThat(choice.harm()).isLessThan(0.1);
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
@@ -78,4 +78,20 @@
         assertThat(judge.failureProbability(ID, 1_000)).isGreaterThan(0.9);
         assertThat(judge.failureProbability(ID, 10_000)).isZero();
     }
+
+    /**
+     * Symptom: streams that broke were not continued though all engines were sound. Sequence: all connections of a
+     * router
+     * are reset at once, several at each engine. Cause: three resets in a row made the router avoid every engine.
+     */
+    @Test
+    void blamesItselfIfUpstreamsFailTogether() {
+        for (int i = 0; i < 12; i++) {
+            judge.failed(new UpstreamId("upstream-" + i % 4), FailureKind.CUT, i);
+        }
+        for (int i = 0; i < 4; i++) {
+            assertThat(judge.failureProbability(new UpstreamId("upstream-" + i), 20))
+                    .isLessThan(0.5);
+        }
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -103,7 +103,8 @@
             endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
             return;
         }
-        if (choice.dear() && left - choice.predictedMillis() > CallerPatience.WRITING_MILLIS) {
+        boolean mayWait = choice.dear() && !progress.begun();
+        if (mayWait && left - choice.predictedMillis() > CallerPatience.WRITING_MILLIS) {
             waitForRoom();
             return;
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -106,7 +106,7 @@
                 placement,
                 choice.firstTokenMillis(),
                 choice.reservesMemory(),
-                choice.cost() > placement.value());
+                choice.harm() > placement.value());
     }
 
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
