Ask the store less often: waits of different length, changes in a row in one call

Change: a pause of 120 ms after a change; waits last 2.5 s and a random part that grows with the known routers, so that some router soon asks anew when all connections have gone silent.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -83,7 +83,7 @@
         state = new PublishedState(ports.reader(), upstreams, judge, board, log);
         connections = new UpstreamConnections(loop);
         HttpCalls calls = new HttpCalls(loop, connections);
-        follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
+        follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random, this::knownRouters);
         hub = new NewsHub(loop, peers, board, judge, state, log, this::ready, follower::restartIfSilent);
         RunContext context = new RunContext(
                 options.identity().process(),
@@ -147,6 +147,11 @@
         return identity;
     }
 
+    /** Returns how many routers are known. */
+    private int knownRouters() {
+        return hub.knownRouters();
+    }
+
     /** Looks at times that have passed. */
     private void sweep() {
         long now = loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.publication;
 
 import java.util.List;
+import java.util.function.IntSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotstack.serving.http.ServingLoop;
@@ -18,8 +19,20 @@
  */
 public final class PublicationFollower {
 
-    /** Time that one wait lasts without a change, in milliseconds; bounds for how long a dead one is unnoticed. */
-    private static final long WAIT_MILLIS = 6_000;
+    /** Least time that one wait lasts without a change, in milliseconds. */
+    private static final long LEAST_WAIT_MILLIS = 2_500;
+
+    /**
+     * Added at random, in milliseconds: this for each known router, up to the most. Waits end at different times, so
+     * that
+     * soon after all connections have gone silent some router asks anew and the others hear of changes from it.
+     */
+    private static final long WAIT_MILLIS_EACH = 500;
+
+    private static final long MOST_ADDED_MILLIS = 12_000;
+
+    /** Pause before the next wait after a change, in milliseconds, so that changes in a row cost one call. */
+    private static final long GATHER_MILLIS = 120;
 
     /** First pause after a fault, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 60;
@@ -38,6 +51,7 @@
     private final PublishedState state;
     private final DecisionLog log;
     private final UniformRandomProvider random;
+    private final IntSupplier routers;
     private final Disposable.Swap call = Disposables.swap();
     private long known;
     private boolean readAll = true;
@@ -57,18 +71,21 @@
      * @param state takes what is read
      * @param log takes losses and returns of the platform
      * @param random spreads the calls of many routers
+     * @param routers how many routers are known
      */
     public PublicationFollower(
             ServingLoop loop,
             PublicationSource source,
             PublishedState state,
             DecisionLog log,
-            UniformRandomProvider random) {
+            UniformRandomProvider random,
+            IntSupplier routers) {
         this.loop = loop;
         this.source = source;
         this.state = state;
         this.log = log;
         this.random = random;
+        this.routers = routers;
         this.lastAnswerMillis = loop.nowMillis();
     }
 
@@ -84,10 +101,16 @@
         call.update(
                 readAll
                         ? source.readAll().subscribe(all -> tookAll(mine, all), error -> failed(mine, error))
-                        : source.awaitChanges(known, WAIT_MILLIS)
+                        : source.awaitChanges(known, waitMillis())
                                 .subscribe(changes -> tookChanges(mine, changes), error -> failed(mine, error)));
     }
 
+    /** Returns for how long to wait for a change. */
+    private long waitMillis() {
+        long added = Math.min(MOST_ADDED_MILLIS, WAIT_MILLIS_EACH * routers.getAsInt());
+        return LEAST_WAIT_MILLIS + random.nextLong(Math.max(1, added));
+    }
+
     /** Takes everything in. */
     private void tookAll(long mine, Snapshot all) {
         if (mine != round) {
@@ -132,7 +155,11 @@
             }
             known = told;
         }
-        next();
+        if (changes.documents().isEmpty() || readAll) {
+            next();
+        } else {
+            nextAfter(mine, GATHER_MILLIS);
+        }
     }
 
     /** Notes an answer of the platform. */
@@ -165,6 +192,11 @@
         }
         long pause = pauseMillis / 2 + random.nextLong(pauseMillis);
         pauseMillis = Math.min(MOST_PAUSE_MILLIS, 2 * pauseMillis);
+        nextAfter(mine, pause);
+    }
+
+    /** Makes the next call after a pause, unless another one is made before. */
+    private void nextAfter(long mine, long pause) {
         loop.schedule(pause, () -> {
             if (mine == round) {
                 next();
