Ask a silent engine after 45% of the allowed silence whether it is there

Change: two steps: asked early, a gone engine is left at once; one that lives keeps the whole allowed silence. The first avoidance lasts 0.7 s.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -15,7 +15,7 @@
 public final class UpstreamJudge {
 
     /** Time for which an upstream is avoided after its first failure, in milliseconds. */
-    private static final long FIRST_AVOID_MILLIS = 400;
+    private static final long FIRST_AVOID_MILLIS = 700;
 
     /** Longest time for which an upstream is avoided, in milliseconds; users' outages last about 5 s. */
     private static final long MOST_AVOID_MILLIS = 2_500;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -20,12 +20,16 @@
     /** Longest answer that is held, in bytes; a longer one is not what plain services give. */
     private static final int MOST_HELD_BYTES = 4 * 1024 * 1024;
 
+    /** Share of the allowed silence after which the engine is asked whether it is there. */
+    private static final double ASK_SHARE = 0.45;
+
     private final RequestRun run;
     private final UpstreamChoice choice;
     private final long startMillis;
     private UpstreamCall call;
     private ScheduledFuture<?> watch;
     private long silenceMillis;
+    private int watches;
     private boolean over;
     private AnswerHead head;
     private HttpResponse raw;
@@ -52,20 +56,43 @@
             watch.cancel(false);
         }
         silenceMillis = limitMillis;
-        watch = limitMillis <= 0 ? null : run.context().loop().schedule(limitMillis, this::silent);
+        watches++;
+        if (limitMillis <= 0) {
+            watch = null;
+        } else if (choice.placement() == null) {
+            watch = run.context().loop().schedule(limitMillis, this::giveUpIfAllowed);
+        } else {
+            watch = run.context().loop().schedule((long) (limitMillis * ASK_SHARE), this::silentForLong);
+        }
     }
 
-    /** Ends an attempt that is silent, if another one may be made and would do better. */
-    private void silent() {
+    /** Ends the attempt if its engine is gone; otherwise waits for the rest of the time. */
+    private void silentForLong() {
         if (over || !run.mayTryAgain(FailureKind.SILENT)) {
             return;
         }
-        if (choice.placement() == null) {
-            giveUp();
+        int mine = watches;
+        run.silence().gone(upstream()).subscribe(gone -> {
+            if (over || mine != watches) {
+                return;
+            }
+            if (gone) {
+                giveUp();
+            } else {
+                long rest = silenceMillis - (long) (silenceMillis * ASK_SHARE);
+                watch = run.context().loop().schedule(rest, this::silentForTooLong);
+            }
+        });
+    }
+
+    /** Ends the attempt if another one would do better. */
+    private void silentForTooLong() {
+        if (over || !run.mayTryAgain(FailureKind.SILENT)) {
             return;
         }
+        int mine = watches;
         run.silence().lost(upstream()).subscribe(lost -> {
-            if (over) {
+            if (over || mine != watches) {
                 return;
             }
             if (lost || run.wouldBeFasterElsewhere(this)) {
@@ -76,6 +103,13 @@
         });
     }
 
+    /** Ends the attempt of a plain request if another one may be made. */
+    private void giveUpIfAllowed() {
+        if (!over && run.mayTryAgain(FailureKind.SILENT)) {
+            giveUp();
+        }
+    }
+
     /** Ends the attempt as silent. */
     private void giveUp() {
         call.cancel();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -46,11 +46,23 @@
 
     /** Tells whether a silent stream is lost; the answer may take a fraction of a second. */
     Mono<Boolean> lost(UpstreamEntry engine) {
-        long now = context.nowMillis();
+        return showsLife(engine) ? Mono.just(true) : answer(engine);
+    }
+
+    /** Tells whether a silent engine is gone; the answer may take a fraction of a second. */
+    Mono<Boolean> gone(UpstreamEntry engine) {
+        return showsLife(engine) ? Mono.just(false) : answer(engine);
+    }
+
+    /** Tells whether other streams of an engine go on. */
+    private boolean showsLife(UpstreamEntry engine) {
         Long last = progressMillis.get(engine.id());
-        if (last != null && now - last < ALIVE_MILLIS) {
-            return Mono.just(true);
-        }
+        return last != null && context.nowMillis() - last < ALIVE_MILLIS;
+    }
+
+    /** Asks an engine unless it was asked a moment ago; the result says whether it is gone. */
+    private Mono<Boolean> answer(UpstreamEntry engine) {
+        long now = context.nowMillis();
         Asked before = asked.get(engine.id());
         if (before == null || now - before.atMillis() > SHARED_MILLIS) {
             before = new Asked(now, ask(engine));
