Halve the bytes of heartbeats, suspect by their interval, and translate news in one class

At 58 hosts the interval of 0.9 s stood against a fixed suspicion of 1.6 s, so one late heartbeat took a sound host off the entry answers. Change: a fixed window, addresses in every eighth heartbeat, suspicion after 2.6 intervals; a stream that ends makes its peer suspected at once.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -23,9 +23,12 @@
  */
 public final class PeerTable {
 
-    /** Silence after which a router is not named to callers, in milliseconds: three heartbeats. */
+    /** Least silence after which a router is not named to callers, in milliseconds: three beats of a small fleet. */
     public static final long SUSPECT_MILLIS = 1_600;
 
+    /** Heartbeats that may be missing in a large fleet, where they are seldom, before a router is not named. */
+    private static final double SUSPECT_BEATS = 2.6;
+
     /** Silence after which a router's placements are taken off, in milliseconds. */
     public static final long GONE_MILLIS = 4_000;
 
@@ -34,6 +37,7 @@
 
     private final Map<HostId, Heard> heard = new HashMap<>();
     private final Set<Address> addresses = new HashSet<>();
+    private long suspectMillis = SUSPECT_MILLIS;
 
     /**
      * A router's last heartbeat and its time.
@@ -60,6 +64,27 @@
                 : before.peer().process();
     }
 
+    /**
+     * Takes in how often routers of this fleet send heartbeats.
+     *
+     * @param intervalMillis time between two heartbeats, in milliseconds
+     */
+    public void heartbeatInterval(long intervalMillis) {
+        suspectMillis = Math.max(SUSPECT_MILLIS, (long) (SUSPECT_BEATS * intervalMillis));
+    }
+
+    /**
+     * Notes that a connection to a router ended: it is suspected until its next heartbeat.
+     *
+     * @param peerAddress where the connection led
+     * @param nowMillis the time
+     */
+    public void unreachable(Address peerAddress, long nowMillis) {
+        heard.replaceAll((host, one) -> one.peer().peerAddress().equals(peerAddress)
+                ? new Heard(one.peer(), Math.min(one.atMillis(), nowMillis - suspectMillis))
+                : one);
+    }
+
     /**
      * Adds an address at which a router may be, from the settings or from a peer.
      *
@@ -87,7 +112,7 @@
     public List<Peer> alive(long nowMillis) {
         List<Peer> alive = new ArrayList<>();
         for (Heard one : heard.values()) {
-            if (nowMillis - one.atMillis() < SUSPECT_MILLIS) {
+            if (nowMillis - one.atMillis() < suspectMillis) {
                 alive.add(one.peer());
             }
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -73,4 +73,26 @@
         table.expire(PeerTable.FORGET_MILLIS + 1);
         assertThat(table.addresses()).isEmpty();
     }
+
+    @Test
+    void suspectsARouterWhoseConnectionEndedUntilItIsHeard() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.unreachable(new Address("127.0.0.1", 90), 10);
+        assertThat(named(EAST, 10)).isEmpty();
+        assertThat(table.expire(10)).isEmpty();
+        table.heartbeat(peer(1, 1, EAST, true), 20);
+        assertThat(named(EAST, 20)).hasSize(1);
+    }
+
+    /**
+     * Symptom: in a fleet of 58 hosts sound routers were not named by turns. Sequence: heartbeats are sent more seldom
+     * the more routers there are. Cause: the silence that makes a router suspected did not grow with them.
+     */
+    @Test
+    void waitsLongerForHeartbeatsThatAreSeldom() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.heartbeatInterval(1_200);
+        assertThat(named(EAST, 3_000)).hasSize(1);
+        assertThat(named(EAST, 3_200)).isEmpty();
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -7,14 +7,11 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
-import com.google.protobuf.UnsafeByteOperations;
 import org.apricotstack.core.engine.EngineBoard;
-import org.apricotstack.core.engine.EnginePart;
 import org.apricotstack.core.engine.EnginePlacement;
 import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.Address;
-import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
@@ -32,9 +29,7 @@
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
 import org.apricotstack.wire.news.NewsReply;
-import org.apricotstack.wire.news.Part;
 import org.apricotstack.wire.news.Placed;
-import org.apricotstack.wire.news.PublishedDocument;
 
 /** Sends this router's news to all others and takes theirs in. */
 public final class NewsHub implements NewsSink, PlacementNews, AutoCloseable {
@@ -42,8 +37,13 @@
     /** Time between two heartbeats in a small fleet, in milliseconds. */
     private static final long HEARTBEAT_MILLIS = 500;
 
-    /** Added for each known router, in milliseconds, so that none sends more than about 100 heartbeats a second. */
-    private static final long HEARTBEAT_MILLIS_EACH = 7;
+    /** Added for each known router, in milliseconds, so that none sends more than about 50 heartbeats a second. */
+    private static final long HEARTBEAT_MILLIS_EACH = 12;
+
+    /** Heartbeats after the start that tell of other routers, and how often later ones do; addresses change seldom. */
+    private static final long FIRST_BEATS = 6;
+
+    private static final long ADDRESS_BEATS = 8;
 
     /** Addresses told in one heartbeat, at most. */
     private static final int MOST_ADDRESSES = 16;
@@ -62,6 +62,7 @@
     private RouterIdentity self;
     private NewsFrame.Builder pending;
     private int nextAddress;
+    private long beats;
     private boolean closed;
 
     /**
@@ -112,12 +113,19 @@
             return;
         }
         long now = loop.nowMillis();
+        peers.heartbeatInterval(intervalMillis());
+        beats++;
         for (ProcessId gone : peers.expire(now)) {
             board.removeProcess(gone, now);
         }
         noteAlive(now);
         heartbeat();
-        loop.schedule(HEARTBEAT_MILLIS + links.size() * HEARTBEAT_MILLIS_EACH, this::beat);
+        loop.schedule(intervalMillis(), this::beat);
+    }
+
+    /** Returns the time between two heartbeats. */
+    private long intervalMillis() {
+        return HEARTBEAT_MILLIS + links.size() * HEARTBEAT_MILLIS_EACH;
     }
 
     /** Sends a heartbeat to all routers now, as when this one becomes ready or stops. */
@@ -131,12 +139,13 @@
                 .setReady(ready.getAsBoolean())
                 .setConfigurationRevision(state.configurationRevision())
                 .setUpstreamsRevision(state.upstreamsRevision());
-        someAddresses().forEach(address -> beat.addPeerAddresses(address.toString()));
+        if (beats <= FIRST_BEATS || beats % ADDRESS_BEATS == 0) {
+            someAddresses().forEach(address -> beat.addPeerAddresses(address.toString()));
+        }
         NewsFrame frame = NewsFrame.newBuilder().setHeartbeat(beat).build();
         for (Address address : peers.addresses()) {
             if (!address.equals(self.peerAddress())) {
-                links.computeIfAbsent(address, at -> new NewsLink(loop, at, this))
-                        .heartbeat(frame);
+                links.computeIfAbsent(address, this::newLink).heartbeat(frame, intervalMillis());
             }
         }
         links.keySet().removeIf(address -> {
@@ -148,6 +157,11 @@
         });
     }
 
+    /** Creates a link; a stream that ends tells at once that its peer stopped or was cut. */
+    private NewsLink newLink(Address address) {
+        return new NewsLink(loop, address, this, () -> peers.unreachable(address, loop.nowMillis()));
+    }
+
     /** Returns a part of the known addresses, another one each time. */
     private List<Address> someAddresses() {
         List<Address> all = List.copyOf(peers.addresses());
@@ -204,14 +218,7 @@
         long now = loop.nowMillis();
         ProcessId process = new ProcessId(new HostId(beat.getHost()), beat.getIncarnation());
         stream.sender(process);
-        Peer peer = new Peer(
-                process,
-                new DataCentreId(beat.getDataCentre()),
-                Address.parse(beat.getCallerAddress()),
-                Address.parse(beat.getPeerAddress()),
-                beat.getReady(),
-                beat.getConfigurationRevision(),
-                beat.getUpstreamsRevision());
+        Peer peer = NewsMessages.peer(process, beat);
         ProcessId before = peers.heartbeat(peer, now);
         if (before != null) {
             board.removeProcess(before, now);
@@ -249,18 +256,8 @@
     private void takePlacements(NewsFrame frame, ProcessId sender) {
         long now = loop.nowMillis();
         for (Placed placed : frame.getPlacedList()) {
-            List<EnginePart> parts = placed.getPartsList().stream()
-                    .map(part -> new EnginePart(
-                            new UpstreamId(part.getEngine()), part.getReadMillis(), part.getMemoryTokens()))
-                    .toList();
-            if (!parts.isEmpty()) {
-                EnginePlacement placement = new EnginePlacement(
-                        new PlacementId(sender, placed.getNumber()),
-                        parts,
-                        placed.getContextTokens(),
-                        placed.getTargetLatencyMillis(),
-                        placed.getPauseTargetMillis());
-                board.place(placement, now, placed.getLimitMillis());
+            if (placed.getPartsCount() > 0) {
+                board.place(NewsMessages.placement(sender, placed), now, placed.getLimitMillis());
             }
         }
         frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number), now));
@@ -271,45 +268,24 @@
     public NewsReply documents(DocumentRequest request) {
         NewsReply.Builder reply = NewsReply.newBuilder();
         if (state.configurationRevision() > request.getConfigurationRevision()) {
-            reply.setConfiguration(document(state.configurationDocument()));
+            reply.setConfiguration(NewsMessages.document(state.configurationDocument()));
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
             reply.setUpstreamsRevision(state.upstreamsRevision());
-            state.upstreamDocuments().forEach(upstream -> reply.addUpstreams(document(upstream)));
+            state.upstreamDocuments().forEach(upstream -> reply.addUpstreams(NewsMessages.document(upstream)));
         }
         return reply.build();
     }
 
-    /** Encodes a document. */
-    private static PublishedDocument document(Publication publication) {
-        return PublishedDocument.newBuilder()
-                .setName(
-                        publication.isConfiguration()
-                                ? ""
-                                : publication.upstream().value())
-                .setRevision(publication.revision())
-                .setContent(UnsafeByteOperations.unsafeWrap(publication.content()))
-                .build();
-    }
-
     @Override
     public void reply(NewsReply reply, String source) {
         long now = loop.nowMillis();
         if (reply.hasConfiguration()) {
-            PublishedDocument document = reply.getConfiguration();
-            state.take(
-                    new Publication(
-                            null, document.getRevision(), document.getContent().toByteArray(), false),
-                    source,
-                    now);
+            state.take(NewsMessages.publication(reply.getConfiguration()), source, now);
         }
         if (reply.getUpstreamsRevision() > state.upstreamsRevision()) {
             List<Publication> upstreams = reply.getUpstreamsList().stream()
-                    .map(document -> new Publication(
-                            new UpstreamId(document.getName()),
-                            document.getRevision(),
-                            document.getContent().toByteArray(),
-                            false))
+                    .map(NewsMessages::publication)
                     .toList();
             state.takeAllUpstreams(upstreams, reply.getUpstreamsRevision(), source, now);
             state.caughtUp(reply.getUpstreamsRevision());
@@ -318,19 +294,7 @@
 
     @Override
     public void placed(EnginePlacement placement, long limitMillis) {
-        Placed.Builder placed = Placed.newBuilder()
-                .setNumber(placement.id().number())
-                .setContextTokens(placement.contextTokens())
-                .setPauseTargetMillis(placement.pauseTargetMillis())
-                .setTargetLatencyMillis(placement.targetLatencyMillis())
-                .setLimitMillis(limitMillis);
-        for (EnginePart part : placement.parts()) {
-            placed.addParts(Part.newBuilder()
-                    .setEngine(part.engine().value())
-                    .setReadMillis(part.readMillis())
-                    .setMemoryTokens(part.memoryTokens()));
-        }
-        news().addPlaced(placed);
+        news().addPlaced(NewsMessages.placed(placement, limitMillis));
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
@@ -23,12 +23,17 @@
     /** Time without an answer after which the connection is given up, in milliseconds. */
     private static final long SILENT_MILLIS = 1_800;
 
+    /** Heartbeats without an answer that have the same effect in a large fleet. */
+    private static final long SILENT_BEATS = 3;
+
     /** Time between two connections, in milliseconds, so that a dead host costs little. */
     private static final long REOPEN_MILLIS = 900;
 
     private final ServingLoop loop;
     private final Address address;
     private final NewsSink sink;
+    private final Runnable whenEnded;
+    private long silentMillis = SILENT_MILLIS;
     private ManagedChannel channel;
     private ClientCallStreamObserver<NewsFrame> stream;
     private long openedMillis = Long.MIN_VALUE / 2;
@@ -36,10 +41,11 @@
     private boolean greeted;
 
     /** Creates a link that is not open. */
-    NewsLink(ServingLoop loop, Address address, NewsSink sink) {
+    NewsLink(ServingLoop loop, Address address, NewsSink sink, Runnable whenEnded) {
         this.loop = loop;
         this.address = address;
         this.sink = sink;
+        this.whenEnded = whenEnded;
     }
 
     /** Returns where it leads. */
@@ -47,10 +53,11 @@
         return address;
     }
 
-    /** Sends a heartbeat, and opens the stream first if there is none. */
-    void heartbeat(NewsFrame frame) {
+    /** Sends a heartbeat, and opens the stream first if there is none; the next one follows after a time. */
+    void heartbeat(NewsFrame frame, long nextMillis) {
+        silentMillis = Math.max(SILENT_MILLIS, SILENT_BEATS * nextMillis);
         long now = loop.nowMillis();
-        if (stream != null && now - heardMillis > SILENT_MILLIS) {
+        if (stream != null && now - heardMillis > silentMillis) {
             drop();
         }
         if (stream == null && now - openedMillis >= REOPEN_MILLIS) {
@@ -80,6 +87,7 @@
                 .eventLoopGroup(loop.group())
                 .channelType(loop.clientChannel())
                 .maxInboundMessageSize(NewsServer.MOST_FRAME_BYTES)
+                .flowControlWindow(NewsServer.WINDOW_BYTES)
                 .usePlaintext()
                 .disableRetry()
                 .directExecutor()
@@ -135,6 +143,7 @@
         private void ended() {
             if (stream == mine) {
                 drop();
+                whenEnded.run();
             }
         }
     }
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
@@ -0,0 +1,86 @@
+package org.apricotstack.serving.news;
+
+import java.util.List;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.serving.publication.Publication;
+import org.apricotstack.wire.news.Heartbeat;
+import org.apricotstack.wire.news.Part;
+import org.apricotstack.wire.news.Placed;
+import org.apricotstack.wire.news.PublishedDocument;
+
+/** Translates between what routers tell each other and the types of the core. */
+final class NewsMessages {
+
+    private NewsMessages() {}
+
+    /** Reads what a router says of itself. */
+    static Peer peer(ProcessId process, Heartbeat beat) {
+        return new Peer(
+                process,
+                new DataCentreId(beat.getDataCentre()),
+                Address.parse(beat.getCallerAddress()),
+                Address.parse(beat.getPeerAddress()),
+                beat.getReady(),
+                beat.getConfigurationRevision(),
+                beat.getUpstreamsRevision());
+    }
+
+    /** Reads a placement of another router. */
+    static EnginePlacement placement(ProcessId sender, Placed placed) {
+        List<EnginePart> parts = placed.getPartsList().stream()
+                .map(part ->
+                        new EnginePart(new UpstreamId(part.getEngine()), part.getReadMillis(), part.getMemoryTokens()))
+                .toList();
+        return new EnginePlacement(
+                new PlacementId(sender, placed.getNumber()),
+                parts,
+                placed.getContextTokens(),
+                placed.getTargetLatencyMillis(),
+                placed.getPauseTargetMillis());
+    }
+
+    /** Writes a placement. */
+    static Placed placed(EnginePlacement placement, long limitMillis) {
+        Placed.Builder placed = Placed.newBuilder()
+                .setNumber(placement.id().number())
+                .setContextTokens(placement.contextTokens())
+                .setPauseTargetMillis(placement.pauseTargetMillis())
+                .setTargetLatencyMillis(placement.targetLatencyMillis())
+                .setLimitMillis(limitMillis);
+        for (EnginePart part : placement.parts()) {
+            placed.addParts(Part.newBuilder()
+                    .setEngine(part.engine().value())
+                    .setReadMillis(part.readMillis())
+                    .setMemoryTokens(part.memoryTokens()));
+        }
+        return placed.build();
+    }
+
+    /** Reads a document; one without a name is the configuration. */
+    static Publication publication(PublishedDocument document) {
+        UpstreamId upstream = document.getName().isEmpty() ? null : new UpstreamId(document.getName());
+        return new Publication(
+                upstream, document.getRevision(), document.getContent().toByteArray(), false);
+    }
+
+    /** Writes a document. */
+    static PublishedDocument document(Publication publication) {
+        return PublishedDocument.newBuilder()
+                .setName(
+                        publication.isConfiguration()
+                                ? ""
+                                : publication.upstream().value())
+                .setRevision(publication.revision())
+                .setContent(UnsafeByteOperations.unsafeWrap(publication.content()))
+                .build();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsServer.java
@@ -20,6 +20,12 @@
     /** Longest frame, in bytes; a configuration has a megabyte at most. */
     static final int MOST_FRAME_BYTES = 4 * 1024 * 1024;
 
+    /**
+     * Bytes that may be under way on a connection. A fixed window: finding one out by pings would double the bytes of
+     * heartbeats.
+     */
+    static final int WINDOW_BYTES = 1024 * 1024;
+
     private final Server server;
 
     /**
@@ -36,6 +42,7 @@
                 .workerEventLoopGroup(loop.group())
                 .channelType(loop.serverChannel())
                 .maxInboundMessageSize(MOST_FRAME_BYTES)
+                .flowControlWindow(WINDOW_BYTES)
                 .directExecutor()
                 .addService(new Service(sink))
                 .build();
