--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -135,7 +135,7 @@
 
     /** Refuses a request that is not proper, and ends the connection, as its rest cannot be told from a next one. */
     private void refuse(HttpResponseStatus status, String message) {
-        server.refused(status, message);
+        server.countRefused();
         closing = true;
         CallerExchange refused = exchange;
         bodyWhole = true;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -17,7 +17,6 @@
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.failure.ErrorCode;
 import org.apricotstack.core.id.Address;
@@ -166,7 +165,7 @@
     }
 
     /** Counts a request that is not proper. */
-    void refused(HttpResponseStatus status, String message) {
+    void countRefused() {
         refused++;
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/IgnoredRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/IgnoredRun.java
@@ -1,10 +1,9 @@
-package org.apricotstack.serving.run;
+package org.apricotstack.serving.http;
 
 import io.netty.buffer.ByteBuf;
-import org.apricotstack.serving.http.CallerRun;
 
 /** The run of a request that was answered before its body came. */
-enum IgnoredRun implements CallerRun {
+public enum IgnoredRun implements CallerRun {
     /** Keeps nothing, so one serves all. */
     INSTANCE;
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsSink.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsSink.java
@@ -11,9 +11,9 @@
      * Takes a frame.
      *
      * @param frame the frame
-     * @param sender who sent the stream's last heartbeat, or an empty text before the first
+     * @param stream the stream that it came on, which knows its sender
      */
-    void frame(NewsFrame frame, NewsStream sender);
+    void frame(NewsFrame frame, NewsStream stream);
 
     /**
      * Answers a request for documents.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -134,20 +134,25 @@
                 takeUpstream(document, source);
             }
         } catch (ApricotException e) {
-            rejected++;
-            log.line("document_rejected")
-                    .put(
-                            "document",
-                            document.isConfiguration()
-                                    ? "configuration"
-                                    : document.upstream().value())
-                    .put("revision", document.revision())
-                    .put("source", source)
-                    .put("problem", e.getMessage())
-                    .write();
+            reject(document, source, e);
         }
     }
 
+    /** Counts and writes down a document that cannot be used. */
+    private void reject(Publication document, String source, ApricotException problem) {
+        rejected++;
+        log.line("document_rejected")
+                .put(
+                        "document",
+                        document.isConfiguration()
+                                ? "configuration"
+                                : document.upstream().value())
+                .put("revision", document.revision())
+                .put("source", source)
+                .put("problem", problem.getMessage())
+                .write();
+    }
+
     /** Takes a configuration in if it is newer. */
     private void takeConfiguration(Publication document, String source) {
         if (document.removed() || document.revision() <= configurationRevision()) {
@@ -213,13 +218,7 @@
                 entries.add(reader.upstream(document));
                 upstreamDocuments.put(document.upstream(), document);
             } catch (ApricotException e) {
-                rejected++;
-                log.line("document_rejected")
-                        .put("document", document.upstream().value())
-                        .put("revision", document.revision())
-                        .put("source", source)
-                        .put("problem", e.getMessage())
-                        .write();
+                reject(document, source, e);
             }
         }
         upstreams.replaceAll(entries, revision, nowMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -14,6 +14,7 @@
 import org.apricotstack.serving.http.CallerHandler;
 import org.apricotstack.serving.http.CallerRequest;
 import org.apricotstack.serving.http.CallerRun;
+import org.apricotstack.serving.http.IgnoredRun;
 import org.apricotstack.serving.observe.RefusalCause;
 
 /** Checks requests against the configuration, and begins their runs. */
