--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -67,6 +67,15 @@
         return endMillis - nowMillis;
     }
 
+    /**
+     * Tells whether it may still wait for room: its caller would not leave before the predicted first event, and there
+     * would be time to write the answer.
+     */
+    boolean mayWait(double predictedMillis, long nowMillis) {
+        return nowMillis - arrivedMillis + predictedMillis < CallerPatience.roomMillis(route)
+                && leftMillis(nowMillis) - predictedMillis > CallerPatience.WRITING_MILLIS;
+    }
+
     /** Returns what its placement on engines depends on. */
     PromptRequest prompt(long nowMillis, boolean begun) {
         EngineProfile engine = profile.engine().orElseThrow();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -103,8 +103,7 @@
             endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
             return;
         }
-        boolean mayWait = choice.dear() && !progress.begun();
-        if (mayWait && left - choice.predictedMillis() > CallerPatience.WRITING_MILLIS) {
+        if (choice.dear() && !progress.begun() && facts.mayWait(choice.predictedMillis(), now)) {
             waitForRoom();
             return;
         }
@@ -123,7 +122,7 @@
     private boolean waitsForRoom(long now) {
         return facts.runsOnEngines()
                 && !context.upstreams().usable(facts.service()).isEmpty()
-                && now - facts.arrivedMillis() < CallerPatience.roomMillis(facts.route())
+                && facts.mayWait(0, now)
                 && !progress.begun();
     }
 
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/RequestFactsTest.java
@@ -0,0 +1,78 @@
+package org.apricotstack.serving.run;
+
+import java.util.List;
+import java.util.Map;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.route.AccountKeys;
+import org.apricotstack.core.route.CallerLimits;
+import org.apricotstack.core.route.RequestKind;
+import org.apricotstack.core.route.Route;
+import org.apricotstack.core.route.RouteTable;
+import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.route.WeightedService;
+import org.apricotstack.serving.http.CallerRequest;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestFactsTest {
+
+    /**
+     * Symptom: lists of 45,000 tokens were held until their callers left, and never tried. Sequence: engines are
+     * scarce, so
+     * the prompt waits, and its deadline of 10 s leaves room to wait for 7 s. Cause: callers leave a stream that gives
+     * nothing for 6 s, whatever their deadline is.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "1500, 600, 10000, 500, 0, true",
+        "1500, 600, 10000, 500, 1500, true",
+        "1500, 600, 10000, 500, 2000, false",
+        "1500, 600, 10000, 500, 6500, false",
+        "3000, 1000, 15000, 1000, 3000, true",
+        "3000, 1000, 15000, 4000, 3000, false",
+        "300, 250, 10000, 100, 500, true",
+        "300, 250, 10000, 100, 700, false",
+        "3000, 1000, 3000, 1000, 0, false"
+    })
+    void waitsOnlyWhileTheCallerWould(
+            long targetMillis,
+            long pauseMillis,
+            long limitMillis,
+            double predictedMillis,
+            long waitedMillis,
+            boolean expected) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/",
+                RequestKind.STREAMING,
+                limitMillis,
+                targetMillis,
+                1,
+                List.of(new WeightedService(new ServiceId("s"), 1)),
+                2,
+                true,
+                true,
+                pauseMillis);
+        CallerRequest request = new CallerRequest(
+                "id",
+                "h",
+                "/",
+                null,
+                CallerRequest.NO_LIMIT,
+                null,
+                45_000,
+                800,
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
+        ServingConfiguration configuration = new ServingConfiguration(
+                1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULT, new AccountKeys(Map.of()));
+        RequestFacts facts = RequestFacts.of(request, configuration, route, null, 0);
+        assertThat(facts.mayWait(predictedMillis, waitedMillis)).isEqualTo(expected);
+    }
+}
