Send callers of a large fleet to few routers, and news of requests only to those

Cause: each router told all others of each placement, first event and end.

Change: from 17 routers on, entry answers name the strongest routers of each data centre, as many as the load there needs (EntryRouters: at least four, one core for 30 requests a second); the same routers, one stand-by for each data centre, and those that get requests all the same say in their heartbeat that they take callers, and only they are told of placements. Two routers that both take none tell each other every third beat that they are there, and say when the next beat comes, so silence is judged by the sender's own interval. Up to 16 routers nothing changes.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -35,6 +35,8 @@
     private static final long TARGET_MILLIS = 300;
     private static final long PAUSE_MILLIS = 250;
 
+    private static final int CAPACITY_PERCENT = 100;
+
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final EngineBoard board = new EngineBoard();
     private final PeerTable peers = new PeerTable();
@@ -55,7 +57,8 @@
                 new ProcessId(new HostId("host-" + number), 1),
                 new DataCentreId("dc"),
                 ANY,
-                new Address(ANY.ip(), server.port()));
+                new Address(ANY.ip(), server.port()),
+                CAPACITY_PERCENT);
         loop.execute(() -> {
             seeds.forEach(peers::mention);
             hub.start(identity);
--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -0,0 +1,79 @@
+package org.apricotstack.core.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.routing.Rendezvous;
+
+/**
+ * Chooses the routers that callers are sent to.
+ *
+ * <p>Each router that takes callers has to hear of each placement of all the others, so the news of a request cost as
+ * many messages as there are such routers. In a large fleet few of them carry the whole load: the strongest of each
+ * data centre, as many as the load there needs. All routers choose alike from what they hear of each other; where
+ * their views differ for a moment, more routers are named, and none of them refuses.
+ */
+public final class EntryRouters {
+
+    /** Routers up to which all take callers. A fleet of this size sends fewer news than its heartbeats cost. */
+    static final int ALL_UP_TO = 16;
+
+    /** Routers of a data centre that take callers at least, so that the loss of some is little felt. */
+    static final int LEAST_EACH = 4;
+
+    /**
+     * Requests a second that one core is given. A core serves about 125 (8 ms of processor time a request, on a day of
+     * high load with seven hosts); a quarter of that leaves room for a load that grows fourfold before callers have
+     * asked again, and for callers that are not spread evenly.
+     */
+    static final double REQUESTS_PER_CORE = 30;
+
+    private static final double PERCENT = 100;
+
+    private EntryRouters() {}
+
+    /**
+     * Chooses routers.
+     *
+     * @param ready routers that can serve callers
+     * @param spare how many more of each data centre to choose, as those that would be next
+     * @return those that callers are sent to
+     */
+    public static List<Peer> choose(List<Peer> ready, int spare) {
+        if (ready.size() <= ALL_UP_TO) {
+            return ready;
+        }
+        Map<DataCentreId, List<Peer>> byDataCentre = new TreeMap<>(Comparator.comparing(DataCentreId::value));
+        for (Peer peer : ready) {
+            byDataCentre
+                    .computeIfAbsent(peer.dataCentre(), id -> new ArrayList<>())
+                    .add(peer);
+        }
+        List<Peer> chosen = new ArrayList<>();
+        byDataCentre.forEach((dataCentre, peers) -> chosen.addAll(chooseOf(dataCentre, peers, spare)));
+        return chosen;
+    }
+
+    /** Chooses routers of one data centre: the strongest first, equal ones in an order of their own. */
+    private static List<Peer> chooseOf(DataCentreId dataCentre, List<Peer> peers, int spare) {
+        double neededPercent =
+                PERCENT * peers.stream().mapToDouble(Peer::requestsPerSecond).sum() / REQUESTS_PER_CORE;
+        List<HostId> hosts = peers.stream().map(peer -> peer.process().host()).toList();
+        List<HostId> order = Rendezvous.order(dataCentre.value(), hosts);
+        List<Peer> sorted = new ArrayList<>(peers);
+        sorted.sort(Comparator.comparingInt((Peer peer) -> -peer.capacityPercent())
+                .thenComparingInt(peer -> order.indexOf(peer.process().host())));
+        int number = 0;
+        double havePercent = 0;
+        while (number < sorted.size() && (number < LEAST_EACH || havePercent < neededPercent)) {
+            havePercent += sorted.get(number).capacityPercent();
+            number++;
+        }
+        return sorted.subList(0, Math.min(sorted.size(), number + spare));
+    }
+}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
@@ -14,6 +14,10 @@
  * @param ready whether it can serve callers
  * @param configurationRevision the platform's revision of the configuration that it uses; 0 if it has none
  * @param upstreamsRevision the platform's revision up to which it knows the upstreams; 0 if it knows none
+ * @param capacityPercent its processor, in percent of a core
+ * @param requestsPerSecond requests that it takes lately, a second
+ * @param takesCallers whether it decides on requests, and so has to hear of all placements
+ * @param nextMillis time until its next heartbeat, in milliseconds
  */
 public record Peer(
         ProcessId process,
@@ -22,4 +26,8 @@
         Address peerAddress,
         boolean ready,
         long configurationRevision,
-        long upstreamsRevision) {}
+        long upstreamsRevision,
+        int capacityPercent,
+        double requestsPerSecond,
+        boolean takesCallers,
+        long nextMillis) {}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -26,7 +26,7 @@
     /** Least silence after which a router is not named to callers, in milliseconds: three beats of a small fleet. */
     public static final long SUSPECT_MILLIS = 1_600;
 
-    /** Heartbeats that may be missing in a large fleet, where they are seldom, before a router is not named. */
+    /** Heartbeats that may be missing before a router that sends them seldom is not named. */
     private static final double SUSPECT_BEATS = 2.6;
 
     /** Silence after which a router's placements are taken off, in milliseconds. */
@@ -37,7 +37,6 @@
 
     private final Map<HostId, Heard> heard = new HashMap<>();
     private final Set<Address> addresses = new HashSet<>();
-    private long suspectMillis = SUSPECT_MILLIS;
 
     /**
      * A router's last heartbeat and its time.
@@ -45,7 +44,18 @@
      * @param peer what it said
      * @param atMillis when
      */
-    private record Heard(Peer peer, long atMillis) {}
+    private record Heard(Peer peer, long atMillis) {
+
+        /** Returns the silence after which it is not named to callers, in milliseconds. */
+        private long suspectMillis() {
+            return Math.max(SUSPECT_MILLIS, (long) (SUSPECT_BEATS * peer.nextMillis()));
+        }
+
+        /** Returns the silence after which its placements are taken off, in milliseconds. */
+        private long goneMillis() {
+            return Math.max(GONE_MILLIS, suspectMillis());
+        }
+    }
 
     /**
      * Takes a heartbeat in. Incarnations are not compared: they come from the time of day, which can jump back between
@@ -64,15 +74,6 @@
                 : before.peer().process();
     }
 
-    /**
-     * Takes in how often routers of this fleet send heartbeats.
-     *
-     * @param intervalMillis time between two heartbeats, in milliseconds
-     */
-    public void heartbeatInterval(long intervalMillis) {
-        suspectMillis = Math.max(SUSPECT_MILLIS, (long) (SUSPECT_BEATS * intervalMillis));
-    }
-
     /**
      * Notes that a connection to a router ended: it is suspected until its next heartbeat.
      *
@@ -81,7 +82,7 @@
      */
     public void unreachable(Address peerAddress, long nowMillis) {
         heard.replaceAll((host, one) -> one.peer().peerAddress().equals(peerAddress)
-                ? new Heard(one.peer(), Math.min(one.atMillis(), nowMillis - suspectMillis))
+                ? new Heard(one.peer(), Math.min(one.atMillis(), nowMillis - one.suspectMillis()))
                 : one);
     }
 
@@ -112,7 +113,7 @@
     public List<Peer> alive(long nowMillis) {
         List<Peer> alive = new ArrayList<>();
         for (Heard one : heard.values()) {
-            if (nowMillis - one.atMillis() < suspectMillis) {
+            if (nowMillis - one.atMillis() < one.suspectMillis()) {
                 alive.add(one.peer());
             }
         }
@@ -130,7 +131,7 @@
         for (Iterator<Heard> it = heard.values().iterator(); it.hasNext(); ) {
             Heard one = it.next();
             long silence = nowMillis - one.atMillis();
-            if (silence > GONE_MILLIS) {
+            if (silence > one.goneMillis()) {
                 gone.add(one.peer().process());
             }
             if (silence > FORGET_MILLIS) {
@@ -143,7 +144,8 @@
 
     /**
      * Chooses the addresses that callers of a data centre are told: those of their own data centre while two or more
-     * are there, since bytes between data centres are dear and one host alone would be a single point of failure.
+     * are there, since bytes between data centres are dear and one host alone would be a single point of failure. In a
+     * large fleet only the {@link EntryRouters} of them are told.
      *
      * @param own this router, or {@code null} if it takes no callers now
      * @param dataCentre the callers' data centre, or {@code null}
@@ -152,16 +154,30 @@
      * @return addresses that take callers
      */
     public List<Address> callerAddresses(Peer own, DataCentreId dataCentre, int most, long nowMillis) {
-        List<Peer> ready = new ArrayList<>(alive(nowMillis));
-        if (own != null) {
-            ready.add(own);
-        }
-        ready.removeIf(peer -> !peer.ready());
-        ready.sort(Comparator.comparing(peer -> peer.process().host()));
+        List<Peer> ready = entryRouters(own, 0, nowMillis);
         List<Peer> near = ready.stream()
                 .filter(peer -> peer.dataCentre().equals(dataCentre))
                 .toList();
         return (near.size() >= 2 ? near : ready)
                 .stream().map(Peer::callerAddress).limit(most).toList();
     }
+
+    /**
+     * Returns the routers that callers are sent to.
+     *
+     * @param own this router, or {@code null} if it takes no callers now
+     * @param spare how many more of each data centre to add, as those that would be next
+     * @param nowMillis the time
+     * @return the routers in the order of their names
+     */
+    public List<Peer> entryRouters(Peer own, int spare, long nowMillis) {
+        List<Peer> ready = new ArrayList<>(alive(nowMillis));
+        if (own != null) {
+            ready.add(own);
+        }
+        ready.removeIf(peer -> !peer.ready());
+        List<Peer> chosen = new ArrayList<>(EntryRouters.choose(ready, spare));
+        chosen.sort(Comparator.comparing(peer -> peer.process().host()));
+        return chosen;
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/CatchUpTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/CatchUpTest.java
@@ -21,7 +21,11 @@
                 address,
                 true,
                 configuration,
-                upstreams);
+                upstreams,
+                100,
+                0,
+                true,
+                500);
     }
 
     /**
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -18,6 +18,10 @@
     private final PeerTable table = new PeerTable();
 
     private static Peer peer(int number, long incarnation, DataCentreId dataCentre, boolean ready) {
+        return peer(number, incarnation, dataCentre, ready, 500);
+    }
+
+    private static Peer peer(int number, long incarnation, DataCentreId dataCentre, boolean ready, long nextMillis) {
         return new Peer(
                 new ProcessId(new HostId("host-" + number), incarnation),
                 dataCentre,
@@ -25,7 +29,11 @@
                 new Address("127.0.0." + number, 90),
                 ready,
                 1,
-                1);
+                1,
+                100,
+                0,
+                true,
+                nextMillis);
     }
 
     private List<String> named(DataCentreId dataCentre, long nowMillis) {
@@ -90,9 +98,20 @@
      */
     @Test
     void waitsLongerForHeartbeatsThatAreSeldom() {
-        table.heartbeat(peer(1, 1, EAST, true), 0);
-        table.heartbeatInterval(1_200);
+        table.heartbeat(peer(1, 1, EAST, true, 1_200), 0);
         assertThat(named(EAST, 3_000)).hasSize(1);
         assertThat(named(EAST, 3_200)).isEmpty();
     }
+
+    /**
+     * Symptom: the placements of a sound router vanish from the board of others. Sequence: two routers that take no
+     * callers tell each other seldom that they are there. Cause: the silence after which placements are taken off did
+     * not grow with the time between two heartbeats.
+     */
+    @Test
+    void keepsThePlacementsOfARouterThatTellsSeldomThatItIsThere() {
+        table.heartbeat(peer(1, 1, EAST, true, 4_000), 0);
+        assertThat(table.expire(PeerTable.GONE_MILLIS + 1)).isEmpty();
+        assertThat(table.expire(10_401)).hasSize(1);
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -8,7 +8,6 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.limits.ByteBudget;
-import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
@@ -136,7 +135,8 @@
                 asked.process(),
                 asked.dataCentre(),
                 callers.listen(asked.callerAddress()),
-                new Address(asked.peerAddress().ip(), newsServer.port()));
+                new Address(asked.peerAddress().ip(), newsServer.port()),
+                asked.capacityPercent());
         options.seeds().forEach(peers::mention);
         sweptMillis = loop.nowMillis();
         loop.execute(() -> {
@@ -188,15 +188,7 @@
      * @return addresses of routers that are believed to take callers
      */
     public List<Address> callerAddresses(DataCentreId dataCentre) {
-        Peer own = new Peer(
-                identity.process(),
-                identity.dataCentre(),
-                identity.callerAddress(),
-                identity.peerAddress(),
-                ready(),
-                state.configurationRevision(),
-                state.upstreamsRevision());
-        return peers.callerAddresses(own, dataCentre, MOST_ADDRESSES, loop.nowMillis());
+        return peers.callerAddresses(hub.ownPeer(), dataCentre, MOST_ADDRESSES, loop.nowMillis());
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -18,6 +18,7 @@
 import org.apricotstack.core.peer.CatchUp;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.peer.RequestRate;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -40,13 +41,11 @@
     /** Added for each known router, in milliseconds, so that none sends more than about 50 heartbeats a second. */
     private static final long HEARTBEAT_MILLIS_EACH = 12;
 
-    /** Heartbeats after the start that tell of other routers, and how often later ones do; addresses change seldom. */
-    private static final long FIRST_BEATS = 6;
-
-    private static final long ADDRESS_BEATS = 8;
-
-    /** Addresses told in one heartbeat, at most. */
-    private static final int MOST_ADDRESSES = 16;
+    /**
+     * Of two routers that both take no callers, each tells the other only every third beat that it is there. In a fleet
+     * of 71 of which 16 take callers this saves half of all heartbeats.
+     */
+    private static final int SLOW_BEATS = 3;
 
     private final ServingLoop loop;
     private final PeerTable peers;
@@ -54,14 +53,16 @@
     private final UpstreamJudge judge;
     private final PublishedState state;
     private final DecisionLog log;
-    private final BooleanSupplier ready;
     private final Runnable whenBehind;
     private final CatchUp catchUp = new CatchUp();
     private final Map<Address, NewsLink> links = new HashMap<>();
     private final Set<HostId> believedAlive = new HashSet<>();
-    private RouterIdentity self;
+    private final Map<Address, Peer> peerAt = new HashMap<>();
+    private final RequestRate requests;
+    private final BooleanSupplier ready;
+    private OwnHeartbeat own;
+    private Address ownAddress;
     private NewsFrame.Builder pending;
-    private int nextAddress;
     private long beats;
     private boolean closed;
 
@@ -94,6 +95,7 @@
         this.log = log;
         this.ready = ready;
         this.whenBehind = whenBehind;
+        this.requests = new RequestRate(loop.nowMillis());
     }
 
     /**
@@ -102,8 +104,9 @@
      * @param identity who this router is
      */
     public void start(RouterIdentity identity) {
-        self = identity;
-        peers.mention(identity.peerAddress());
+        own = new OwnHeartbeat(identity, peers, state, ready, requests);
+        ownAddress = identity.peerAddress();
+        peers.mention(ownAddress);
         beat();
     }
 
@@ -113,13 +116,14 @@
             return;
         }
         long now = loop.nowMillis();
-        peers.heartbeatInterval(intervalMillis());
         beats++;
+        own.nextRound();
         for (ProcessId gone : peers.expire(now)) {
             board.removeProcess(gone, now);
         }
         noteAlive(now);
-        heartbeat();
+        requests.endSpan(now);
+        heartbeat(beats % SLOW_BEATS == 0);
         loop.schedule(intervalMillis(), this::beat);
     }
 
@@ -130,49 +134,55 @@
 
     /** Sends a heartbeat to all routers now, as when this one becomes ready or stops. */
     public void heartbeat() {
-        Heartbeat.Builder beat = Heartbeat.newBuilder()
-                .setHost(self.process().host().value())
-                .setIncarnation(self.process().incarnation())
-                .setDataCentre(self.dataCentre().value())
-                .setCallerAddress(self.callerAddress().toString())
-                .setPeerAddress(self.peerAddress().toString())
-                .setReady(ready.getAsBoolean())
-                .setConfigurationRevision(state.configurationRevision())
-                .setUpstreamsRevision(state.upstreamsRevision());
-        if (beats <= FIRST_BEATS || beats % ADDRESS_BEATS == 0) {
-            someAddresses().forEach(address -> beat.addPeerAddresses(address.toString()));
-        }
-        NewsFrame frame = NewsFrame.newBuilder().setHeartbeat(beat).build();
+        heartbeat(true);
+    }
+
+    /** Sends a heartbeat to all routers, or only to those that are told more often. */
+    private void heartbeat(boolean toAll) {
+        boolean takesCallers = own.takesCallers(loop.nowMillis());
+        NewsFrame often = own.frame(takesCallers, intervalMillis());
+        NewsFrame seldom = own.frame(takesCallers, intervalMillis() * SLOW_BEATS);
         for (Address address : peers.addresses()) {
-            if (!address.equals(self.peerAddress())) {
-                links.computeIfAbsent(address, this::newLink).heartbeat(frame, intervalMillis());
+            if (address.equals(ownAddress)) {
+                continue;
+            }
+            NewsLink link = links.computeIfAbsent(address, this::newLink);
+            if (takesCallers || takesCallers(address)) {
+                link.heartbeat(often, intervalMillis());
+            } else if (toAll) {
+                link.heartbeat(seldom, intervalMillis() * SLOW_BEATS);
             }
         }
         links.keySet().removeIf(address -> {
             boolean forgotten = !peers.addresses().contains(address);
             if (forgotten) {
                 links.get(address).close();
+                peerAt.remove(address);
             }
             return forgotten;
         });
     }
 
+    /** Tells whether the router at an address decides on requests; one that was not heard yet may. */
+    private boolean takesCallers(Address address) {
+        Peer peer = peerAt.get(address);
+        return peer == null || peer.takesCallers();
+    }
+
+    /**
+     * Returns this router as others hear of it.
+     *
+     * @return what the next heartbeat says
+     */
+    public Peer ownPeer() {
+        return own.peer(true, intervalMillis());
+    }
+
     /** Creates a link; a stream that ends tells at once that its peer stopped or was cut. */
     private NewsLink newLink(Address address) {
         return new NewsLink(loop, address, this, () -> peers.unreachable(address, loop.nowMillis()));
     }
 
-    /** Returns a part of the known addresses, another one each time. */
-    private List<Address> someAddresses() {
-        List<Address> all = List.copyOf(peers.addresses());
-        if (all.size() <= MOST_ADDRESSES) {
-            return all;
-        }
-        nextAddress = (nextAddress + MOST_ADDRESSES) % all.size();
-        int end = Math.min(all.size(), nextAddress + MOST_ADDRESSES);
-        return all.subList(nextAddress, end);
-    }
-
     /** Writes down which routers are heard again or no longer. */
     private void noteAlive(long now) {
         Set<HostId> alive = new HashSet<>();
@@ -219,6 +229,7 @@
         ProcessId process = new ProcessId(new HostId(beat.getHost()), beat.getIncarnation());
         stream.sender(process);
         Peer peer = NewsMessages.peer(process, beat);
+        peerAt.put(peer.peerAddress(), peer);
         ProcessId before = peers.heartbeat(peer, now);
         if (before != null) {
             board.removeProcess(before, now);
@@ -294,6 +305,7 @@
 
     @Override
     public void placed(EnginePlacement placement, long limitMillis) {
+        requests.count();
         news().addPlaced(NewsMessages.placed(placement, limitMillis));
     }
 
@@ -325,7 +337,11 @@
     private void flush() {
         NewsFrame frame = pending.build();
         pending = null;
-        links.values().forEach(link -> link.send(frame));
+        links.forEach((address, link) -> {
+            if (takesCallers(address)) {
+                link.send(frame);
+            }
+        });
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
@@ -31,7 +31,28 @@
                 Address.parse(beat.getPeerAddress()),
                 beat.getReady(),
                 beat.getConfigurationRevision(),
-                beat.getUpstreamsRevision());
+                beat.getUpstreamsRevision(),
+                beat.getCapacityPercent(),
+                beat.getRequestsPerSecond(),
+                beat.getTakesCallers(),
+                beat.getNextMillis());
+    }
+
+    /** Writes what this router says of itself. */
+    static Heartbeat.Builder heartbeat(Peer own) {
+        return Heartbeat.newBuilder()
+                .setHost(own.process().host().value())
+                .setIncarnation(own.process().incarnation())
+                .setDataCentre(own.dataCentre().value())
+                .setCallerAddress(own.callerAddress().toString())
+                .setPeerAddress(own.peerAddress().toString())
+                .setReady(own.ready())
+                .setConfigurationRevision(own.configurationRevision())
+                .setUpstreamsRevision(own.upstreamsRevision())
+                .setCapacityPercent(own.capacityPercent())
+                .setRequestsPerSecond((float) own.requestsPerSecond())
+                .setTakesCallers(own.takesCallers())
+                .setNextMillis((int) own.nextMillis());
     }
 
     /** Reads a placement of another router. */
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -0,0 +1,97 @@
+package org.apricotstack.serving.news;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.peer.RequestRate;
+import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.Heartbeat;
+import org.apricotstack.wire.news.NewsFrame;
+
+/** What this router tells others of itself, and whether it decides on requests. */
+final class OwnHeartbeat {
+
+    /** Requests a second from which on a router that callers are not sent to wants to hear of placements. */
+    private static final double STRAY_REQUESTS_PER_SECOND = 0.5;
+
+    /** Routers of each data centre that hear of placements before callers are sent to them. */
+    private static final int STAND_BY = 1;
+
+    /** Heartbeats after the start that tell of other routers. */
+    private static final long FIRST_BEATS = 6;
+
+    /** How often later heartbeats do; addresses change seldom. */
+    private static final long ADDRESS_BEATS = 8;
+
+    /** Addresses told in one heartbeat, at most. */
+    private static final int MOST_ADDRESSES = 16;
+
+    private final RouterIdentity self;
+    private final PeerTable peers;
+    private final PublishedState state;
+    private final BooleanSupplier ready;
+    private final RequestRate requests;
+    private int nextAddress;
+    private long beats;
+
+    /** Creates the heartbeat of a router. */
+    OwnHeartbeat(
+            RouterIdentity self, PeerTable peers, PublishedState state, BooleanSupplier ready, RequestRate requests) {
+        this.self = self;
+        this.peers = peers;
+        this.state = state;
+        this.ready = ready;
+        this.requests = requests;
+    }
+
+    /** Begins another round; some rounds tell the addresses of other routers too. */
+    void nextRound() {
+        beats++;
+    }
+
+    /** Returns this router as others hear of it. */
+    Peer peer(boolean takesCallers, long nextMillis) {
+        return new Peer(
+                self.process(),
+                self.dataCentre(),
+                self.callerAddress(),
+                self.peerAddress(),
+                ready.getAsBoolean(),
+                state.configurationRevision(),
+                state.upstreamsRevision(),
+                self.capacityPercent(),
+                requests.perSecond(),
+                takesCallers,
+                nextMillis);
+    }
+
+    /** Tells whether this router decides on requests: callers are or may soon be sent here, or come all the same. */
+    boolean takesCallers(long nowMillis) {
+        boolean chosen = peers.entryRouters(peer(true, 0), STAND_BY, nowMillis).stream()
+                .anyMatch(peer -> peer.process().equals(self.process()));
+        return chosen || requests.perSecond() > STRAY_REQUESTS_PER_SECOND;
+    }
+
+    /** Writes the heartbeat. */
+    NewsFrame frame(boolean takesCallers, long nextMillis) {
+        Heartbeat.Builder beat = NewsMessages.heartbeat(peer(takesCallers, nextMillis));
+        if (beats <= FIRST_BEATS || beats % ADDRESS_BEATS == 0) {
+            someAddresses().forEach(address -> beat.addPeerAddresses(address.toString()));
+        }
+        return NewsFrame.newBuilder().setHeartbeat(beat).build();
+    }
+
+    /** Returns a part of the known addresses, another one each time. */
+    private List<Address> someAddresses() {
+        List<Address> all = List.copyOf(peers.addresses());
+        if (all.size() <= MOST_ADDRESSES) {
+            return all;
+        }
+        nextAddress = (nextAddress + MOST_ADDRESSES) % all.size();
+        int end = Math.min(all.size(), nextAddress + MOST_ADDRESSES);
+        return all.subList(nextAddress, end);
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/RouterIdentity.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/RouterIdentity.java
@@ -11,5 +11,7 @@
  * @param dataCentre where it stands
  * @param callerAddress where it takes callers
  * @param peerAddress where it takes other routers
+ * @param capacityPercent its processor, in percent of a core
  */
-public record RouterIdentity(ProcessId process, DataCentreId dataCentre, Address callerAddress, Address peerAddress) {}
+public record RouterIdentity(
+        ProcessId process, DataCentreId dataCentre, Address callerAddress, Address peerAddress, int capacityPercent) {}
