Tell a router that was not heard before of all others, and test who is told of placements

Change: the window is chosen once a round and wraps; whoever hears a router for the first time sends it up to 64 addresses at once. NewsLinks (whom to tell) and OwnHeartbeat (what to say) are split off NewsHub.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsMeasurement.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsMeasurement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.apricotstack.core.id.Address;
+import org.apricotstack.serving.news.NewsHub;
 import reactor.core.publisher.Mono;
 
 /** Measures what the news between routers of one cell cost: heartbeats, and the news of requests. */
@@ -17,6 +18,7 @@
     private static final Duration WINDOW = Duration.ofSeconds(6);
     private static final Duration SETTLE = Duration.ofMillis(600);
     private static final Duration BETWEEN = Duration.ofMillis(4);
+    private static final int CAPACITY_PERCENT = 100;
     private static final double PERCENT = 100;
     private static final double MICROS_PER_SECOND = 1e6;
 
@@ -30,7 +32,7 @@
                 for (int i = 0; i < routers; i++) {
                     List<Address> seeds =
                             fleet.stream().limit(3).map(NewsRouter::address).toList();
-                    fleet.add(new NewsRouter(i, seeds));
+                    fleet.add(new NewsRouter(i, seeds, CAPACITY_PERCENT));
                 }
                 pause(WARM_UP);
                 idle(routers);
@@ -57,13 +59,16 @@
 
     /** Measures the news of requests beyond the heartbeats, for each router of the cell. */
     private void requests(List<NewsRouter> fleet) {
+        List<NewsRouter> taking = fleet.stream()
+                .filter(router -> router.read(NewsHub::takesCallers))
+                .toList();
         MachineReadings start = MachineReadings.now();
         pause(SETTLE);
         MachineReadings before = MachineReadings.now();
         double idleBytes = (before.sentBytes() - start.sentBytes()) / before.secondsSince(start);
         double idleCore = before.coreSince(start);
         for (int i = 0; i < REQUESTS; i++) {
-            fleet.get(i % fleet.size()).tellRequest();
+            taking.get(i % taking.size()).tellRequest();
             pause(BETWEEN);
         }
         pause(SETTLE);
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -1,6 +1,7 @@
 package org.apricotstack.bench.measure;
 
 import java.util.List;
+import java.util.function.Function;
 
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.engine.EnginePart;
@@ -20,6 +21,7 @@
 import org.apricotstack.serving.news.RouterIdentity;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
+import reactor.core.publisher.Mono;
 
 /** The part of a router that exchanges news, without callers, upstreams and a platform. */
 final class NewsRouter implements AutoCloseable {
@@ -35,8 +37,6 @@
     private static final long TARGET_MILLIS = 300;
     private static final long PAUSE_MILLIS = 250;
 
-    private static final int CAPACITY_PERCENT = 100;
-
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final EngineBoard board = new EngineBoard();
     private final PeerTable peers = new PeerTable();
@@ -47,7 +47,7 @@
     private long placements;
 
     /** Starts a router that knows some others. */
-    NewsRouter(int number, List<Address> seeds) {
+    NewsRouter(int number, List<Address> seeds, int capacityPercent) {
         log = new DecisionLog("host-" + number, System::currentTimeMillis);
         UpstreamJudge judge = new UpstreamJudge();
         PublishedState state = new PublishedState(null, new UpstreamTable(), judge, board, log);
@@ -58,7 +58,7 @@
                 new DataCentreId("dc"),
                 ANY,
                 new Address(ANY.ip(), server.port()),
-                CAPACITY_PERCENT);
+                capacityPercent);
         loop.execute(() -> {
             seeds.forEach(peers::mention);
             hub.start(identity);
@@ -70,6 +70,12 @@
         return identity.peerAddress();
     }
 
+    /** Returns what the hub knows, read on its thread. */
+    <T> T read(Function<NewsHub, T> question) {
+        return Mono.<T>create(sink -> loop.execute(() -> sink.success(question.apply(hub))))
+                .block();
+    }
+
     /** Tells of a whole request: its placement, its first event, and its end, each in a frame of its own. */
     void tellRequest() {
         PlacementId id = new PlacementId(identity.process(), ++placements);
--- /dev/null
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/NewsReachTest.java
@@ -0,0 +1,78 @@
+package org.apricotstack.bench.measure;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apricotstack.bench.deployment.LocalDeployment;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.serving.news.NewsHub;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Which routers of a large fleet are told of placements, with real routers' news over loopback. */
+class NewsReachTest {
+
+    /** One more than the largest fleet in which all routers take callers. */
+    private static final int ROUTERS = 17;
+
+    private static final int STRONG_PERCENT = 150;
+    private static final int SMALL_PERCENT = 36;
+
+    /** The least number of routers of a data centre that take callers, and one that stands by. */
+    private static final int TAKING = 5;
+
+    /** Requests in one beat that are surely more than one in two seconds. */
+    private static final int STRAY_REQUESTS = 20;
+
+    private final List<NewsRouter> fleet = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        fleet.forEach(NewsRouter::close);
+    }
+
+    private void start(int number, int capacityPercent) {
+        List<Address> seeds = fleet.stream().limit(3).map(NewsRouter::address).toList();
+        fleet.add(new NewsRouter(number, seeds, capacityPercent));
+    }
+
+    private static int receivers(NewsRouter router) {
+        return router.read(NewsHub::newsReceivers) + (router.read(NewsHub::takesCallers) ? 1 : 0);
+    }
+
+    /**
+     * Symptom: processor time and bytes grow with the square of the fleet. Sequence: each router tells all others of
+     * each placement. Cause: all were told, whether or not they decide on requests.
+     *
+     * <p>And the other way round: a router that callers reach though they were not sent there has to hear of
+     * placements, or it sends prompts to engines that are full.
+     */
+    @Test
+    void tellsOnlyRoutersThatDecideOnRequests() {
+        start(0, SMALL_PERCENT);
+        for (int i = 1; i < ROUTERS; i++) {
+            start(i, STRONG_PERCENT);
+        }
+        LocalDeployment.await("all routers agree on who takes callers", () -> fleet.stream()
+                .allMatch(router -> router.read(NewsHub::knownRouters) == ROUTERS && receivers(router) == TAKING));
+        NewsRouter small = fleet.get(0);
+        NewsRouter teller = fleet.stream()
+                .filter(router -> router.read(NewsHub::takesCallers))
+                .findFirst()
+                .orElseThrow();
+        teller.tellRequest();
+        LocalDeployment.await("the others that take callers have heard of it", () -> fleet.stream()
+                .filter(router -> router != teller && router.read(NewsHub::takesCallers))
+                .allMatch(router -> router.read(NewsHub::placementsHeard) == 1));
+
+        for (int i = 0; i < STRAY_REQUESTS; i++) {
+            small.tellRequest();
+        }
+        LocalDeployment.await("the small router is told too", () -> receivers(teller) == TAKING + 1);
+        teller.tellRequest();
+        LocalDeployment.await("the small router hears of a placement", () -> small.read(NewsHub::placementsHeard) > 0);
+        assertThat(small.read(NewsHub::placementsHeard)).isEqualTo(1);
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -120,6 +120,8 @@
         metrics.gauge("upstreams.revision", state::upstreamsRevision);
         metrics.gauge("documents.rejected", state::rejected);
         metrics.gauge("routers.known", hub::knownRouters);
+        metrics.gauge("routers.told_of_placements", hub::newsReceivers);
+        metrics.gauge("placements.heard", hub::placementsHeard);
         metrics.gauge("log.lines_dropped", log::dropped);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -1,9 +1,7 @@
 package org.apricotstack.serving.news;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
@@ -55,14 +53,15 @@
     private final DecisionLog log;
     private final Runnable whenBehind;
     private final CatchUp catchUp = new CatchUp();
-    private final Map<Address, NewsLink> links = new HashMap<>();
+    private final NewsLinks links;
     private final Set<HostId> believedAlive = new HashSet<>();
-    private final Map<Address, Peer> peerAt = new HashMap<>();
     private final RequestRate requests;
     private final BooleanSupplier ready;
     private OwnHeartbeat own;
     private Address ownAddress;
     private NewsFrame.Builder pending;
+    private long placementsHeard;
+    private boolean takesCallers;
     private long beats;
     private boolean closed;
 
@@ -95,6 +94,7 @@
         this.log = log;
         this.ready = ready;
         this.whenBehind = whenBehind;
+        this.links = new NewsLinks(loop, peers);
         this.requests = new RequestRate(loop.nowMillis());
     }
 
@@ -139,34 +139,21 @@
 
     /** Sends a heartbeat to all routers, or only to those that are told more often. */
     private void heartbeat(boolean toAll) {
-        boolean takesCallers = own.takesCallers(loop.nowMillis());
+        takesCallers = own.takesCallers(loop.nowMillis());
         NewsFrame often = own.frame(takesCallers, intervalMillis());
         NewsFrame seldom = own.frame(takesCallers, intervalMillis() * SLOW_BEATS);
         for (Address address : peers.addresses()) {
             if (address.equals(ownAddress)) {
                 continue;
             }
-            NewsLink link = links.computeIfAbsent(address, this::newLink);
-            if (takesCallers || takesCallers(address)) {
+            NewsLink link = links.open(address, this);
+            if (takesCallers || links.takesCallers(address)) {
                 link.heartbeat(often, intervalMillis());
             } else if (toAll) {
                 link.heartbeat(seldom, intervalMillis() * SLOW_BEATS);
             }
         }
-        links.keySet().removeIf(address -> {
-            boolean forgotten = !peers.addresses().contains(address);
-            if (forgotten) {
-                links.get(address).close();
-                peerAt.remove(address);
-            }
-            return forgotten;
-        });
-    }
-
-    /** Tells whether the router at an address decides on requests; one that was not heard yet may. */
-    private boolean takesCallers(Address address) {
-        Peer peer = peerAt.get(address);
-        return peer == null || peer.takesCallers();
+        links.retain(peers.addresses());
     }
 
     /**
@@ -178,11 +165,6 @@
         return own.peer(true, intervalMillis());
     }
 
-    /** Creates a link; a stream that ends tells at once that its peer stopped or was cut. */
-    private NewsLink newLink(Address address) {
-        return new NewsLink(loop, address, this, () -> peers.unreachable(address, loop.nowMillis()));
-    }
-
     /** Writes down which routers are heard again or no longer. */
     private void noteAlive(long now) {
         Set<HostId> alive = new HashSet<>();
@@ -229,13 +211,21 @@
         ProcessId process = new ProcessId(new HostId(beat.getHost()), beat.getIncarnation());
         stream.sender(process);
         Peer peer = NewsMessages.peer(process, beat);
-        peerAt.put(peer.peerAddress(), peer);
+        boolean isNew = links.heard(peer);
         ProcessId before = peers.heartbeat(peer, now);
         if (before != null) {
             board.removeProcess(before, now);
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
         askIfBehind(peer, now);
+        if (isNew) {
+            introduce(peer.peerAddress());
+        }
+    }
+
+    /** Tells a router that was not heard before of the others; else it hears of a large fleet only by and by. */
+    private void introduce(Address address) {
+        links.open(address, this).heartbeat(own.introduction(takesCallers, intervalMillis()), intervalMillis());
     }
 
     /** Asks a peer for what it knows and this router does not, if the platform does not tell it soon. */
@@ -268,6 +258,7 @@
         long now = loop.nowMillis();
         for (Placed placed : frame.getPlacedList()) {
             if (placed.getPartsCount() > 0) {
+                placementsHeard++;
                 board.place(NewsMessages.placement(sender, placed), now, placed.getLimitMillis());
             }
         }
@@ -337,11 +328,7 @@
     private void flush() {
         NewsFrame frame = pending.build();
         pending = null;
-        links.forEach((address, link) -> {
-            if (takesCallers(address)) {
-                link.send(frame);
-            }
-        });
+        links.sendToDeciding(frame);
     }
 
     /**
@@ -353,10 +340,36 @@
         return Math.max(1, peers.addresses().size());
     }
 
+    /**
+     * Tells whether this router said in its last heartbeat that it decides on requests.
+     *
+     * @return whether others tell it of placements
+     */
+    public boolean takesCallers() {
+        return takesCallers;
+    }
+
+    /**
+     * Returns how many other routers are told of placements.
+     *
+     * @return routers
+     */
+    public int newsReceivers() {
+        return links.deciding();
+    }
+
+    /**
+     * Returns how many placements of other routers were heard of.
+     *
+     * @return placements since the start
+     */
+    public long placementsHeard() {
+        return placementsHeard;
+    }
+
     @Override
     public void close() {
         closed = true;
-        links.values().forEach(NewsLink::close);
-        links.clear();
+        links.close();
     }
 }
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
@@ -0,0 +1,85 @@
+package org.apricotstack.serving.news;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.wire.news.NewsFrame;
+
+/** The streams of news to all other routers, and what each of those wants to hear. */
+final class NewsLinks implements AutoCloseable {
+
+    private final ServingLoop loop;
+    private final PeerTable peers;
+    private final Map<Address, NewsLink> links = new HashMap<>();
+    private final Map<Address, Peer> heard = new HashMap<>();
+
+    /** Creates links to nobody. */
+    NewsLinks(ServingLoop loop, PeerTable peers) {
+        this.loop = loop;
+        this.peers = peers;
+    }
+
+    /** Returns the link to a router, or {@code null}. */
+    NewsLink get(Address address) {
+        return links.get(address);
+    }
+
+    /** Returns the link to a router; a stream that ends tells at once that its peer stopped or was cut. */
+    NewsLink open(Address address, NewsSink sink) {
+        return links.computeIfAbsent(
+                address, to -> new NewsLink(loop, to, sink, () -> peers.unreachable(to, loop.nowMillis())));
+    }
+
+    /** Notes what a router said of itself; tells whether it was not heard before. */
+    boolean heard(Peer peer) {
+        return heard.put(peer.peerAddress(), peer) == null;
+    }
+
+    /** Tells whether the router at an address decides on requests; one that was not heard yet may. */
+    boolean takesCallers(Address address) {
+        Peer peer = heard.get(address);
+        return peer == null || peer.takesCallers();
+    }
+
+    /** Sends news to the routers that decide on requests. */
+    void sendToDeciding(NewsFrame frame) {
+        links.forEach((address, link) -> {
+            if (takesCallers(address)) {
+                link.send(frame);
+            }
+        });
+    }
+
+    /** Closes the links to routers that are forgotten. */
+    void retain(Collection<Address> known) {
+        links.entrySet().removeIf(entry -> {
+            boolean forgotten = !known.contains(entry.getKey());
+            if (forgotten) {
+                entry.getValue().close();
+                heard.remove(entry.getKey());
+            }
+            return forgotten;
+        });
+    }
+
+    /** Returns how many there are. */
+    int size() {
+        return links.size();
+    }
+
+    /** Returns how many of them lead to routers that decide on requests. */
+    int deciding() {
+        return (int) links.keySet().stream().filter(this::takesCallers).count();
+    }
+
+    @Override
+    public void close() {
+        links.values().forEach(NewsLink::close);
+        links.clear();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.news;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -29,11 +30,15 @@
     /** Addresses told in one heartbeat, at most. */
     private static final int MOST_ADDRESSES = 16;
 
+    /** Addresses told to a router that was not heard before, at most: 1.3 KB. */
+    private static final int MOST_INTRODUCED = 64;
+
     private final RouterIdentity self;
     private final PeerTable peers;
     private final PublishedState state;
     private final BooleanSupplier ready;
     private final RequestRate requests;
+    private List<Address> told = List.of();
     private int nextAddress;
     private long beats;
 
@@ -50,6 +55,8 @@
     /** Begins another round; some rounds tell the addresses of other routers too. */
     void nextRound() {
         beats++;
+        boolean tells = beats <= FIRST_BEATS || beats % ADDRESS_BEATS == 0;
+        told = tells ? someAddresses(MOST_ADDRESSES) : List.of();
     }
 
     /** Returns this router as others hear of it. */
@@ -77,21 +84,29 @@
 
     /** Writes the heartbeat. */
     NewsFrame frame(boolean takesCallers, long nextMillis) {
+        return frame(takesCallers, nextMillis, told);
+    }
+
+    /** Writes a heartbeat for a router that was not heard before: it may know only its seeds. */
+    NewsFrame introduction(boolean takesCallers, long nextMillis) {
+        return frame(takesCallers, nextMillis, someAddresses(MOST_INTRODUCED));
+    }
+
+    /** Writes a heartbeat that tells some addresses. */
+    private NewsFrame frame(boolean takesCallers, long nextMillis, List<Address> addresses) {
         Heartbeat.Builder beat = NewsMessages.heartbeat(peer(takesCallers, nextMillis));
-        if (beats <= FIRST_BEATS || beats % ADDRESS_BEATS == 0) {
-            someAddresses().forEach(address -> beat.addPeerAddresses(address.toString()));
-        }
+        addresses.forEach(address -> beat.addPeerAddresses(address.toString()));
         return NewsFrame.newBuilder().setHeartbeat(beat).build();
     }
 
-    /** Returns a part of the known addresses, another one each time. */
-    private List<Address> someAddresses() {
+    /** Returns a part of the known addresses, the next one each time. */
+    private List<Address> someAddresses(int most) {
         List<Address> all = List.copyOf(peers.addresses());
-        if (all.size() <= MOST_ADDRESSES) {
-            return all;
+        List<Address> some = new ArrayList<>();
+        for (int i = 0; i < Math.min(most, all.size()); i++) {
+            some.add(all.get((nextAddress + i) % all.size()));
         }
-        nextAddress = (nextAddress + MOST_ADDRESSES) % all.size();
-        int end = Math.min(all.size(), nextAddress + MOST_ADDRESSES);
-        return all.subList(nextAddress, end);
+        nextAddress = (nextAddress + some.size()) % Math.max(1, all.size());
+        return some;
     }
 }
