Let routers that stand by read changes of the platform once a second

A release of 22 upstreams is some 70 changes, and each change ended the wait of all 71 routers.

Change: a router of a large fleet to which no callers are sent gathers changes for 1 s before it waits again, and gives the platform 1.2 s (not 0.2 s) before it asks a peer that knows more. Routers that decide on requests keep 120 ms. The exchange of documents is split off NewsHub (PeerDocuments).

Ruled out: that the calls come from starts (145 starts, 2 to 3 calls each) or from turned-away hosts (25 for 9 s). Test: CatchUpTest.asksLaterWhereThePlatformIsReadMoreSeldom.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
@@ -10,7 +10,7 @@
 public final class CatchUp {
 
     /** Time for which the platform itself may tell what a peer knows already, in milliseconds. */
-    static final long BEHIND_MILLIS = 200;
+    public static final long BEHIND_MILLIS = 200;
 
     /** Time between two questions, in milliseconds. */
     static final long ASK_MILLIS = 400;
@@ -26,10 +26,12 @@
      * @param peer the peer's heartbeat
      * @param configurationRevision revision of the configuration that this router has; 0 if none
      * @param upstreamsRevision revision up to which this router knows the upstreams; 0 if it knows none
+     * @param behindMillis time for which the platform itself may tell what a peer knows already, in milliseconds
      * @param nowMillis the time
      * @return whether to ask this peer now
      */
-    public boolean shouldAsk(Peer peer, long configurationRevision, long upstreamsRevision, long nowMillis) {
+    public boolean shouldAsk(
+            Peer peer, long configurationRevision, long upstreamsRevision, long behindMillis, long nowMillis) {
         newestConfiguration = Math.max(newestConfiguration, peer.configurationRevision());
         newestUpstreams = Math.max(newestUpstreams, peer.upstreamsRevision());
         if (configurationRevision >= newestConfiguration && upstreamsRevision >= newestUpstreams) {
@@ -42,7 +44,7 @@
         boolean knowsMore =
                 peer.configurationRevision() > configurationRevision || peer.upstreamsRevision() > upstreamsRevision;
         boolean knowsNothing = configurationRevision == 0 || upstreamsRevision == 0;
-        boolean waited = knowsNothing || nowMillis - behindSinceMillis >= BEHIND_MILLIS;
+        boolean waited = knowsNothing || nowMillis - behindSinceMillis >= behindMillis;
         return knowsMore && waited && nowMillis - askedMillis >= ASK_MILLIS;
     }
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -45,7 +45,7 @@
      * @return those that callers are sent to
      */
     public static List<Peer> choose(List<Peer> ready, int spare) {
-        if (ready.size() <= ALL_UP_TO) {
+        if (!isLarge(ready.size())) {
             return ready;
         }
         Map<DataCentreId, List<Peer>> byDataCentre = new TreeMap<>(Comparator.comparing(DataCentreId::value));
@@ -59,6 +59,16 @@
         return chosen;
     }
 
+    /**
+     * Tells whether a fleet is so large that some of its routers take no callers.
+     *
+     * @param routers routers of the fleet
+     * @return whether they are more than all take callers in
+     */
+    public static boolean isLarge(int routers) {
+        return routers > ALL_UP_TO;
+    }
+
     /** Chooses routers of one data centre: the strongest first, equal ones in an order of their own. */
     private static List<Peer> chooseOf(DataCentreId dataCentre, List<Peer> peers, int spare) {
         double neededPercent =
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/CatchUpTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/CatchUpTest.java
@@ -36,32 +36,54 @@
      */
     @Test
     void staysBehindThoughAnotherPeerKnowsNoMore() {
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, 0)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("equal", 24, 7), 24, 7, 100)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("equal", 24, 7), 24, 7, 300)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, 500)).isTrue();
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, CatchUp.BEHIND_MILLIS, 0))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("equal", 24, 7), 24, 7, CatchUp.BEHIND_MILLIS, 100))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("equal", 24, 7), 24, 7, CatchUp.BEHIND_MILLIS, 300))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, CatchUp.BEHIND_MILLIS, 500))
+                .isTrue();
     }
 
     @Test
     void leavesThePlatformTheTimeToTell() {
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, 0)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 25, 7, 500)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("ahead", 26, 7), 25, 7, 600)).isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 24, 7, CatchUp.BEHIND_MILLIS, 0))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 25, 7, CatchUp.BEHIND_MILLIS, 500))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 26, 7), 25, 7, CatchUp.BEHIND_MILLIS, 600))
+                .isFalse();
     }
 
     @Test
     void asksAtOnceIfItKnowsNothingAndThenNotTooOften() {
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, 0)).isTrue();
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, CatchUp.BEHIND_MILLIS, 0))
+                .isTrue();
         catchUp.asked(0);
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, CatchUp.ASK_MILLIS - 1))
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, CatchUp.BEHIND_MILLIS, CatchUp.ASK_MILLIS - 1))
                 .isFalse();
-        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, CatchUp.ASK_MILLIS))
+        assertThat(catchUp.shouldAsk(peer("ahead", 25, 7), 0, 0, CatchUp.BEHIND_MILLIS, CatchUp.ASK_MILLIS))
                 .isTrue();
     }
 
     @Test
     void asksForUpstreamsToo() {
-        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, 0)).isFalse();
-        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, 500)).isTrue();
+        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, CatchUp.BEHIND_MILLIS, 0))
+                .isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, CatchUp.BEHIND_MILLIS, 500))
+                .isTrue();
+    }
+
+    /**
+     * Symptom: each change costs a router of a large fleet a whole list from a peer. Sequence: it reads changes of the
+     * platform once a second, and asks a peer that heard of one 200 ms after. Cause: a router that is patient towards
+     * the platform was not so towards peers.
+     */
+    @Test
+    void asksLaterWhereThePlatformIsReadMoreSeldom() {
+        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, 1_200, 0)).isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, 1_200, 1_100)).isFalse();
+        assertThat(catchUp.shouldAsk(peer("ahead", 24, 9), 24, 7, 1_200, 1_200)).isTrue();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -84,7 +84,8 @@
         state = new PublishedState(ports.reader(), upstreams, judge, board, log);
         connections = new UpstreamConnections(loop);
         HttpCalls calls = new HttpCalls(loop, connections);
-        follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random, this::knownRouters);
+        follower = new PublicationFollower(
+                loop, ports.source().apply(calls), state, log, random, this::knownRouters, this::gatherMillis);
         hub = new NewsHub(loop, peers, board, judge, state, log, this::ready, follower::restartIfSilent);
         RunContext context = new RunContext(
                 options.identity().process(),
@@ -157,6 +158,11 @@
         return hub.knownRouters();
     }
 
+    /** Returns for how long changes of the platform are gathered. */
+    private long gatherMillis() {
+        return hub.standsBy() ? NewsHub.STAND_BY_GATHER_MILLIS : 0;
+    }
+
     /** Looks at times that have passed. */
     private void sweep() {
         long now = loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -1,7 +1,6 @@
 package org.apricotstack.serving.news;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
@@ -14,13 +13,13 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.CatchUp;
+import org.apricotstack.core.peer.EntryRouters;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.RequestRate;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
-import org.apricotstack.serving.publication.Publication;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.run.PlacementNews;
 import org.apricotstack.wire.news.Avoided;
@@ -45,6 +44,13 @@
      */
     private static final int SLOW_BEATS = 3;
 
+    /**
+     * Time in which a router that stands by gathers changes of the platform, in milliseconds. A release of 22 upstreams
+     * is some 70 changes, and each would cost each router a call. With {@link CatchUp#BEHIND_MILLIS} and the time of a
+     * call it stays below the two seconds within which changes have to be in force.
+     */
+    public static final long STAND_BY_GATHER_MILLIS = 1_000;
+
     /** Addresses in the first heartbeat of a router from which on it need not be told of others: more than seeds. */
     private static final int KNOWS_FEW = 5;
 
@@ -54,8 +60,7 @@
     private final UpstreamJudge judge;
     private final PublishedState state;
     private final DecisionLog log;
-    private final Runnable whenBehind;
-    private final CatchUp catchUp = new CatchUp();
+    private final PeerDocuments documents;
     private final NewsLinks links;
     private final Set<HostId> believedAlive = new HashSet<>();
     private final RequestRate requests;
@@ -97,7 +102,7 @@
         this.state = state;
         this.log = log;
         this.ready = ready;
-        this.whenBehind = whenBehind;
+        this.documents = new PeerDocuments(loop, state, log, whenBehind);
         this.links = new NewsLinks(loop, peers);
         this.requests = new RequestRate(loop.nowMillis());
     }
@@ -229,7 +234,10 @@
             board.removeProcess(before, now);
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
-        askIfBehind(peer, now);
+        long behindMillis = CatchUp.BEHIND_MILLIS + (standsBy() ? STAND_BY_GATHER_MILLIS : 0);
+        if (documents.isToAsk(peer, behindMillis)) {
+            documents.ask(peer, links.open(peer.peerAddress(), this), own.frame(takesCallers, intervalMillis()));
+        }
         if (takesCallers && peer.takesCallers() && !links.isOpen(peer.peerAddress())) {
             links.open(peer.peerAddress(), this).heartbeat(own.frame(takesCallers, intervalMillis()), intervalMillis());
         }
@@ -238,31 +246,6 @@
         }
     }
 
-    /** Asks a peer for what it knows and this router does not, if the platform does not tell it soon. */
-    private void askIfBehind(Peer peer, long now) {
-        boolean ask = catchUp.shouldAsk(peer, state.configurationRevision(), state.upstreamsRevision(), now);
-        if (!ask) {
-            return;
-        }
-        NewsFrame request = NewsFrame.newBuilder()
-                .setDocuments(DocumentRequest.newBuilder()
-                        .setConfigurationRevision(state.configurationRevision())
-                        .setUpstreamsRevision(state.upstreamsRevision()))
-                .build();
-        NewsFrame greeting = own.frame(takesCallers, intervalMillis());
-        if (links.open(peer.peerAddress(), this).ask(greeting, request)) {
-            catchUp.asked(now);
-            log.line("peer_asked")
-                    .put("peer", peer.process().host().value())
-                    .put("peer_configuration", peer.configurationRevision())
-                    .put("peer_upstreams", peer.upstreamsRevision())
-                    .put("own_configuration", state.configurationRevision())
-                    .put("own_upstreams", state.upstreamsRevision())
-                    .write();
-        }
-        whenBehind.run();
-    }
-
     /** Takes the placements of a peer in. */
     private void takePlacements(NewsFrame frame, ProcessId sender) {
         long now = loop.nowMillis();
@@ -278,30 +261,12 @@
 
     @Override
     public NewsReply documents(DocumentRequest request) {
-        NewsReply.Builder reply = NewsReply.newBuilder();
-        if (state.configurationRevision() > request.getConfigurationRevision()) {
-            reply.setConfiguration(NewsMessages.document(state.configurationDocument()));
-        }
-        if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
-            reply.setUpstreamsRevision(state.upstreamsRevision());
-            state.upstreamDocuments().forEach(upstream -> reply.addUpstreams(NewsMessages.document(upstream)));
-        }
-        return reply.build();
+        return documents.answer(request);
     }
 
     @Override
     public void reply(NewsReply reply, String source) {
-        long now = loop.nowMillis();
-        if (reply.hasConfiguration()) {
-            state.take(NewsMessages.publication(reply.getConfiguration()), source);
-        }
-        if (reply.getUpstreamsRevision() > state.upstreamsRevision()) {
-            List<Publication> upstreams = reply.getUpstreamsList().stream()
-                    .map(NewsMessages::publication)
-                    .toList();
-            state.takeAllUpstreams(upstreams, reply.getUpstreamsRevision(), source, now);
-            state.caughtUp(reply.getUpstreamsRevision());
-        }
+        documents.take(reply, source);
     }
 
     @Override
@@ -359,6 +324,15 @@
         return takesCallers;
     }
 
+    /**
+     * Tells whether others decide on requests and this router does not; it then need not hear of changes at once.
+     *
+     * @return whether this router of a large fleet stands by
+     */
+    public boolean standsBy() {
+        return !takesCallers && EntryRouters.isLarge(knownRouters());
+    }
+
     /**
      * Returns how many other routers can be told of placements now.
      *
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PeerDocuments.java
@@ -0,0 +1,84 @@
+package org.apricotstack.serving.news;
+
+import java.util.List;
+
+import org.apricotstack.core.peer.CatchUp;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.publication.Publication;
+import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.DocumentRequest;
+import org.apricotstack.wire.news.NewsFrame;
+import org.apricotstack.wire.news.NewsReply;
+
+/** Asks peers for published documents that the platform did not tell this router, and answers theirs. */
+final class PeerDocuments {
+
+    private final ServingLoop loop;
+    private final PublishedState state;
+    private final DecisionLog log;
+    private final Runnable whenBehind;
+    private final CatchUp catchUp = new CatchUp();
+
+    /** Creates the exchange of documents. */
+    PeerDocuments(ServingLoop loop, PublishedState state, DecisionLog log, Runnable whenBehind) {
+        this.loop = loop;
+        this.state = state;
+        this.log = log;
+        this.whenBehind = whenBehind;
+    }
+
+    /** Takes in what a peer knows, and tells whether to ask it now. */
+    boolean isToAsk(Peer peer, long behindMillis) {
+        return catchUp.shouldAsk(
+                peer, state.configurationRevision(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
+    }
+
+    /** Asks a peer for what it knows and this router does not. */
+    void ask(Peer peer, NewsLink link, NewsFrame greeting) {
+        NewsFrame request = NewsFrame.newBuilder()
+                .setDocuments(DocumentRequest.newBuilder()
+                        .setConfigurationRevision(state.configurationRevision())
+                        .setUpstreamsRevision(state.upstreamsRevision()))
+                .build();
+        if (link.ask(greeting, request)) {
+            catchUp.asked(loop.nowMillis());
+            log.line("peer_asked")
+                    .put("peer", peer.process().host().value())
+                    .put("peer_configuration", peer.configurationRevision())
+                    .put("peer_upstreams", peer.upstreamsRevision())
+                    .put("own_configuration", state.configurationRevision())
+                    .put("own_upstreams", state.upstreamsRevision())
+                    .write();
+        }
+        whenBehind.run();
+    }
+
+    /** Answers a peer with what it lacks. */
+    NewsReply answer(DocumentRequest request) {
+        NewsReply.Builder reply = NewsReply.newBuilder();
+        if (state.configurationRevision() > request.getConfigurationRevision()) {
+            reply.setConfiguration(NewsMessages.document(state.configurationDocument()));
+        }
+        if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
+            reply.setUpstreamsRevision(state.upstreamsRevision());
+            state.upstreamDocuments().forEach(upstream -> reply.addUpstreams(NewsMessages.document(upstream)));
+        }
+        return reply.build();
+    }
+
+    /** Takes in what a peer answered. */
+    void take(NewsReply reply, String source) {
+        if (reply.hasConfiguration()) {
+            state.take(NewsMessages.publication(reply.getConfiguration()), source);
+        }
+        if (reply.getUpstreamsRevision() > state.upstreamsRevision()) {
+            List<Publication> upstreams = reply.getUpstreamsList().stream()
+                    .map(NewsMessages::publication)
+                    .toList();
+            state.takeAllUpstreams(upstreams, reply.getUpstreamsRevision(), source, loop.nowMillis());
+            state.caughtUp(reply.getUpstreamsRevision());
+        }
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotstack.serving.http.ServingLoop;
@@ -52,6 +53,7 @@
     private final DecisionLog log;
     private final UniformRandomProvider random;
     private final IntSupplier routers;
+    private final LongSupplier gatherMillis;
     private final Disposable.Swap call = Disposables.swap();
     private long known;
     private boolean readAll = true;
@@ -72,6 +74,7 @@
      * @param log takes losses and returns of the platform
      * @param random spreads the calls of many routers
      * @param routers how many routers are known
+     * @param gatherMillis least pause before the next wait after a change, in milliseconds
      */
     public PublicationFollower(
             ServingLoop loop,
@@ -79,13 +82,15 @@
             PublishedState state,
             DecisionLog log,
             UniformRandomProvider random,
-            IntSupplier routers) {
+            IntSupplier routers,
+            LongSupplier gatherMillis) {
         this.loop = loop;
         this.source = source;
         this.state = state;
         this.log = log;
         this.random = random;
         this.routers = routers;
+        this.gatherMillis = gatherMillis;
         this.lastAnswerMillis = loop.nowMillis();
     }
 
@@ -157,7 +162,7 @@
         if (changes.documents().isEmpty() || readAll) {
             next();
         } else {
-            nextAfter(mine, GATHER_MILLIS);
+            nextAfter(mine, Math.max(GATHER_MILLIS, gatherMillis.getAsLong()));
         }
     }
 
