--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -125,6 +125,7 @@
         metrics.gauge("routers.known", hub::knownRouters);
         metrics.gauge("routers.told_of_placements", hub::newsReceivers);
         metrics.gauge("placements.heard", hub::placementsHeard);
+        metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("log.lines_dropped", log::dropped);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatPort.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatPort.java
@@ -63,8 +63,22 @@
                 Unpooled.wrappedBuffer(frame.toByteArray()), new InetSocketAddress(address.ip(), address.port())));
     }
 
-    /** Returns how many datagrams were no heartbeats. */
-    long malformed() {
+    /**
+     * Returns where it listens.
+     *
+     * @return the address, with the port that was chosen
+     */
+    public Address address() {
+        InetSocketAddress local = (InetSocketAddress) channel.localAddress();
+        return new Address(local.getAddress().getHostAddress(), local.getPort());
+    }
+
+    /**
+     * Returns how many datagrams were no heartbeats.
+     *
+     * @return datagrams since the start
+     */
+    public long malformed() {
         return malformed;
     }
 
