Tell a router of all open placements when a stream of news to it opens

Cause: a router that has just started, was cut off, or begins to take callers heard only of placements made from then on.

Change: OpenPlacements keeps the placements of this router; a stream opens with those that have not ended, with what is left to read. What the peer knows already is left as it is, so a reopened stream costs nothing.

NewsReachTest: its condition counted idle streams that routers had opened while they knew few others, and waited 30 s in vain once on a busy machine, as a router that never decided has none. It now asks that five routers decide and each of them can tell the other four; that says more than before.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -81,6 +81,13 @@
 
     /** Tells of a whole request: its placement, its first event, and its end, each in a frame of its own. */
     void tellRequest() {
+        EnginePlacement placement = tellPlacement();
+        loop.schedule(1, () -> hub.writing(placement));
+        loop.schedule(2, () -> hub.ended(placement));
+    }
+
+    /** Tells of a placement that does not end. */
+    EnginePlacement tellPlacement() {
         PlacementId id = new PlacementId(identity.process(), ++placements);
         EnginePlacement placement = new EnginePlacement(
                 id,
@@ -89,8 +96,7 @@
                 TARGET_MILLIS,
                 PAUSE_MILLIS);
         loop.execute(() -> hub.placed(placement, LIMIT_MILLIS));
-        loop.schedule(1, () -> hub.writing(placement));
-        loop.schedule(2, () -> hub.ended(placement));
+        return placement;
     }
 
     @Override
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/NewsReachTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/NewsReachTest.java
@@ -38,8 +38,18 @@
         fleet.add(new NewsRouter(number, seeds, capacityPercent));
     }
 
-    private static int receivers(NewsRouter router) {
-        return router.read(NewsHub::newsReceivers) + (router.read(NewsHub::takesCallers) ? 1 : 0);
+    /** Lists the routers that decide on requests. */
+    private List<NewsRouter> deciding() {
+        return fleet.stream()
+                .filter(router -> router.read(NewsHub::takesCallers))
+                .toList();
+    }
+
+    /** Tells whether the expected number of routers decide, and each of them can tell all the others. */
+    private boolean deciding(int expected) {
+        List<NewsRouter> deciding = deciding();
+        return deciding.size() == expected
+                && deciding.stream().allMatch(router -> router.read(NewsHub::newsReceivers) == expected - 1);
     }
 
     /**
@@ -55,24 +65,40 @@
         for (int i = 1; i < ROUTERS; i++) {
             start(i, STRONG_PERCENT);
         }
-        LocalDeployment.await("all routers agree on who takes callers", () -> fleet.stream()
-                .allMatch(router -> router.read(NewsHub::knownRouters) == ROUTERS && receivers(router) == TAKING));
+        LocalDeployment.await(
+                "all routers agree on who takes callers",
+                () -> fleet.stream().allMatch(router -> router.read(NewsHub::knownRouters) == ROUTERS)
+                        && deciding(TAKING));
         NewsRouter small = fleet.get(0);
-        NewsRouter teller = fleet.stream()
-                .filter(router -> router.read(NewsHub::takesCallers))
-                .findFirst()
-                .orElseThrow();
+        NewsRouter teller = deciding().get(0);
         teller.tellRequest();
-        LocalDeployment.await("the others that take callers have heard of it", () -> fleet.stream()
-                .filter(router -> router != teller && router.read(NewsHub::takesCallers))
+        LocalDeployment.await("the others that take callers have heard of it", () -> deciding().stream()
+                .filter(router -> router != teller)
                 .allMatch(router -> router.read(NewsHub::placementsHeard) == 1));
 
         for (int i = 0; i < STRAY_REQUESTS; i++) {
             small.tellRequest();
         }
-        LocalDeployment.await("the small router is told too", () -> receivers(teller) == TAKING + 1);
+        LocalDeployment.await("the small router is told too", () -> deciding(TAKING + 1));
         teller.tellRequest();
         LocalDeployment.await("the small router hears of a placement", () -> small.read(NewsHub::placementsHeard) > 0);
         assertThat(small.read(NewsHub::placementsHeard)).isEqualTo(1);
     }
+
+    /**
+     * Symptom: a router that was restarted sends its first prompts to engines that are full. Sequence: it starts while
+     * others run requests, of which it was told nothing. Cause: only placements made from then on were told.
+     */
+    @Test
+    void tellsARouterThatStartsLaterOfPlacementsThatHaveNotEnded() {
+        start(0, STRONG_PERCENT);
+        NewsRouter teller = fleet.get(0);
+        teller.tellPlacement();
+        teller.tellPlacement();
+        start(1, STRONG_PERCENT);
+        LocalDeployment.await(
+                "the second router has heard of both placements",
+                () -> fleet.get(1).read(NewsHub::placementsHeard) >= 2);
+        assertThat(fleet.get(1).read(NewsHub::placementsHeard)).isEqualTo(2);
+    }
 }
--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/OpenPlacements.java
@@ -0,0 +1,100 @@
+package org.apricotstack.core.engine;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The placements of this router that have not ended, as a router that did not hear of them has to learn them.
+ *
+ * <p>A router that has just started, or was cut off for a while, has an empty board and would send prompts to engines
+ * that are full. It is told of the open placements when a stream of news to it opens.
+ */
+public final class OpenPlacements {
+
+    private final Map<PlacementId, Placed> placed = new LinkedHashMap<>();
+
+    /**
+     * A placement that has not ended.
+     *
+     * @param placement the placement; its parts hold what is left to read
+     * @param limitMillis longest time that the request may still take, in milliseconds
+     * @param writing whether its answer is being written
+     */
+    public record Open(EnginePlacement placement, long limitMillis, boolean writing) {}
+
+    /**
+     * A placement as it was made.
+     *
+     * @param placement the placement
+     * @param atMillis when it was made
+     * @param limitMillis longest time that the request might take then, in milliseconds
+     * @param writing whether its answer is being written
+     */
+    private record Placed(EnginePlacement placement, long atMillis, long limitMillis, boolean writing) {
+
+        /** Returns what is left of it. */
+        private Open open(long nowMillis) {
+            long elapsed = nowMillis - atMillis;
+            List<EnginePart> left = placement.parts().stream()
+                    .map(part -> new EnginePart(
+                            part.engine(), Math.max(0, part.readMillis() - elapsed), part.memoryTokens()))
+                    .toList();
+            EnginePlacement rest = new EnginePlacement(
+                    placement.id(),
+                    left,
+                    placement.contextTokens(),
+                    Math.max(1, placement.targetLatencyMillis() - elapsed),
+                    placement.pauseTargetMillis());
+            return new Open(rest, limitMillis - elapsed, writing);
+        }
+    }
+
+    /**
+     * Adds a placement.
+     *
+     * @param placement the placement
+     * @param limitMillis longest time that the request may take, in milliseconds
+     * @param nowMillis the time
+     */
+    public void place(EnginePlacement placement, long limitMillis, long nowMillis) {
+        placed.put(placement.id(), new Placed(placement, nowMillis, limitMillis, false));
+    }
+
+    /**
+     * Notes that the answer to a placement is being written.
+     *
+     * @param id the placement
+     */
+    public void startWriting(PlacementId id) {
+        placed.computeIfPresent(
+                id, (same, one) -> new Placed(one.placement(), one.atMillis(), one.limitMillis(), true));
+    }
+
+    /**
+     * Takes a placement off.
+     *
+     * @param id the placement
+     */
+    public void remove(PlacementId id) {
+        placed.remove(id);
+    }
+
+    /**
+     * Lists the placements that have not ended and whose time is not over.
+     *
+     * @param nowMillis the time
+     * @return the placements in the order in which they were made
+     */
+    public List<Open> at(long nowMillis) {
+        List<Open> open = new ArrayList<>(placed.size());
+        for (Placed one : placed.values()) {
+            Open left = one.open(nowMillis);
+            if (left.limitMillis() > 0) {
+                open.add(left);
+            }
+        }
+        return open;
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/OpenPlacementsTest.java
@@ -0,0 +1,67 @@
+package org.apricotstack.core.engine;
+
+import java.util.List;
+
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OpenPlacementsTest {
+
+    private static final UpstreamId ENGINE = new UpstreamId("engine-1");
+    private static final ProcessId ROUTER = new ProcessId(new HostId("router-1"), 1);
+
+    private final OpenPlacements open = new OpenPlacements();
+
+    private static EnginePlacement placement(long number, double readMillis) {
+        EnginePart part = new EnginePart(ENGINE, readMillis, 5_000);
+        return new EnginePlacement(new PlacementId(ROUTER, number), List.of(part), 5_000, 300, 250);
+    }
+
+    @Test
+    void tellsWhatIsLeftToReadAndOfTheTime() {
+        open.place(placement(1, 800), 10_000, 0);
+        OpenPlacements.Open left = open.at(300).get(0);
+        assertThat(left.placement().lead().readMillis()).isEqualTo(500);
+        assertThat(left.placement().targetLatencyMillis()).isEqualTo(1);
+        assertThat(left.limitMillis()).isEqualTo(9_700);
+        assertThat(left.writing()).isFalse();
+    }
+
+    @Test
+    void tellsThatAnAnswerIsBeingWritten() {
+        open.place(placement(1, 100), 10_000, 0);
+        open.startWriting(new PlacementId(ROUTER, 1));
+        assertThat(open.at(500)).singleElement().matches(OpenPlacements.Open::writing);
+        assertThat(open.at(500).get(0).placement().lead().readMillis()).isZero();
+    }
+
+    @Test
+    void leavesOutWhatEndedAndWhoseTimeIsOver() {
+        open.place(placement(1, 100), 10_000, 0);
+        open.place(placement(2, 100), 400, 0);
+        open.place(placement(3, 100), 10_000, 0);
+        open.remove(new PlacementId(ROUTER, 1));
+        assertThat(open.at(400)).hasSize(1);
+        assertThat(open.at(400).get(0).placement().id().number()).isEqualTo(3);
+    }
+
+    /**
+     * Symptom: a router that has just started chooses an engine that is full. Sequence: another router's placements are
+     * told to it when a stream opens, and again as they were made. Cause to be excluded: counting them twice, or not.
+     */
+    @Test
+    void fillsTheBoardOfARouterThatDidNotHearOfThem() {
+        EngineBoard board = new EngineBoard();
+        EnginePlacement known = placement(1, 100);
+        board.place(known, 0, 10_000);
+        open.place(known, 10_000, 0);
+        open.place(placement(2, 100), 10_000, 0);
+        open.at(50).forEach(one -> board.place(one.placement(), 50, one.limitMillis()));
+        assertThat(board.size()).isEqualTo(2);
+        assertThat(board.load(ENGINE).leads()).isEqualTo(2);
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -6,6 +6,7 @@
 
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.OpenPlacements;
 import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.Address;
@@ -64,6 +65,7 @@
     private final NewsLinks links;
     private final Set<HostId> believedAlive = new HashSet<>();
     private final RequestRate requests;
+    private final OpenPlacements open = new OpenPlacements();
     private final BooleanSupplier ready;
     private HeartbeatPort heartbeats;
     private OwnHeartbeat own;
@@ -103,7 +105,7 @@
         this.log = log;
         this.ready = ready;
         this.documents = new PeerDocuments(loop, state, log, whenBehind);
-        this.links = new NewsLinks(loop, peers);
+        this.links = new NewsLinks(loop, peers, this::openPlacements);
         this.requests = new RequestRate(loop.nowMillis());
     }
 
@@ -272,16 +274,19 @@
     @Override
     public void placed(EnginePlacement placement, long limitMillis) {
         requests.count();
+        open.place(placement, limitMillis, loop.nowMillis());
         news().addPlaced(NewsMessages.placed(placement, limitMillis));
     }
 
     @Override
     public void writing(EnginePlacement placement) {
+        open.startWriting(placement.id());
         news().addWriting(placement.id().number());
     }
 
     @Override
     public void ended(EnginePlacement placement) {
+        open.remove(placement.id());
         news().addEnded(placement.id().number());
     }
 
@@ -290,6 +295,18 @@
         news().addAvoided(Avoided.newBuilder().setUpstream(upstream.value()).setAvoidMillis(avoidMillis));
     }
 
+    /** Writes what a router has to hear of that did not hear the news so far. */
+    private NewsFrame openPlacements() {
+        NewsFrame.Builder frame = NewsFrame.newBuilder();
+        for (OpenPlacements.Open one : open.at(loop.nowMillis())) {
+            frame.addPlaced(NewsMessages.placed(one.placement(), one.limitMillis()));
+            if (one.writing()) {
+                frame.addWriting(one.placement().id().number());
+            }
+        }
+        return frame.build();
+    }
+
     /** Returns the frame that is sent at the end of this turn of the loop. */
     private NewsFrame.Builder news() {
         if (pending == null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLink.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.news;
 
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 
 import io.grpc.ManagedChannel;
 import io.grpc.netty.NettyChannelBuilder;
@@ -32,6 +33,7 @@
     private final ServingLoop loop;
     private final Address address;
     private final NewsSink sink;
+    private final Supplier<NewsFrame> firstNews;
     private final Runnable whenEnded;
     private long silentMillis = SILENT_MILLIS;
     private ManagedChannel channel;
@@ -41,10 +43,11 @@
     private boolean greeted;
 
     /** Creates a link that is not open. */
-    NewsLink(ServingLoop loop, Address address, NewsSink sink, Runnable whenEnded) {
+    NewsLink(ServingLoop loop, Address address, NewsSink sink, Supplier<NewsFrame> firstNews, Runnable whenEnded) {
         this.loop = loop;
         this.address = address;
         this.sink = sink;
+        this.firstNews = firstNews;
         this.whenEnded = whenEnded;
     }
 
@@ -65,7 +68,10 @@
         }
         if (stream != null) {
             stream.onNext(frame);
-            greeted = true;
+            if (!greeted) {
+                greeted = true;
+                stream.onNext(firstNews.get());
+            }
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.peer.Peer;
@@ -15,19 +16,21 @@
 
     private final ServingLoop loop;
     private final PeerTable peers;
+    private final Supplier<NewsFrame> firstNews;
     private final Map<Address, NewsLink> links = new HashMap<>();
     private final Map<Address, Peer> heard = new HashMap<>();
 
-    /** Creates links to nobody. */
-    NewsLinks(ServingLoop loop, PeerTable peers) {
+    /** Creates links to nobody; each stream that opens begins with news that its peer missed. */
+    NewsLinks(ServingLoop loop, PeerTable peers, Supplier<NewsFrame> firstNews) {
         this.loop = loop;
         this.peers = peers;
+        this.firstNews = firstNews;
     }
 
     /** Returns the link to a router; a stream that ends tells at once that its peer stopped or was cut. */
     NewsLink open(Address address, NewsSink sink) {
         return links.computeIfAbsent(
-                address, to -> new NewsLink(loop, to, sink, () -> peers.unreachable(to, loop.nowMillis())));
+                address, to -> new NewsLink(loop, to, sink, firstNews, () -> peers.unreachable(to, loop.nowMillis())));
     }
 
     /** Notes what a router said of itself; tells whether it was not heard before. */
