--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -146,9 +146,13 @@
         return HEARTBEAT_MILLIS + Math.max(0, knownRouters() - 1) * HEARTBEAT_MILLIS_EACH;
     }
 
-    /** Sends a heartbeat to all routers now, as when this one becomes ready or stops. */
+    /**
+     * Sends a heartbeat to all routers now, as when this one stops, and over all open streams too: were its datagram
+     * lost, a router that stops would be named to callers for another interval.
+     */
     public void heartbeat() {
         heartbeat(true);
+        links.sendToAll(own.frame(takesCallers, intervalMillis()));
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
@@ -53,6 +53,11 @@
         });
     }
 
+    /** Sends something to all routers to which a stream is open. */
+    void sendToAll(NewsFrame frame) {
+        links.values().forEach(link -> link.send(frame));
+    }
+
     /** Closes the links to routers that are forgotten. */
     void retain(Collection<Address> known) {
         links.entrySet().removeIf(entry -> {
