--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -20,16 +20,18 @@
  */
 public final class EntryRouters {
 
-    /** Routers up to which all take callers. A fleet of this size sends fewer news than its heartbeats cost. */
+    /**
+     * Routers up to which all take callers: today's fleets of 6 and 7 and as many again, where one router less is a
+     * large share of all. Other numbers were not measured.
+     */
     static final int ALL_UP_TO = 16;
 
     /** Routers of a data centre that take callers at least, so that the loss of some is little felt. */
     static final int LEAST_EACH = 4;
 
     /**
-     * Requests a second that one core is given. A core serves about 125 (8 ms of processor time a request, on a day of
-     * high load with seven hosts); a quarter of that leaves room for a load that grows fourfold before callers have
-     * asked again, and for callers that are not spread evenly.
+     * Requests a second that one core is given. On a day of high load seven hosts used 25.6 s of processor time for
+     * 1,131 prompts, starts and all else included: 23 ms each at most, so a core serves 44 at least.
      */
     static final double REQUESTS_PER_CORE = 30;
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
@@ -15,7 +15,7 @@
  * @param configurationRevision the platform's revision of the configuration that it uses; 0 if it has none
  * @param upstreamsRevision the platform's revision up to which it knows the upstreams; 0 if it knows none
  * @param capacityPercent its processor, in percent of a core
- * @param requestsPerSecond requests that it takes lately, a second
+ * @param requestsPerSecond requests that it places on engines lately, a second
  * @param takesCallers whether it decides on requests, and so has to hear of all placements
  * @param nextMillis time until its next heartbeat, in milliseconds
  */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -41,7 +41,7 @@
 
     /**
      * Of two routers that both take no callers, each tells the other only every third beat that it is there. In a fleet
-     * of 71 of which 16 take callers this saves half of all heartbeats.
+     * of 71 of which 16 take callers this saves two fifths of all heartbeats (worked out).
      */
     private static final int SLOW_BEATS = 3;
 
