--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
@@ -116,13 +117,11 @@
     /**
      * Forgets engines that are no longer listed and run nothing.
      *
-     * @param engine the engine
+     * @param listed tells which starts of engines are listed
      */
-    public void forget(UpstreamId engine) {
-        EngineLoad load = loads.get(engine);
-        if (load != null && load.leads() == 0) {
-            loads.remove(engine);
-        }
+    public void retain(Predicate<UpstreamId> listed) {
+        loads.entrySet()
+                .removeIf(one -> one.getValue().leads() + one.getValue().helps() == 0 && !listed.test(one.getKey()));
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamEntry.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamEntry.java
@@ -8,7 +8,7 @@
 /**
  * One start of an upstream, as it is published.
  *
- * @param id names this start; a restart has another id
+ * @param id names this start; a restart has another id, if only by its incarnation
  * @param service the service that it runs
  * @param address where it takes requests
  * @param dataCentre where it stands
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.apricotstack.core.id.UpstreamId;
 
@@ -164,11 +165,11 @@
     }
 
     /**
-     * Forgets an upstream that is no longer listed.
+     * Forgets upstreams that are no longer listed; a request to one may still fail after it was taken off.
      *
-     * @param id the upstream
+     * @param listed tells which starts of upstreams are listed
      */
-    public void forget(UpstreamId id) {
-        judgements.remove(id);
+    public void retain(Predicate<UpstreamId> listed) {
+        judgements.keySet().removeIf(id -> !listed.test(id));
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -21,6 +21,9 @@
  * of its return. Taking them off at once would leave a service without upstreams. So an entry that is missing from the
  * list read right after an outage is held for {@link #LAPSE_MILLIS}. One that is missing at any other time, or whose
  * removal is told, is gone: an upstream may leave in those two seconds too.
+ *
+ * <p>Of the starts of one upstream only the latest is listed. A word of an earlier start that arrives late, as when its
+ * last heartbeat was held up, changes nothing.
  */
 public final class UpstreamTable {
 
@@ -30,6 +33,7 @@
     private final Map<UpstreamId, UpstreamEntry> entries = new HashMap<>();
     private final Map<UpstreamId, Long> lapsedUntilMillis = new HashMap<>();
     private final Map<UpstreamId, Long> removedRevisions = new HashMap<>();
+    private List<UpstreamEntry> ended = new ArrayList<>();
     private Map<ServiceId, List<UpstreamEntry>> usable = Map.of();
     private long revision;
     private long holdMissingUntilMillis = Long.MIN_VALUE;
@@ -58,7 +62,7 @@
         Set<UpstreamId> present = new HashSet<>();
         boolean changed = false;
         for (UpstreamEntry entry : listed) {
-            present.add(entry.id());
+            present.add(entry.id().anyStart());
             changed |= put(entry);
         }
         for (UpstreamId id : List.copyOf(entries.keySet())) {
@@ -84,24 +88,31 @@
     }
 
     /**
-     * Takes one new or changed entry in; an older one than known is ignored.
+     * Takes one new or changed entry in; an older one than known, or one of an earlier start, is ignored.
      *
      * @param entry the entry
      * @return whether anything changed
      */
     public boolean put(UpstreamEntry entry) {
-        UpstreamEntry known = entries.get(entry.id());
-        Long removed = removedRevisions.get(entry.id());
+        UpstreamId name = entry.id().anyStart();
+        UpstreamEntry known = entries.get(name);
+        Long removed = removedRevisions.get(name);
         if (known != null && known.revision() >= entry.revision() || removed != null && removed >= entry.revision()) {
             if (known != null && known.revision() == entry.revision()) {
-                lapsedUntilMillis.remove(entry.id());
+                lapsedUntilMillis.remove(name);
             }
             return false;
         }
-        entries.put(entry.id(), entry);
-        lapsedUntilMillis.remove(entry.id());
-        removedRevisions.remove(entry.id());
         revision = Math.max(revision, entry.revision());
+        if (known != null && known.id().isLaterStartOf(entry.id())) {
+            return false;
+        }
+        if (known != null && !known.id().equals(entry.id())) {
+            ended.add(known);
+        }
+        entries.put(name, entry);
+        lapsedUntilMillis.remove(name);
+        removedRevisions.remove(name);
         rebuild();
         return true;
     }
@@ -109,19 +120,20 @@
     /**
      * Takes a removal in.
      *
-     * @param id the upstream
+     * @param id the upstream, whichever start
      * @param removalRevision the platform's revision of the removal
      * @return whether anything changed
      */
     public boolean remove(UpstreamId id, long removalRevision) {
-        UpstreamEntry known = entries.get(id);
+        UpstreamId name = id.anyStart();
+        UpstreamEntry known = entries.get(name);
         revision = Math.max(revision, removalRevision);
         if (known == null || known.revision() > removalRevision) {
             return false;
         }
-        entries.remove(id);
-        lapsedUntilMillis.remove(id);
-        removedRevisions.put(id, removalRevision);
+        ended.add(entries.remove(name));
+        lapsedUntilMillis.remove(name);
+        removedRevisions.put(name, removalRevision);
         rebuild();
         return true;
     }
@@ -130,24 +142,33 @@
      * Takes off held entries that did not come back.
      *
      * @param nowMillis the time
-     * @return the upstreams taken off
      */
-    public List<UpstreamId> dropLapsed(long nowMillis) {
-        List<UpstreamId> dropped = new ArrayList<>();
+    public void dropLapsed(long nowMillis) {
+        boolean dropped = false;
         for (Iterator<Map.Entry<UpstreamId, Long>> it =
                         lapsedUntilMillis.entrySet().iterator();
                 it.hasNext(); ) {
             Map.Entry<UpstreamId, Long> lapsed = it.next();
             if (lapsed.getValue() <= nowMillis) {
                 it.remove();
-                entries.remove(lapsed.getKey());
-                dropped.add(lapsed.getKey());
+                ended.add(entries.remove(lapsed.getKey()));
+                dropped = true;
             }
         }
-        if (!dropped.isEmpty()) {
+        if (dropped) {
             rebuild();
         }
-        return dropped;
+    }
+
+    /**
+     * Hands over the starts that are no longer listed: of upstreams that are gone, and of those that started again.
+     *
+     * @return entries as they were last listed, each once
+     */
+    public List<UpstreamEntry> takeEnded() {
+        List<UpstreamEntry> taken = ended;
+        ended = new ArrayList<>();
+        return taken;
     }
 
     /** Lists the usable upstreams by service anew, each list in the order of ids, which all routers share. */
@@ -174,13 +195,35 @@
     }
 
     /**
-     * Finds an upstream.
+     * Finds one start of an upstream.
      *
-     * @param id the upstream
-     * @return its entry, or {@code null} if it is not listed
+     * @param id the start
+     * @return its entry, or {@code null} if it is not listed, or another start is
      */
     public UpstreamEntry find(UpstreamId id) {
-        return entries.get(id);
+        UpstreamEntry entry = entries.get(id.anyStart());
+        return entry != null && entry.id().equals(id) ? entry : null;
+    }
+
+    /**
+     * Tells whether an upstream is listed.
+     *
+     * @param id the upstream, whichever start
+     * @return whether some start of it is listed
+     */
+    public boolean lists(UpstreamId id) {
+        return entries.containsKey(id.anyStart());
+    }
+
+    /**
+     * Tells whether an upstream is known to have started again.
+     *
+     * @param id a start
+     * @return whether a later start of it is listed, so that what ran in this one is lost
+     */
+    public boolean startedAgain(UpstreamId id) {
+        UpstreamEntry entry = entries.get(id.anyStart());
+        return entry != null && entry.id().isLaterStartOf(id);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -11,6 +11,7 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.CallerServer;
@@ -82,6 +83,7 @@
         UpstreamJudge judge = new UpstreamJudge();
         EngineBoard board = new EngineBoard();
         state = new PublishedState(ports.reader(), upstreams, judge, board, log);
+        state.whenEnded(this::upstreamEnded);
         connections = new UpstreamConnections(loop);
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(
@@ -164,6 +166,14 @@
         return hub.standsBy() ? NewsHub.STAND_BY_GATHER_MILLIS : 0;
     }
 
+    /** Drops what leads to a start of an upstream that is over. */
+    private void upstreamEnded(UpstreamEntry entry) {
+        connections.closeKept(entry.address());
+        if (state.isOver(entry.id())) {
+            runs.startedAgain(entry.id());
+        }
+    }
+
     /** Looks at times that have passed. */
     private void sweep() {
         long now = loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.http;
 
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -69,4 +70,21 @@
                 || HttpHeaderNames.PROXY_AUTHORIZATION.contentEqualsIgnoreCase(name)
                 || HttpHeaderNames.EXPECT.contentEqualsIgnoreCase(name);
     }
+
+    /**
+     * Copies an upstream's headers without those that concern its connection.
+     *
+     * @param headers the headers as they came
+     * @return the headers that a caller gets
+     */
+    public static HttpHeaders passedOn(HttpHeaders headers) {
+        HttpHeaders copy =
+                DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        headers.iteratorCharSequence().forEachRemaining(header -> {
+            if (!concernsConnection(header.getKey())) {
+                copy.add(header.getKey(), header.getValue());
+            }
+        });
+        return copy;
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -160,6 +160,19 @@
         }
     }
 
+    /**
+     * Closes the kept connections to an address, as the process that they led to is over: a request sent on one would
+     * be reset and count as an attempt.
+     *
+     * @param address the address
+     */
+    public void closeKept(Address address) {
+        Deque<UpstreamConnection> kept = idle.remove(address);
+        if (kept != null) {
+            List.copyOf(kept).forEach(UpstreamConnection::close);
+        }
+    }
+
     /** Closes connections that were kept long enough. */
     public void closeExpired() {
         long now = loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -221,7 +221,10 @@
             }
             long now = loop.nowMillis();
             for (Avoided avoided : frame.getAvoidedList()) {
-                judge.heard(new UpstreamId(avoided.getUpstream()), avoided.getAvoidMillis(), now);
+                UpstreamId upstream = NewsMessages.upstream(avoided);
+                if (!state.isOver(upstream)) {
+                    judge.heard(upstream, avoided.getAvoidMillis(), now);
+                }
             }
         } catch (ApricotException e) {
             log.line("news_rejected").put("problem", e.getMessage()).write();
@@ -258,7 +261,10 @@
         for (Placed placed : frame.getPlacedList()) {
             if (placed.getPartsCount() > 0) {
                 placementsHeard++;
-                board.place(NewsMessages.placement(sender, placed), now, placed.getLimitMillis());
+                EnginePlacement placement = NewsMessages.placement(sender, placed);
+                if (!state.isOver(placement.lead().engine())) {
+                    board.place(placement, now, placed.getLimitMillis());
+                }
             }
         }
         frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number), now));
@@ -296,7 +302,7 @@
 
     @Override
     public void avoided(UpstreamId upstream, long avoidMillis) {
-        news().addAvoided(Avoided.newBuilder().setUpstream(upstream.value()).setAvoidMillis(avoidMillis));
+        news().addAvoided(NewsMessages.avoided(upstream, avoidMillis));
     }
 
     /** Writes what a router has to hear of that did not hear the news so far. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
@@ -12,6 +12,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.serving.publication.Publication;
+import org.apricotstack.wire.news.Avoided;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.Part;
 import org.apricotstack.wire.news.Placed;
@@ -58,8 +59,10 @@
     /** Reads a placement of another router. */
     static EnginePlacement placement(ProcessId sender, Placed placed) {
         List<EnginePart> parts = placed.getPartsList().stream()
-                .map(part ->
-                        new EnginePart(new UpstreamId(part.getEngine()), part.getReadMillis(), part.getMemoryTokens()))
+                .map(part -> new EnginePart(
+                        new UpstreamId(part.getEngine(), part.getIncarnation()),
+                        part.getReadMillis(),
+                        part.getMemoryTokens()))
                 .toList();
         return new EnginePlacement(
                 new PlacementId(sender, placed.getNumber()),
@@ -80,12 +83,27 @@
         for (EnginePart part : placement.parts()) {
             placed.addParts(Part.newBuilder()
                     .setEngine(part.engine().value())
+                    .setIncarnation(part.engine().incarnation())
                     .setReadMillis(part.readMillis())
                     .setMemoryTokens(part.memoryTokens()));
         }
         return placed.build();
     }
 
+    /** Writes that an upstream failed. */
+    static Avoided avoided(UpstreamId upstream, long avoidMillis) {
+        return Avoided.newBuilder()
+                .setUpstream(upstream.value())
+                .setIncarnation(upstream.incarnation())
+                .setAvoidMillis(avoidMillis)
+                .build();
+    }
+
+    /** Reads which upstream failed at a peer. */
+    static UpstreamId upstream(Avoided avoided) {
+        return new UpstreamId(avoided.getUpstream(), avoided.getIncarnation());
+    }
+
     /** Reads a document; one without a name is the configuration. */
     static Publication publication(PublishedDocument document) {
         UpstreamId upstream = document.getName().isEmpty() ? null : new UpstreamId(document.getName());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/Publication.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/Publication.java
@@ -5,7 +5,7 @@
 /**
  * A document as the platform published it.
  *
- * @param upstream the upstream that it describes, or {@code null} for the configuration
+ * @param upstream the upstream that it describes, whichever start, or {@code null} for the configuration
  * @param revision the platform's revision of it; grows with each change
  * @param content its bytes; empty if it was removed
  * @param removed whether it was removed
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -2,9 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 
+import com.google.common.base.Ascii;
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.UpstreamId;
@@ -21,12 +25,20 @@
  */
 public final class PublishedState {
 
+    /** Names of rejected documents that are remembered, so that each is written down once; bounds the memory. */
+    private static final int MOST_REJECTED = 256;
+
+    /** Longest problem that is written down, in characters: a foreign document may be quoted in it. */
+    private static final int MOST_PROBLEM_LETTERS = 200;
+
     private final PublicationReader reader;
     private final DecisionLog log;
     private final UpstreamTable upstreams;
     private final UpstreamJudge judge;
     private final EngineBoard board;
     private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
+    private final Set<UpstreamId> rejectedUpstreams = new HashSet<>();
+    private Consumer<UpstreamEntry> whenEnded = ended -> {};
     private ServingConfiguration configuration;
     private Publication configurationDocument;
     private boolean upstreamsKnown;
@@ -54,6 +66,15 @@
         this.log = log;
     }
 
+    /**
+     * Sets what is done when an upstream is gone or has started again.
+     *
+     * @param action takes the start that is over, as it was last listed
+     */
+    public void whenEnded(Consumer<UpstreamEntry> action) {
+        whenEnded = action;
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -128,18 +149,30 @@
             if (document.isConfiguration()) {
                 takeConfiguration(document, source);
             } else if (document.removed()) {
-                takeRemoval(document.upstream(), document.revision(), source);
+                upstreams.remove(document.upstream(), document.revision());
+                rejectedUpstreams.remove(document.upstream());
             } else {
                 takeUpstream(document, source);
             }
         } catch (ApricotException e) {
             reject(document, source, e);
         }
+        forgetEnded(source);
     }
 
-    /** Counts and writes down a document that cannot be used. */
+    /**
+     * Counts and writes down a document that cannot be used. One that describes an upstream may come from another
+     * writer, so it names no upstream from now on, not even the one that the document before it named. It is written
+     * down once until a sound one follows, as everything is read again after each fault of the platform.
+     */
     private void reject(Publication document, String source, ApricotException problem) {
         rejected++;
+        if (!document.isConfiguration()) {
+            upstreams.remove(document.upstream(), document.revision());
+            if (rejectedUpstreams.size() >= MOST_REJECTED || !rejectedUpstreams.add(document.upstream())) {
+                return;
+            }
+        }
         log.line("document_rejected")
                 .put(
                         "document",
@@ -148,7 +181,7 @@
                                 : document.upstream().value())
                 .put("revision", document.revision())
                 .put("source", source)
-                .put("problem", problem.getMessage())
+                .put("problem", Ascii.truncate(problem.getMessage(), MOST_PROBLEM_LETTERS, "..."))
                 .write();
     }
 
@@ -170,10 +203,12 @@
     /** Takes an upstream in if it is newer. */
     private void takeUpstream(Publication document, String source) {
         UpstreamEntry entry = reader.upstream(document);
+        rejectedUpstreams.remove(document.upstream());
         if (upstreams.put(entry)) {
-            upstreamDocuments.put(entry.id(), document);
+            upstreamDocuments.put(document.upstream(), document);
             log.line("upstream_listed")
                     .put("upstream", entry.id().value())
+                    .put("incarnation", entry.id().incarnation())
                     .put("service", entry.service().value())
                     .put("address", entry.address().toString())
                     .put("draining", entry.draining())
@@ -183,23 +218,31 @@
         }
     }
 
-    /** Takes a removal in. */
-    private void takeRemoval(UpstreamId id, long revision, String source) {
-        if (upstreams.remove(id, revision)) {
-            forget(id, revision, source);
+    /** Forgets what is kept of upstreams that are gone or have started again. */
+    private void forgetEnded(String source) {
+        List<UpstreamEntry> ended = upstreams.takeEnded();
+        for (UpstreamEntry entry : ended) {
+            boolean startedAgain = upstreams.lists(entry.id());
+            if (!startedAgain) {
+                upstreamDocuments.remove(entry.id().anyStart());
+            }
+            whenEnded.accept(entry);
+            log.line(startedAgain ? "upstream_started_again" : "upstream_gone")
+                    .put("upstream", entry.id().value())
+                    .put("incarnation", entry.id().incarnation())
+                    .put("revision", upstreams.revision())
+                    .put("source", source)
+                    .write();
+        }
+        if (!ended.isEmpty()) {
+            forgetUnlisted();
         }
     }
 
-    /** Forgets an upstream that is gone. */
-    private void forget(UpstreamId id, long revision, String source) {
-        upstreamDocuments.remove(id);
-        judge.forget(id);
-        board.forget(id);
-        log.line("upstream_gone")
-                .put("upstream", id.value())
-                .put("revision", revision)
-                .put("source", source)
-                .write();
+    /** Drops what is believed of starts that are not listed, unless something runs there. */
+    private void forgetUnlisted() {
+        judge.retain(id -> upstreams.find(id) != null);
+        board.retain(id -> upstreams.find(id) != null);
     }
 
     /**
@@ -215,18 +258,16 @@
         for (Publication document : documents) {
             try {
                 entries.add(reader.upstream(document));
-                upstreamDocuments.put(document.upstream(), document);
+                rejectedUpstreams.remove(document.upstream());
+                upstreamDocuments.merge(
+                        document.upstream(), document, (old, read) -> read.revision() >= old.revision() ? read : old);
             } catch (ApricotException e) {
                 reject(document, source, e);
             }
         }
         upstreams.replaceAll(entries, revision, nowMillis);
         upstreamsKnown = true;
-        for (UpstreamId id : List.copyOf(upstreamDocuments.keySet())) {
-            if (upstreams.find(id) == null) {
-                forget(id, revision, source);
-            }
-        }
+        forgetEnded(source);
         log.line("upstreams_read")
                 .put("count", entries.size())
                 .put("revision", revision)
@@ -249,9 +290,19 @@
      * @param nowMillis the time
      */
     public void dropLapsed(long nowMillis) {
-        for (UpstreamId id : upstreams.dropLapsed(nowMillis)) {
-            forget(id, upstreams.revision(), "lapse");
-        }
+        upstreams.dropLapsed(nowMillis);
+        forgetEnded("lapse");
+        forgetUnlisted();
+    }
+
+    /**
+     * Tells whether a start of an upstream is over, so that news of it mean nothing.
+     *
+     * @param id the start
+     * @return whether a later start of the same upstream is known
+     */
+    public boolean isOver(UpstreamId id) {
+        return upstreams.startedAgain(id);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -116,6 +116,14 @@
         failed(FailureKind.SILENT);
     }
 
+    /** Ends the attempt, as the process that it was sent to is over. */
+    final void lost() {
+        if (call != null && !over) {
+            call.cancel();
+            failed(FailureKind.RESET);
+        }
+    }
+
     /** Returns the upstreams that it uses. */
     final UpstreamChoice choice() {
         return choice;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.run;
 
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import reactor.core.publisher.Mono;
 
@@ -10,8 +11,9 @@
      * What an engine says of itself.
      *
      * @param pace how slow it is: 1 for the published figures, more for a slow engine
+     * @param incarnation which of its starts answered, see {@link UpstreamId}
      */
-    record Report(double pace) {}
+    record Report(double pace, long incarnation) {}
 
     /**
      * Reserves memory, or renews a reservation.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -3,10 +3,9 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.apricotstack.core.id.UpstreamId;
@@ -33,7 +32,7 @@
     private final AttemptCount attempts;
     private final StreamProgress progress;
     private final RunLog log;
-    private final Runnable onEnd;
+    private final Consumer<RequestRun> onEnd;
     private final Set<UpstreamId> excluded = new HashSet<>();
     private final ScheduledFuture<?> timeLimit;
     private ByteBuf body;
@@ -45,7 +44,11 @@
 
     /** Begins a run; it waits for the body. */
     RequestRun(
-            RunContext context, UpstreamChooser chooser, CallerExchange exchange, RequestFacts facts, Runnable onEnd) {
+            RunContext context,
+            UpstreamChooser chooser,
+            CallerExchange exchange,
+            RequestFacts facts,
+            Consumer<RequestRun> onEnd) {
         this.context = context;
         this.chooser = chooser;
         this.exchange = exchange;
@@ -197,10 +200,11 @@
         long now = context.nowMillis();
         endAttempt(attempt);
         attempts.failed(kind);
-        judge(attempt, kind, now);
-        if (kind != FailureKind.HELPER_GONE) {
-            excluded.add(attempt.upstream().id());
-        }
+        UpstreamId blamed = kind == FailureKind.HELPER_GONE
+                ? attempt.faultyHelper()
+                : attempt.upstream().id();
+        excluded.add(blamed);
+        chooser.failed(blamed, kind);
         RefusalCause cause = attempts.whyNotAgain(kind, facts.leftMillis(now));
         boolean repeats = kind != FailureKind.NO_CONNECTION;
         if (cause == null && repeats && !context.budgets().of(facts.service()).trySpend(now)) {
@@ -214,26 +218,16 @@
         }
     }
 
-    /** Lets a failure count against the upstream that caused it. */
-    private void judge(Attempt attempt, FailureKind kind, long now) {
-        UpstreamId blamed = attempt.upstream().id();
-        if (kind == FailureKind.HELPER_GONE) {
-            blamed = attempt.faultyHelper();
-            excluded.add(blamed);
-        } else if (!kind.countsAgainst()) {
-            return;
-        }
-        long avoid = context.judge().failed(blamed, kind, now);
-        if (avoid == 0) {
-            return;
+    /**
+     * Ends the attempt that runs in a start of an upstream that is over. Its connection may be silent, and only the
+     * time limit would end it. A request that must not run twice is left to the end of its connection.
+     */
+    void lostWith(UpstreamId start) {
+        if (current != null
+                && facts.route().idempotent()
+                && current.upstream().id().equals(start)) {
+            current.lost();
         }
-        context.news().avoided(blamed, avoid);
-        context.log()
-                .line("avoided")
-                .put("upstream", blamed.value())
-                .put("kind", kind.code())
-                .put("avoid_millis", avoid)
-                .write();
     }
 
     /** Takes a whole answer, or an upstream's failure that is passed on as it is. */
@@ -253,7 +247,7 @@
         }
         long now = context.nowMillis();
         context.metrics().firstAnswer(facts.route().kind(), now - facts.arrivedMillis());
-        exchange.answer(raw.status(), passedOn(raw.headers()), answer);
+        exchange.answer(raw.status(), PlainProtocol.passedOn(raw.headers()), answer);
         finish("answered", attempt, raw.status().code());
     }
 
@@ -275,7 +269,7 @@
         }
         progress.took(event.id(), now);
         if (!exchange.begun()) {
-            exchange.begin(raw.status(), passedOn(raw.headers()));
+            exchange.begin(raw.status(), PlainProtocol.passedOn(raw.headers()));
         }
         exchange.data(event.bytes());
         if (!exchange.writable()) {
@@ -290,24 +284,12 @@
         }
         context.judge().succeeded(attempt.upstream().id());
         if (!exchange.begun()) {
-            exchange.begin(raw.status(), passedOn(raw.headers()));
+            exchange.begin(raw.status(), PlainProtocol.passedOn(raw.headers()));
         }
         exchange.complete();
         finish("streamed", attempt, raw.status().code());
     }
 
-    /** Copies an upstream's headers without those that concern its connection. */
-    private static HttpHeaders passedOn(HttpHeaders headers) {
-        HttpHeaders copy =
-                DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
-        headers.iteratorCharSequence().forEachRemaining(header -> {
-            if (!PlainProtocol.concernsConnection(header.getKey())) {
-                copy.add(header.getKey(), header.getValue());
-            }
-        });
-        return copy;
-    }
-
     /** Ends the run with an answer of an upstream. */
     private void finish(String how, Attempt attempt, int status) {
         log.answered(how, attempt, status, context.nowMillis());
@@ -373,7 +355,7 @@
                 body = null;
             }
             context.bodies().release(bodyBytes);
-            onEnd.run();
+            onEnd.accept(this);
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -1,12 +1,16 @@
 package org.apricotstack.serving.run;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
@@ -28,7 +32,7 @@
 
     private final RunContext context;
     private final UpstreamChooser chooser;
-    private int open;
+    private final Set<RequestRun> open = new HashSet<>();
     private boolean refusing;
 
     /**
@@ -58,9 +62,10 @@
         if (account == null && configuration.accounts().required() && !route.anonymous()) {
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
-        open++;
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, context.nowMillis());
-        return new RequestRun(context, chooser, exchange, facts, () -> open--);
+        RequestRun run = new RequestRun(context, chooser, exchange, facts, open::remove);
+        open.add(run);
+        return run;
     }
 
     /** Answers a request that is not begun. */
@@ -103,6 +108,15 @@
         return whole + "." + decimals;
     }
 
+    /**
+     * Lets the requests that run in a start of an upstream go on elsewhere, as that start is over.
+     *
+     * @param start the start that ended by a new one
+     */
+    public void startedAgain(UpstreamId start) {
+        List.copyOf(open).forEach(run -> run.lostWith(start));
+    }
+
     /** Refuses requests from now on, as the process is about to stop. */
     public void refuseNew() {
         refusing = true;
@@ -114,6 +128,6 @@
      * @return requests
      */
     public int open() {
-        return open;
+        return open.size();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -16,7 +16,8 @@
  * <p>What goes wrong: this process dies, or an order is lost or carried out seconds late, and memory stays taken though
  * no request uses it. So a reservation lasts less than the time for which unused memory may stay taken, and is renewed
  * while the request runs: nobody has to know of it after a crash. A release is repeated until it is answered, and if
- * any order was not answered, until no late one can be carried out any more.
+ * any order was not answered, until no late one can be carried out any more. An engine that started again holds
+ * nothing: renewing there would take memory that no request uses, so its reservation is over.
  */
 final class ReservedHelpers {
 
@@ -80,6 +81,8 @@
     private Mono<Boolean> order() {
         return Flux.range(0, helpers.size())
                 .filter(i -> helpers.get(i).reservation() != null)
+                .filter(i -> !context.upstreams()
+                        .startedAgain(helpers.get(i).upstream().id()))
                 .flatMap(i -> context.engines()
                         .reserve(
                                 helpers.get(i).upstream(),
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -12,7 +12,7 @@
  *
  * <p>What goes wrong without it: under load all streams of an engine pause, each is moved, every move adds reading to
  * the other engines, and these pause too. If other streams of the engine go on, only this one is lost. If none does,
- * the engine is asked: one that answers is busy, one that does not is gone.
+ * the engine is asked: one that answers is busy, one that does not, or that has started again since, is gone.
  */
 final class SilenceCheck {
 
@@ -76,6 +76,10 @@
         return context.engines()
                 .report(engine)
                 .map(report -> {
+                    UpstreamId answering = new UpstreamId(engine.id().value(), report.incarnation());
+                    if (answering.isLaterStartOf(engine.id())) {
+                        return true;
+                    }
                     context.board().load(engine.id()).pace(report.pace());
                     context.log()
                             .line("engine_reported")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -17,6 +17,7 @@
 import org.apricotstack.core.engine.PromptRequest;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 
 /** Chooses upstreams: engines by the placer, plain upstreams by what this router has in flight there. */
@@ -142,6 +143,21 @@
         }
     }
 
+    /** Lets a failure count against the upstream that caused it, here and at the other routers. */
+    void failed(UpstreamId blamed, FailureKind kind) {
+        long avoid = kind.countsAgainst() ? context.judge().failed(blamed, kind, context.nowMillis()) : 0;
+        if (avoid == 0) {
+            return;
+        }
+        context.news().avoided(blamed, avoid);
+        context.log()
+                .line("avoided")
+                .put("upstream", blamed.value())
+                .put("kind", kind.code())
+                .put("avoid_millis", avoid)
+                .write();
+    }
+
     /** Notes that a choice is no longer used. */
     void end(UpstreamChoice choice) {
         inFlight.computeIfPresent(choice.upstream().id(), (id, count) -> count > 1 ? count - 1 : null);
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
@@ -0,0 +1,94 @@
+package org.apricotstack.serving.news;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.core.upstream.UpstreamJudge;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.NewsFrame;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NewsHubTest {
+
+    private static final ProcessId PEER = new ProcessId(new HostId("peer"), 1);
+    private static final long LISTED_START = 200;
+
+    private final ServingLoop loop = new ServingLoop(() -> 0);
+    private final DecisionLog log = new DecisionLog("host", () -> 0);
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final UpstreamJudge judge = new UpstreamJudge();
+    private final EngineBoard board = new EngineBoard();
+    private final PublishedState state = new PublishedState(null, upstreams, judge, board, log);
+    private final NewsHub hub = new NewsHub(loop, new PeerTable(), board, judge, state, log, () -> true, () -> {});
+
+    @BeforeEach
+    void listTheEngine() {
+        upstreams.put(new UpstreamEntry(
+                start(LISTED_START),
+                new ServiceId("service"),
+                new Address("127.0.0.1", 1),
+                new DataCentreId("east"),
+                4,
+                false,
+                1));
+    }
+
+    @AfterEach
+    void stop() {
+        hub.close();
+        loop.close();
+        log.close();
+    }
+
+    private static UpstreamId start(long incarnation) {
+        return new UpstreamId("engine", incarnation);
+    }
+
+    private void take(NewsFrame frame) {
+        NewsStream stream = new NewsStream();
+        stream.sender(PEER);
+        hub.frame(frame, stream);
+        CompletableFuture<Void> taken = new CompletableFuture<>();
+        loop.execute(() -> taken.complete(null));
+        taken.join();
+    }
+
+    /**
+     * Symptom: an engine that has just started again is avoided, or counts as busy. Sequence: it starts again; a peer
+     * that does not know yet tells of a prompt that it placed there and of a failure. Cause: news named the engine but
+     * not which of its starts was meant.
+     */
+    @ParameterizedTest
+    @CsvSource({"100, 0, 0", "200, 1, 0.95", "300, 1, 0.95"})
+    void takesNoNewsOfAnEarlierStart(long told, int leads, double failureProbability) {
+        EnginePlacement placement = new EnginePlacement(
+                new PlacementId(PEER, 1), List.of(new EnginePart(start(told), 100, 5_000)), 5_000, 300, 250);
+        take(NewsFrame.newBuilder()
+                .addPlaced(NewsMessages.placed(placement, 10_000))
+                .addAvoided(NewsMessages.avoided(start(told), 1_000))
+                .build());
+        assertThat(board.load(start(told)).leads()).isEqualTo(leads);
+        assertThat(judge.failureProbability(start(told), 0)).isEqualTo(failureProbability);
+        assertThat(board.load(start(LISTED_START)).leads()).isEqualTo(told == LISTED_START ? 1 : 0);
+    }
+}
