Show where the value of answers was lost: bin/apricot lost-worth

Which decision to change next was found by reading single requests. The command puts the lines of each request together and adds up lost value by length of the prompt and cause, with the seconds in which most of it lies, so that the table can be made again after each change. Arrivals now say their targets. Reading of collected logs moved out of RequestTrace into CollectedLogs, which both commands use.

--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
@@ -87,6 +87,7 @@
         commands.put("measure", new MeasureCommand());
         commands.put("stand-in", new StandInCommand());
         commands.put("trace-request", new TraceRequestCommand());
+        commands.put("lost-worth", new LostWorthCommand());
         return commands;
     }
 }
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/RequestTrace.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/RequestTrace.java
@@ -1,7 +1,5 @@
 package org.apricotstack.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,13 +7,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import org.apricotstack.adapters.json.Json;
-import org.apricotstack.core.failure.ApricotException;
-import org.apricotstack.core.failure.ErrorCode;
 
 /**
  * The life of one request, read from the log lines of routers.
@@ -46,15 +39,7 @@
      * @return the trace, without lines if no file knows the request
      */
     static RequestTrace read(String request, List<Path> files) {
-        List<JsonNode> all = new ArrayList<>();
-        for (Path file : files) {
-            try (Stream<String> texts = Files.lines(file)) {
-                texts.forEach(text -> add(all, text));
-            } catch (IOException e) {
-                throw new ApricotException(
-                        ErrorCode.ENVIRONMENT, "Cannot read " + file + "; give the files of collected logs.", e);
-            }
-        }
+        List<JsonNode> all = CollectedLogs.read(files);
         List<JsonNode> own = new ArrayList<>(all.stream()
                 .filter(line -> request.equals(line.path("request").asText()))
                 .toList());
@@ -66,23 +51,6 @@
         return new RequestTrace(own);
     }
 
-    /** Adds a line if it holds a JSON object. */
-    private static void add(List<JsonNode> lines, String text) {
-        int start = text.indexOf('{');
-        if (start < 0) {
-            return;
-        }
-        try {
-            JsonNode line = Json.STRICT.readTree(text.substring(start));
-            if (line.hasNonNull("event")) {
-                lines.add(line);
-            }
-        } catch (JsonProcessingException e) {
-            // Collected logs hold lines of other programs too.
-            return;
-        }
-    }
-
     /** Finds what the routers of a request believed meanwhile. */
     private static List<JsonNode> beliefs(List<JsonNode> all, List<JsonNode> own) {
         Set<String> upstreams = new HashSet<>();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -39,6 +39,8 @@
                         facts.account() == null ? null : facts.accountId().value())
                 .put("configuration", facts.configurationVersion())
                 .put("limit_millis", facts.endMillis() - facts.arrivedMillis())
+                .put("target_millis", facts.route().targetLatencyMillis())
+                .put("pause_target_millis", facts.route().pauseTargetMillis())
                 .put("prompt_tokens", facts.request().promptTokens())
                 .write();
     }
