Avoid an engine that was full for 400 ms, here and at the other routers

Change: an engine that rejects counts as likely to fail for 400 ms, told to the others like other avoidance; it is no failure and leaves no trace. Memory that cannot be reserved is a kind of its own (nothing was sent, nobody is blamed).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -12,12 +12,16 @@
     CUT(true, true, false),
     /** No answer, or no further event, came in time. */
     SILENT(true, true, true),
+    /** No first event, or no further one, came in time, while the upstream went on with other requests. */
+    PASSED_OVER(true, true, false),
     /** What came is no answer in the protocol, or lacks its seal. */
     SPOILED(true, true, false),
     /** The upstream said that it failed. */
     ERROR(true, true, false),
     /** The upstream is full and did not run the request. */
     FULL(false, false, false),
+    /** The memory that the request needs could not be reserved; nothing was sent. */
+    NOT_RESERVED(false, false, false),
     /** Another upstream has the address now; it did not run the request. */
     OTHER_INSTANCE(false, true, true),
     /** The upstream could not reach one of its helpers. */
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -21,6 +21,12 @@
     /** Longest time for which an upstream is avoided, in milliseconds; users' outages last about 5 s. */
     private static final long MOST_AVOID_MILLIS = 2_500;
 
+    /**
+     * Time for which an upstream that was full is avoided, in milliseconds. Its slots are held for about 1.7 s each, so
+     * with 11 of them two or three are free again; sooner, a second request is rejected too and has used its attempts.
+     */
+    private static final long FULL_AVOID_MILLIS = 400;
+
     /** Weight of the newest outcome in the failure rate; about the last eight count. */
     private static final double RATE_WEIGHT = 0.12;
 
@@ -88,6 +94,19 @@
         return avoid;
     }
 
+    /**
+     * Notes that an upstream rejected a request as it was full, though it was believed to have room. That is no fault,
+     * and says nothing of later requests.
+     *
+     * @param id the upstream
+     * @param nowMillis the time
+     * @return milliseconds for which it is avoided from now
+     */
+    public long wasFull(UpstreamId id, long nowMillis) {
+        heard(id, FULL_AVOID_MILLIS, nowMillis);
+        return FULL_AVOID_MILLIS;
+    }
+
     /**
      * Tells whether another upstream failed at the same moment. Then it is this router's own connections that broke,
      * and
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
@@ -31,7 +31,7 @@
     @ParameterizedTest
     @EnumSource(
             value = FailureKind.class,
-            names = {"ERROR", "CUT", "RESET", "SPOILED"})
+            names = {"ERROR", "CUT", "RESET", "SPOILED", "PASSED_OVER"})
     void avoidsAnUpstreamAfterThreeSingleFailuresInARow(FailureKind kind) {
         assertThat(judge.failed(ID, kind, 0)).isZero();
         assertThat(judge.failed(ID, kind, 0)).isZero();
@@ -41,6 +41,18 @@
         assertThat(judge.failed(ID, kind, 0)).isPositive();
     }
 
+    /**
+     * Symptom: requests were refused as their attempts were used up, beside idle engines. Sequence: an engine that was
+     * believed to have room rejects a request as full, the next ones follow at once. Cause: a rejection changed nothing.
+     */
+    @Test
+    void avoidsAnUpstreamThatWasFullForAMomentAndHoldsNothingAgainstIt() {
+        long avoid = judge.wasFull(ID, 0);
+        assertThat(judge.failureProbability(ID, avoid - 1)).isGreaterThan(0.9);
+        assertThat(judge.failureProbability(ID, avoid)).isZero();
+        assertThat(judge.wasFull(ID, avoid)).isEqualTo(avoid);
+    }
+
     @Test
     void seesARateOfFailures() {
         for (int i = 0; i < 40; i++) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -155,7 +155,7 @@
         if (done) {
             forward(attempt);
         } else {
-            attempt.failed(FailureKind.FULL);
+            attempt.failed(FailureKind.NOT_RESERVED);
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -147,7 +147,13 @@
 
     /** Lets a failure count against the upstream that caused it, here and at the other routers. */
     void failed(UpstreamId blamed, FailureKind kind) {
-        long avoid = kind.countsAgainst() ? context.judge().failed(blamed, kind, context.nowMillis()) : 0;
+        long now = context.nowMillis();
+        long avoid = 0;
+        if (kind == FailureKind.FULL) {
+            avoid = context.judge().wasFull(blamed, now);
+        } else if (kind.countsAgainst()) {
+            avoid = context.judge().failed(blamed, kind, now);
+        }
         if (avoid == 0) {
             return;
         }
