Count the delay of a prompt that several engines share once

A new shared part delays all parts of an older prompt, and its loss was added up for each part. Change: OpenReadings looks at all open prompts once for each choice; a prompt has been read when its last part has, so a part that is early may wait for nothing, and the loss counts once.

Seen: OpenReadingsTest; EnginePlacerTest.sharesALongPromptBesideOneThatAllEnginesRead fails before.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -263,25 +263,31 @@
         return loss;
     }
 
-    /**
-     * Adds up what the requests that wait for reading lose by a new part.
-     *
-     * @param readMillis reading of the part at usual pace, in milliseconds
-     * @param isShared whether other engines share the reading, so that it goes ahead of what waits
-     * @param nowMillis the time
-     * @return value lost beyond what is lost already, in the units of {@link PromptValue}
-     */
-    public double lossByDelay(double readMillis, boolean isShared, long nowMillis) {
+    /** Predicts when each part will have been read, those of the pass that runs too. */
+    void eachReading(long nowMillis, ReadingVisitor visitor) {
         advance(nowMillis);
-        double delay = readMillis * pace;
-        double loss = 0;
         boolean passes = !writing.isEmpty();
-        double ready = passes ? passEndMillis - nowMillis + passMillis() + reading.waitingMillis() : 0;
+        double passEnd = passEndMillis - nowMillis;
+        double nextPassEnd = passEnd + passMillis() + reading.waitingMillis();
+        double ready = 0;
         for (PartReading part : reading.parts()) {
-            ready += passes ? 0 : part.leftMillis();
-            boolean waits = part.waitingMillis() > 0 && part.delayedBy(isShared, passes);
-            loss += waits ? part.lossByDelay(ready, delay, nowMillis) : 0;
+            ready += part.leftMillis();
+            double inPasses = part.waitingMillis() > 0 ? nextPassEnd : passEnd;
+            visitor.visit(part, passes ? inPasses : ready, passes);
         }
-        return loss;
+    }
+
+    /** Takes the parts that an engine reads. */
+    @FunctionalInterface
+    interface ReadingVisitor {
+
+        /**
+         * Takes one part.
+         *
+         * @param part the part
+         * @param readyMillis when it will have been read, from now
+         * @param passes whether the engine works in passes now
+         */
+        void visit(PartReading part, double readyMillis, boolean passes);
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -76,7 +76,7 @@
      * @param leadMillis when it will have read the part as the engine that answers, from now
      * @param helpMillis when it will have read the part as a helper, from now
      * @param pauseMillis pause that its writers will have
-     * @param loss value that its writers and readers lose, and the cost of its side of the border
+     * @param loss value that its writers lose, and the cost of its side of the border
      * @param rank all that speaks against it
      */
     private record Score(
@@ -97,14 +97,16 @@
      */
     public PlacementChoice choose(PromptRequest request, List<EngineCandidate> candidates, long nowMillis) {
         PlacementChoice best = none();
+        OpenReadings open = new OpenReadings(candidates, nowMillis);
         double price = pricePerMilli(candidates, nowMillis) * profile.readMillis(request.promptTokens(), 1);
         for (int shares : SHARES) {
             double part = profile.readMillis(request.promptTokens(), shares);
             if (shares > candidates.size() || shares > 1 && part < LEAST_PART_MILLIS) {
                 break;
             }
-            List<Score> scores = score(request, shares, part, candidates, nowMillis);
-            PlacementChoice choice = chooseWith(request, scores, shares, part).plus(price);
+            List<Score> scores = score(request, shares, part, candidates, open, nowMillis);
+            PlacementChoice choice =
+                    chooseWith(request, scores, shares, part, open).plus(price);
             boolean inTime = choice.found() && choice.firstTokenMillis() <= request.patienceMillis();
             if (inTime && choice.cost() < best.cost()) {
                 best = choice;
@@ -140,7 +142,12 @@
 
     /** Scores all engines for a part, the most suitable first. */
     private List<Score> score(
-            PromptRequest request, int shares, double partMillis, List<EngineCandidate> candidates, long nowMillis) {
+            PromptRequest request,
+            int shares,
+            double partMillis,
+            List<EngineCandidate> candidates,
+            OpenReadings open,
+            long nowMillis) {
         boolean isShort = request.promptTokens() <= PromptValue.SHORT_TOKENS;
         double value = PromptValue.of(request.promptTokens());
         int border = border(candidates);
@@ -155,10 +162,10 @@
                     + sideCost(isShort, i, border, candidates.size());
             double late =
                     value * PromptValue.LOST_WHEN_LATE * Lateness.probability(lead, request.targetLatencyMillis());
-            double waiting = load.lossByDelay(partMillis, shares > 1, nowMillis);
+            double waiting = open.loss(candidate, partMillis, shares > 1);
             double failing = value * candidate.failureProbability();
             double help = lead - slotWaitMillis(load);
-            scores.add(new Score(candidate, lead, help, pause, loss + waiting, loss + late + waiting + failing));
+            scores.add(new Score(candidate, lead, help, pause, loss, loss + late + waiting + failing));
         }
         scores.sort(Comparator.comparingDouble(Score::rank));
         return scores;
@@ -179,7 +186,8 @@
     }
 
     /** Makes the choice for one number of parts. */
-    private PlacementChoice chooseWith(PromptRequest request, List<Score> scores, int shares, double partMillis) {
+    private PlacementChoice chooseWith(
+            PromptRequest request, List<Score> scores, int shares, double partMillis, OpenReadings open) {
         long tokens = request.promptTokens() + request.answerTokens();
         Score lead = null;
         for (Score score : scores) {
@@ -207,7 +215,11 @@
         }
         List<EnginePart> parts =
                 reserves ? reserved(chosen, tokens, partMillis) : unreserved(chosen, tokens, partMillis);
-        return parts.isEmpty() ? none() : rate(request, chosen, parts, reserves);
+        if (parts.isEmpty()) {
+            return none();
+        }
+        List<EngineCandidate> engines = chosen.stream().map(Score::candidate).toList();
+        return rate(request, chosen, parts, reserves, open.loss(engines, partMillis, shares > 1));
     }
 
     /** Returns the memory of an engine that is free to plan with. */
@@ -243,10 +255,15 @@
     }
 
     /** Predicts what a choice costs. */
-    private PlacementChoice rate(PromptRequest request, List<Score> chosen, List<EnginePart> parts, boolean reserves) {
+    private PlacementChoice rate(
+            PromptRequest request,
+            List<Score> chosen,
+            List<EnginePart> parts,
+            boolean reserves,
+            double lossOfReadings) {
         double firstToken = 0;
         double pause = 0;
-        double loss = 0;
+        double loss = lossOfReadings;
         double whole = 1;
         for (int i = 0; i < chosen.size(); i++) {
             Score score = chosen.get(i);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
@@ -1,5 +1,7 @@
 package org.apricotstack.core.engine;
 
+import java.util.List;
+
 import org.assertj.core.data.Offset;
 import org.junit.jupiter.api.Test;
 
@@ -34,9 +36,10 @@
         EnginePlacement older = placement(80_000, 0, 1);
         board.place(older, 0, 60_000);
         assertThat(load.readyMillis(100, true, 100)).isCloseTo(100, MILLI);
-        double loss = load.lossByDelay(2_900, true, 100);
-        assertThat(loss).isGreaterThan(older.value() * 0.3);
-        assertThat(load.lossByDelay(2_900, false, 100)).isZero();
+        List<EngineCandidate> engines = EngineTestData.candidates(board, 3);
+        OpenReadings open = new OpenReadings(engines, 100);
+        assertThat(open.loss(engines.get(0), 2_900, true)).isGreaterThan(older.value() * 0.3);
+        assertThat(open.loss(engines.get(0), 2_900, false)).isZero();
     }
 
     @Test
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -137,6 +137,21 @@
         assertThat(choose(2_000).cost()).isLessThan(PromptValue.of(2_000));
     }
 
+    /**
+     * Symptom: prompts of 200,000 tokens took seven seconds beside engines that could have read them together in one.
+     * Sequence: one prompt is read by all engines, the next one arrives. Cause: the delay of the first was counted for
+     * each of its parts, so that reading the second on one engine alone, and late, looked cheaper.
+     */
+    @Test
+    void sharesALongPromptBesideOneThatAllEnginesRead() {
+        EnginePlacement read = placement(100_000, 0, 1, 2, 3, 4, 5, 6, 7);
+        board.place(new EnginePlacement(read.id(), read.parts(), 100_000, 90, 1_000), 0, 60_000);
+        PromptRequest next = new PromptRequest(290_000, 800, 300, 1_000, 10_800, 0);
+        PlacementChoice choice = placer.choose(next, candidates(board, ENGINES), 20);
+        assertThat(choice.parts().size()).isGreaterThan(4);
+        assertThat(choice.firstTokenMillis()).isLessThan(300);
+    }
+
     /**
      * Symptom: a prompt was refused for want of room though helpers could have read it in time. Sequence: engines are
      * scarce, few helpers cost others least but take longer than the caller waits. Cause: patience was looked at only
