Keep what is left of a long reading when a first event comes early, and count the pause of the new answer itself

First, the first event of a prompt that had been read ahead ended the modelled pass, and with it the long part counted as read: now only what fits into the pass's time is. Second, a short prompt that is shared goes ahead of a long part on an engine that writes nothing, but with its first event the engine works in passes and reads all the rest in one: that pause of the new answer was not in its cost.

Seen: EngineLoadTest (two cases) and EnginePlacerTest.beginsNoShortAnswerOnAnEngineInTheMiddleOfALongReading each fail with their mechanism off.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -29,6 +29,7 @@
     private long memoryTokens;
     private int shortLeads;
     private long advancedMillis;
+    private double passBeganMillis;
     private double passEndMillis;
     private double orphanedEndMillis;
     private double progressMillis = Double.NEGATIVE_INFINITY;
@@ -79,6 +80,7 @@
         advancedMillis = Math.max(advancedMillis, nowMillis);
         if (writing.isEmpty()) {
             reading.read(elapsed);
+            passBeganMillis = nowMillis;
             passEndMillis = nowMillis;
             return;
         }
@@ -89,6 +91,10 @@
 
     /** Ends the pass that runs and begins the next one with all that waits. */
     private void beginPass(double atMillis) {
+        if (atMillis < passEndMillis) {
+            reading.breakPass(atMillis - passBeganMillis);
+        }
+        passBeganMillis = atMillis;
         passEndMillis = atMillis + Math.max(1, passMillis()) + reading.nextPass();
     }
 
@@ -188,6 +194,19 @@
         return passMillis() + reading.waitingMillis() + readMillis * pace;
     }
 
+    /**
+     * Predicts the first pause of a new prompt's own answer. A shared part goes ahead of what an idle engine reads;
+     * with the answer's first event the engine begins to work in passes, and reads all the rest in the next one.
+     *
+     * @param isShared whether other engines share the reading of the new prompt
+     * @param nowMillis the time
+     * @return milliseconds
+     */
+    double ownPauseMillis(boolean isShared, long nowMillis) {
+        advance(nowMillis);
+        return passMillis() + (isShared && writing.isEmpty() ? reading.leftMillis() : 0);
+    }
+
     /**
      * Returns how many requests it runs as the engine that answers.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -77,6 +77,7 @@
      * @param helpMillis when it will have read the part as a helper, from now
      * @param pauseMillis pause that its writers will have
      * @param loss value that its writers lose, and the cost of its side of the border
+     * @param ownPauseMillis pause that the new answer will have there
      * @param rank all that speaks against it
      */
     private record Score(
@@ -85,6 +86,7 @@
             double helpMillis,
             double pauseMillis,
             double loss,
+            double ownPauseMillis,
             double rank) {}
 
     /**
@@ -165,7 +167,14 @@
             double waiting = open.loss(candidate, partMillis, shares > 1);
             double failing = value * candidate.failureProbability();
             double help = lead - slotWaitMillis(load);
-            scores.add(new Score(candidate, lead, help, pause, loss, loss + late + waiting + failing));
+            scores.add(new Score(
+                    candidate,
+                    lead,
+                    help,
+                    pause,
+                    loss,
+                    load.ownPauseMillis(shares > 1, nowMillis),
+                    loss + late + waiting + failing));
         }
         scores.sort(Comparator.comparingDouble(Score::rank));
         return scores;
@@ -189,13 +198,10 @@
     private PlacementChoice chooseWith(
             PromptRequest request, List<Score> scores, int shares, double partMillis, OpenReadings open) {
         long tokens = request.promptTokens() + request.answerTokens();
-        Score lead = null;
-        for (Score score : scores) {
-            if (freeTokens(score) >= tokens) {
-                lead = score;
-                break;
-            }
-        }
+        Score lead = scores.stream()
+                .filter(score -> freeTokens(score) >= tokens)
+                .min(Comparator.comparingDouble(score -> score.rank() + lossByOwnPause(request, score)))
+                .orElse(null);
         boolean reserves = lead == null;
         if (reserves) {
             lead = scores.stream()
@@ -222,6 +228,12 @@
         return rate(request, chosen, parts, reserves, open.loss(engines, partMillis, shares > 1));
     }
 
+    /** Estimates what the new answer loses by its pause if an engine writes it. */
+    private static double lossByOwnPause(PromptRequest request, Score score) {
+        return PromptValue.of(request.promptTokens())
+                * PromptValue.lossByPause(score.ownPauseMillis(), request.pauseTargetMillis());
+    }
+
     /** Returns the memory of an engine that is free to plan with. */
     private long freeTokens(Score score) {
         return (long) (profile.memoryTokens() * MEMORY_SHARE)
@@ -264,6 +276,7 @@
         double firstToken = 0;
         double pause = 0;
         double loss = lossOfReadings;
+        double ownPause = lossByOwnPause(request, chosen.get(0));
         double whole = 1;
         for (int i = 0; i < chosen.size(); i++) {
             Score score = chosen.get(i);
@@ -277,7 +290,7 @@
                 + 1
                 - whole
                 + HELPER_COST_SHARE * (chosen.size() - 1);
-        double cost = loss + PromptValue.of(request.promptTokens()) * share;
+        double cost = loss + ownPause + PromptValue.of(request.promptTokens()) * share;
         return new PlacementChoice(parts, firstToken, pause, cost, loss, reserves);
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PartReading.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PartReading.java
@@ -3,6 +3,9 @@
 /** A part of a prompt that an engine reads. */
 final class PartReading {
 
+    /** Left of a part that counts as read, as the prediction of a pass is off by as much, in milliseconds. */
+    private static final double EARLY_MILLIS = 20;
+
     private final EnginePlacement placement;
     private final boolean lead;
     private final long sinceMillis;
@@ -64,6 +67,17 @@
         return millis - taken;
     }
 
+    /** Leaves the pass that it was in after it was read for a time; returns the rest of the time. */
+    double breakPass(double millis) {
+        if (!inPass) {
+            return millis;
+        }
+        inPass = false;
+        double rest = read(millis);
+        leftMillis = leftMillis < EARLY_MILLIS ? 0 : leftMillis;
+        return rest;
+    }
+
     /** Ends the pass that it was in, or takes it into the next one; returns for how long it is read in that. */
     double nextPass() {
         if (inPass) {
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EngineLoadTest.java
@@ -42,6 +42,31 @@
         assertThat(open.loss(engines.get(0), 2_900, false)).isZero();
     }
 
+    /**
+     * Symptom: ten short prompts in a row were sent to an engine that answered none of them for 1.6 s. Sequence: it
+     * reads a long part, a short prompt is read ahead of that, and its first event comes. Cause: the event was taken
+     * for the end of a pass in which the long part had been read.
+     */
+    @Test
+    void keepsWhatIsLeftOfALongPartWhenAFirstEventComesEarly() {
+        board.place(placement(400_000, 0, 1), 0, 60_000);
+        EnginePlacement first = placement(4_000, 0, 2);
+        EnginePlacement second = placement(4_000, 0, 2);
+        board.place(first, 100, 60_000);
+        board.place(second, 110, 60_000);
+        board.startWriting(first.id(), 120);
+        board.startWriting(second.id(), 150);
+        assertThat(load.readyMillis(20, false, 160)).isGreaterThan(800);
+        assertThat(load.nextEventMillis(160)).isGreaterThan(700);
+    }
+
+    @Test
+    void foreseesThePauseOfAnAnswerThatBeginsBesideALongReading() {
+        board.place(placement(400_000, 0, 1), 0, 60_000);
+        assertThat(load.ownPauseMillis(true, 100)).isCloseTo(900, MILLI);
+        assertThat(load.ownPauseMillis(false, 100)).isCloseTo(0, MILLI);
+    }
+
     @Test
     void endsAllReadingOfAPassTogether() {
         EnginePlacement writer = placement(4_000, 0);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -152,6 +152,25 @@
         assertThat(choice.firstTokenMillis()).isLessThan(300);
     }
 
+    /**
+     * Symptom: short prompts were answered at once and then paused for 1.6 s. Sequence: an engine that writes nothing
+     * reads a long part; the short prompt is shared and so read ahead of it. Cause: only the time to the first event
+     * was looked at, and with that event the engine reads all the rest in one pass.
+     */
+    @Test
+    void beginsNoShortAnswerOnAnEngineInTheMiddleOfALongReading() {
+        for (int i = 0; i < 4; i += 2) {
+            EnginePlacement longOne = placement(1_000_000, i, i + 1);
+            board.place(new EnginePlacement(longOne.id(), longOne.parts(), 1_000_000, 30_000, 1_000), 0, 60_000);
+        }
+        for (int i = 4; i < ENGINES; i++) {
+            write(4_000, i);
+        }
+        PromptRequest hasty = new PromptRequest(16_000, 800, 100, 250, 1_800, 0);
+        PlacementChoice choice = placer.choose(hasty, candidates(board, ENGINES), 10);
+        assertThat(choice.parts().get(0).engine()).isGreaterThanOrEqualTo(engine(4));
+    }
+
     /**
      * Symptom: a prompt was refused for want of room though helpers could have read it in time. Sequence: engines are
      * scarce, few helpers cost others least but take longer than the caller waits. Cause: patience was looked at only
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/UpstreamJudgeTest.java
@@ -43,7 +43,8 @@
 
     /**
      * Symptom: requests were refused as their attempts were used up, beside idle engines. Sequence: an engine that was
-     * believed to have room rejects a request as full, the next ones follow at once. Cause: a rejection changed nothing.
+     * believed to have room rejects a request as full, the next ones follow at once. Cause: a rejection changed
+     * nothing.
      */
     @Test
     void avoidsAnUpstreamThatWasFullForAMomentAndHoldsNothingAgainstIt() {
