--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -33,18 +33,6 @@
 /** Sends this router's news to all others and takes theirs in. */
 public final class NewsHub implements NewsSink, PlacementNews, AutoCloseable {
 
-    /** Time between two heartbeats in a small fleet, in milliseconds. */
-    private static final long HEARTBEAT_MILLIS = 500;
-
-    /**
-     * Time between two heartbeats of a router that has just started, in milliseconds. At the usual pace routers that
-     * started together needed 1.8 s until each had heard of all others, and placed without each other's news meanwhile.
-     */
-    private static final long YOUNG_HEARTBEAT_MILLIS = 100;
-
-    /** Added for each known router, in milliseconds, so that none sends more than about 50 heartbeats a second. */
-    private static final long HEARTBEAT_MILLIS_EACH = 12;
-
     /**
      * Of two routers that both take no callers, each tells the other only every third beat that it is there. In a fleet
      * of 71 of which 16 take callers this saves two fifths of all heartbeats (worked out).
@@ -58,12 +46,6 @@
      */
     public static final long STAND_BY_GATHER_MILLIS = 1_000;
 
-    /**
-     * Time after the start in which a router that was not told of placements by all others places in an order of its
-     * own, in milliseconds; by then those that live have been heard, and the rest is gone.
-     */
-    private static final long YOUNG_MILLIS = 3_000;
-
     /** Addresses in the first heartbeat of a router from which on it need not be told of others: more than seeds. */
     private static final int KNOWS_FEW = 5;
 
@@ -75,11 +57,10 @@
     private final DecisionLog log;
     private final PeerDocuments documents;
     private final NewsLinks links;
-    private final Set<HostId> believedAlive = new HashSet<>();
+    private final PeerLog heardLog;
     private final RequestRate requests;
     private final OpenPlacements open = new OpenPlacements();
-    private final Set<HostId> toldBy = new HashSet<>();
-    private final long startedMillis;
+    private final StartPhase start;
     private final BooleanSupplier ready;
     private HeartbeatPort heartbeats;
     private OwnHeartbeat own;
@@ -121,9 +102,10 @@
         this.ready = ready;
         this.documents = new PeerDocuments(loop, state, log, whenBehind);
         this.links = new NewsLinks(loop, peers, this::openPlacements);
-        this.startedMillis = loop.nowMillis();
-        this.spanMillis = startedMillis;
-        this.requests = new RequestRate(startedMillis);
+        this.heardLog = new PeerLog(log);
+        this.start = new StartPhase(loop.nowMillis());
+        this.spanMillis = loop.nowMillis();
+        this.requests = new RequestRate(spanMillis);
     }
 
     /**
@@ -152,8 +134,8 @@
         for (ProcessId gone : peers.expire(now)) {
             board.removeProcess(gone, now);
         }
-        noteAlive(now);
-        if (now - spanMillis >= HEARTBEAT_MILLIS) {
+        heardLog.note(peers.alive(now));
+        if (now - spanMillis >= StartPhase.HEARTBEAT_MILLIS) {
             spanMillis = now;
             requests.endSpan(now);
         }
@@ -163,9 +145,7 @@
 
     /** Returns the time between two heartbeats. */
     private long intervalMillis() {
-        boolean young = loop.nowMillis() - startedMillis < YOUNG_MILLIS;
-        return (young ? YOUNG_HEARTBEAT_MILLIS : HEARTBEAT_MILLIS)
-                + Math.max(0, knownRouters() - 1) * HEARTBEAT_MILLIS_EACH;
+        return start.heartbeatMillis(knownRouters(), loop.nowMillis());
     }
 
     /**
@@ -210,24 +190,6 @@
         return own.peer(true, intervalMillis());
     }
 
-    /** Writes down which routers are heard again or no longer. */
-    private void noteAlive(long now) {
-        Set<HostId> alive = new HashSet<>();
-        peers.alive(now).forEach(peer -> alive.add(peer.process().host()));
-        for (HostId host : alive) {
-            if (believedAlive.add(host)) {
-                log.line("peer_heard").put("peer", host.value()).write();
-            }
-        }
-        believedAlive.removeIf(host -> {
-            boolean silent = !alive.contains(host);
-            if (silent) {
-                log.line("peer_silent").put("peer", host.value()).write();
-            }
-            return silent;
-        });
-    }
-
     @Override
     public void frame(NewsFrame frame, NewsStream stream) {
         if (!loop.loop().inEventLoop()) {
@@ -284,7 +246,7 @@
             Set<PlacementId> told = new HashSet<>();
             frame.getPlacedList().forEach(placed -> told.add(new PlacementId(sender, placed.getNumber())));
             board.retainOf(sender, told, now);
-            toldBy.add(sender.host());
+            start.toldBy(sender.host());
         }
         for (Placed placed : frame.getPlacedList()) {
             if (placed.getPartsCount() > 0) {
@@ -334,7 +296,7 @@
 
     @Override
     public boolean heardOthers() {
-        return loop.nowMillis() - startedMillis >= YOUNG_MILLIS || toldBy.size() >= knownRouters() - 1;
+        return start.heardOthers(knownRouters(), loop.nowMillis());
     }
 
     /** Writes all that is open, for a router that missed news. */
