Work out the order in which routers take callers once for each host

Each choice hashed all names anew and looked places up in a list for each comparison. Change: EntryWeights remembers the hash of a host; equal capacities are compared by it. The order is the same (EntryRoutersTest, unchanged but for the new argument).

Fleets of up to 16 do not choose.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -7,8 +7,6 @@
 import java.util.TreeMap;
 
 import org.apricotstack.core.id.DataCentreId;
-import org.apricotstack.core.id.HostId;
-import org.apricotstack.core.routing.Rendezvous;
 
 /**
  * Chooses the routers that callers are sent to.
@@ -44,9 +42,10 @@
      *
      * @param ready routers that can serve callers
      * @param spare how many more of each data centre to choose, as those that would be next
+     * @param weights the order of equally strong routers
      * @return those that callers are sent to
      */
-    public static List<Peer> choose(List<Peer> ready, int spare) {
+    public static List<Peer> choose(List<Peer> ready, int spare, EntryWeights weights) {
         if (!isLarge(ready.size())) {
             return ready;
         }
@@ -57,7 +56,7 @@
                     .add(peer);
         }
         List<Peer> chosen = new ArrayList<>();
-        byDataCentre.forEach((dataCentre, peers) -> chosen.addAll(chooseOf(dataCentre, peers, spare)));
+        byDataCentre.forEach((dataCentre, peers) -> chosen.addAll(chooseOf(peers, spare, weights)));
         return chosen;
     }
 
@@ -72,14 +71,13 @@
     }
 
     /** Chooses routers of one data centre: the strongest first, equal ones in an order of their own. */
-    private static List<Peer> chooseOf(DataCentreId dataCentre, List<Peer> peers, int spare) {
+    private static List<Peer> chooseOf(List<Peer> peers, int spare, EntryWeights weights) {
         double neededPercent =
                 PERCENT * peers.stream().mapToDouble(Peer::requestsPerSecond).sum() / REQUESTS_PER_CORE;
-        List<HostId> hosts = peers.stream().map(peer -> peer.process().host()).toList();
-        List<HostId> order = Rendezvous.order(dataCentre.value(), hosts);
         List<Peer> sorted = new ArrayList<>(peers);
         sorted.sort(Comparator.comparingInt((Peer peer) -> -peer.capacityPercent())
-                .thenComparingInt(peer -> order.indexOf(peer.process().host())));
+                .thenComparingLong(peer -> -weights.of(peer))
+                .thenComparing(peer -> peer.process().host()));
         int number = 0;
         double havePercent = 0;
         while (number < sorted.size() && (number < LEAST_EACH || havePercent < neededPercent)) {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -37,6 +37,7 @@
 
     private final Map<HostId, Heard> heard = new HashMap<>();
     private final Set<Address> addresses = new HashSet<>();
+    private final EntryWeights weights = new EntryWeights();
 
     /**
      * A router's last heartbeat and its time.
@@ -128,6 +129,7 @@
      */
     public List<ProcessId> expire(long nowMillis) {
         List<ProcessId> gone = new ArrayList<>();
+        int before = heard.size();
         for (Iterator<Heard> it = heard.values().iterator(); it.hasNext(); ) {
             Heard one = it.next();
             long silence = nowMillis - one.atMillis();
@@ -139,6 +141,9 @@
                 addresses.remove(one.peer().peerAddress());
             }
         }
+        if (heard.size() < before) {
+            weights.retain(heard::containsKey);
+        }
         return gone;
     }
 
@@ -176,7 +181,7 @@
             ready.add(own);
         }
         ready.removeIf(peer -> !peer.ready());
-        List<Peer> chosen = new ArrayList<>(EntryRouters.choose(ready, spare));
+        List<Peer> chosen = new ArrayList<>(EntryRouters.choose(ready, spare, weights));
         chosen.sort(Comparator.comparing(peer -> peer.process().host()));
         return chosen;
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/routing/Rendezvous.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/routing/Rendezvous.java
@@ -53,8 +53,14 @@
         return best;
     }
 
-    /** Returns the weight of a host for a key, never {@link Long#MIN_VALUE}. */
-    private static long weight(String key, HostId host) {
+    /**
+     * Returns the weight of a host for a key; the host with the greatest stands first.
+     *
+     * @param key the key
+     * @param host the host
+     * @return its weight, never {@link Long#MIN_VALUE}
+     */
+    public static long weight(String key, HostId host) {
         return HASH.newHasher()
                         .putString(key, StandardCharsets.UTF_8)
                         .putChar('|')
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/EntryRoutersTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/EntryRoutersTest.java
@@ -45,7 +45,8 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 6, 7, 16})
     void choosesAllRoutersOfASmallFleet(int routers) {
-        assertThat(EntryRouters.choose(fleet(routers, 0, 1), 0)).hasSize(routers);
+        assertThat(EntryRouters.choose(fleet(routers, 0, 1), 0, new EntryWeights()))
+                .hasSize(routers);
     }
 
     /**
@@ -56,7 +57,7 @@
     @ParameterizedTest
     @CsvSource({"58, 1.3, 12", "71, 1.1, 12", "300, 0.3, 12"})
     void choosesFewRoutersOfALargeFleetWithLittleLoad(int routers, double requestsPerSecondEach, int mostChosen) {
-        List<Peer> chosen = EntryRouters.choose(fleet(routers, 2, requestsPerSecondEach), 0);
+        List<Peer> chosen = EntryRouters.choose(fleet(routers, 2, requestsPerSecondEach), 0, new EntryWeights());
         assertThat(chosen).hasSizeLessThanOrEqualTo(mostChosen);
         assertThat(chosen.stream().map(Peer::dataCentre).distinct()).hasSize(DATA_CENTRES);
         assertThat(chosen.stream().filter(peer -> peer.capacityPercent() == STRONG_PERCENT))
@@ -66,7 +67,7 @@
     @ParameterizedTest
     @ValueSource(doubles = {2, 5, 10, 11})
     void choosesAsMuchCapacityAsTheLoadNeeds(double requestsPerSecondEach) {
-        List<Peer> chosen = EntryRouters.choose(fleet(300, 2, requestsPerSecondEach), 0);
+        List<Peer> chosen = EntryRouters.choose(fleet(300, 2, requestsPerSecondEach), 0, new EntryWeights());
         double cores = chosen.stream().mapToInt(Peer::capacityPercent).sum() / 100.0;
         double needed = 300 * requestsPerSecondEach / EntryRouters.REQUESTS_PER_CORE;
         double all = fleet(300, 2, 0).stream().mapToInt(Peer::capacityPercent).sum() / 100.0;
@@ -77,17 +78,17 @@
     void choosesAlikeWhateverTheOrderInWhichRoutersWereHeard() {
         List<Peer> shuffled = new ArrayList<>(fleet(71, 2, 1));
         Collections.shuffle(shuffled, new Random(5));
-        assertThat(EntryRouters.choose(shuffled, 0))
-                .containsExactlyInAnyOrderElementsOf(EntryRouters.choose(fleet(71, 2, 1), 0));
+        assertThat(EntryRouters.choose(shuffled, 0, new EntryWeights()))
+                .containsExactlyInAnyOrderElementsOf(EntryRouters.choose(fleet(71, 2, 1), 0, new EntryWeights()));
     }
 
     @Test
     void replacesOneThatIsLostAndKeepsTheOthers() {
         List<Peer> fleet = fleet(71, 2, 1);
-        List<Peer> before = EntryRouters.choose(fleet, 0);
+        List<Peer> before = EntryRouters.choose(fleet, 0, new EntryWeights());
         Peer lost = before.get(0);
         fleet.remove(lost);
-        List<Peer> after = EntryRouters.choose(fleet, 0);
+        List<Peer> after = EntryRouters.choose(fleet, 0, new EntryWeights());
         assertThat(after).hasSameSizeAs(before).doesNotContain(lost);
         assertThat(after.stream().filter(before::contains)).hasSize(before.size() - 1);
     }
@@ -95,8 +96,8 @@
     @Test
     void namesOneMoreOfEachDataCentreAsTheNext() {
         List<Peer> fleet = fleet(71, 2, 1);
-        assertThat(EntryRouters.choose(fleet, 1))
-                .hasSize(EntryRouters.choose(fleet, 0).size() + DATA_CENTRES)
-                .containsAll(EntryRouters.choose(fleet, 0));
+        assertThat(EntryRouters.choose(fleet, 1, new EntryWeights()))
+                .hasSize(EntryRouters.choose(fleet, 0, new EntryWeights()).size() + DATA_CENTRES)
+                .containsAll(EntryRouters.choose(fleet, 0, new EntryWeights()));
     }
 }
