Open streams of news from the first placement on, and tell routers only as often as they need to know

Cause: routers that start together take themselves for part of a small fleet at first and opened streams to everyone they heard of; and of the 68 routers of 83 that stand by, each told each other every third beat that it is there. Change: a stream is opened at the first placement of a router that decides on requests. Who stands by tells those that decide every third beat, other standing by every twelfth, and hears from those that decide which of them are silent. A heartbeat says whether anything is placed, so that a router which just started need not wait for streams to know it. HeartbeatSender holds what NewsHub did for heartbeats.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -1,7 +1,7 @@
 package org.apricotstack.core.peer;
 
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -87,6 +87,36 @@
                 : one);
     }
 
+    /**
+     * Takes in that another router suspects one that this router hears seldom. One that takes callers is heard often,
+     * and one that was heard just now lives; of these the own ears are believed.
+     *
+     * @param host the host that is silent there
+     * @param nowMillis the time
+     */
+    public void toldSilent(HostId host, long nowMillis) {
+        heard.computeIfPresent(
+                host,
+                (same, one) -> one.peer().takesCallers() || nowMillis - one.atMillis() < SUSPECT_MILLIS
+                        ? one
+                        : new Heard(one.peer(), Math.min(one.atMillis(), nowMillis - one.suspectMillis())));
+    }
+
+    /**
+     * Returns hosts whose routers were heard before and are suspected now.
+     *
+     * @param most hosts at the most
+     * @param nowMillis the time
+     * @return the hosts
+     */
+    public List<HostId> silent(int most, long nowMillis) {
+        return heard.values().stream()
+                .filter(one -> nowMillis - one.atMillis() >= one.suspectMillis())
+                .map(one -> one.peer().process().host())
+                .limit(most)
+                .toList();
+    }
+
     /**
      * Adds an address at which a router may be, from the settings or from a peer.
      *
@@ -99,10 +129,10 @@
     /**
      * Returns the addresses to connect to.
      *
-     * @return the addresses
+     * @return the addresses; changes with this table
      */
-    public Collection<Address> addresses() {
-        return List.copyOf(addresses);
+    public Set<Address> addresses() {
+        return Collections.unmodifiableSet(addresses);
     }
 
     /**
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -114,4 +114,41 @@
         assertThat(table.expire(PeerTable.GONE_MILLIS + 1)).isEmpty();
         assertThat(table.expire(10_401)).hasSize(1);
     }
+
+    /**
+     * Symptom: a router that is gone counts as one that could take callers for most of a minute. Sequence: routers that
+     * stand by hear of each other seldom. Cause to be excluded: none of them believes those that hear it often.
+     */
+    @Test
+    void believesOthersAboutRoutersThatItHearsSeldom() {
+        Peer seldom = new Peer(
+                new ProcessId(new HostId("host-9"), 1),
+                EAST,
+                new Address("127.0.0.9", 80),
+                new Address("127.0.0.9", 90),
+                true,
+                1,
+                1,
+                100,
+                0,
+                false,
+                12_000);
+        table.heartbeat(seldom, 0);
+        table.toldSilent(new HostId("host-9"), PeerTable.SUSPECT_MILLIS - 1);
+        assertThat(named(EAST, PeerTable.SUSPECT_MILLIS)).containsExactly("127.0.0.9");
+        table.toldSilent(new HostId("host-9"), PeerTable.SUSPECT_MILLIS);
+        assertThat(named(EAST, PeerTable.SUSPECT_MILLIS)).isEmpty();
+        assertThat(table.silent(5, PeerTable.SUSPECT_MILLIS)).containsExactly(new HostId("host-9"));
+        table.heartbeat(seldom, PeerTable.SUSPECT_MILLIS + 1);
+        assertThat(named(EAST, PeerTable.SUSPECT_MILLIS + 1)).containsExactly("127.0.0.9");
+        assertThat(table.silent(5, PeerTable.SUSPECT_MILLIS + 1)).isEmpty();
+    }
+
+    @Test
+    void believesItsOwnEarsAboutRoutersThatTakeCallersAndForgetsNobodyItNeverHeard() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.toldSilent(new HostId("host-1"), PeerTable.SUSPECT_MILLIS - 1);
+        table.toldSilent(new HostId("host-2"), PeerTable.SUSPECT_MILLIS - 1);
+        assertThat(named(EAST, PeerTable.SUSPECT_MILLIS - 1)).containsExactly("127.0.0.1");
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -33,12 +33,6 @@
 /** Sends this router's news to all others and takes theirs in. */
 public final class NewsHub implements NewsSink, PlacementNews, AutoCloseable {
 
-    /**
-     * Of two routers that both take no callers, each tells the other only every third beat that it is there. In a fleet
-     * of 71 of which 16 take callers this saves two fifths of all heartbeats (worked out).
-     */
-    private static final int SLOW_BEATS = 3;
-
     /**
      * Time in which a router that stands by gathers changes of the platform, in milliseconds. A release of 22 upstreams
      * is some 70 changes, and each would cost each router a call. With {@link CatchUp#BEHIND_MILLIS} and the time of a
@@ -62,13 +56,9 @@
     private final OpenPlacements open = new OpenPlacements();
     private final StartPhase start;
     private final BooleanSupplier ready;
-    private HeartbeatPort heartbeats;
-    private OwnHeartbeat own;
-    private Address ownAddress;
+    private HeartbeatSender heartbeats;
     private NewsFrame.Builder pending;
     private long placementsHeard;
-    private boolean takesCallers;
-    private long beats;
     private long spanMillis;
     private boolean closed;
 
@@ -115,11 +105,11 @@
      * @param port sends and takes heartbeats of routers to which no stream is open
      */
     public void start(RouterIdentity identity, HeartbeatPort port) {
-        heartbeats = port;
         port.take(frame -> frame(frame, new NewsStream()));
-        own = new OwnHeartbeat(identity, peers, state, ready, requests);
-        ownAddress = identity.peerAddress();
-        peers.mention(ownAddress);
+        OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, open::isEmpty);
+        peers.mention(identity.peerAddress());
+        heartbeats =
+                new HeartbeatSender(this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis);
         beat();
     }
 
@@ -129,8 +119,6 @@
             return;
         }
         long now = loop.nowMillis();
-        beats++;
-        own.nextRound();
         for (ProcessId gone : peers.expire(now)) {
             board.removeProcess(gone, now);
         }
@@ -139,7 +127,7 @@
             spanMillis = now;
             requests.endSpan(now);
         }
-        heartbeat(beats % SLOW_BEATS == 0);
+        heartbeats.beat(now);
         loop.schedule(intervalMillis(), this::beat);
     }
 
@@ -153,32 +141,7 @@
      * lost, a router that stops would be named to callers for another interval.
      */
     public void heartbeat() {
-        heartbeat(true);
-        links.sendToAll(own.frame(takesCallers, intervalMillis()));
-    }
-
-    /**
-     * Sends a heartbeat to all routers, or only to those that are told more often. Routers that decide on requests keep
-     * streams between each other, since each placement has to arrive; all others need datagrams only.
-     */
-    private void heartbeat(boolean toAll) {
-        takesCallers = own.takesCallers(loop.nowMillis());
-        EncodedFrame often = own.frame(takesCallers, intervalMillis());
-        EncodedFrame seldom = own.frame(takesCallers, intervalMillis() * SLOW_BEATS);
-        for (Address address : peers.addresses()) {
-            if (address.equals(ownAddress)) {
-                continue;
-            }
-            boolean decides = links.decides(address);
-            if (takesCallers && decides) {
-                links.open(address, this).heartbeat(often, intervalMillis());
-            } else if (takesCallers || decides) {
-                heartbeats.send(address, often);
-            } else if (toAll) {
-                heartbeats.send(address, seldom);
-            }
-        }
-        links.retain(peers.addresses());
+        heartbeats.beatToAll(loop.nowMillis());
     }
 
     /**
@@ -187,7 +150,7 @@
      * @return what the next heartbeat says
      */
     public Peer ownPeer() {
-        return own.peer(true, intervalMillis());
+        return heartbeats.peer();
     }
 
     @Override
@@ -229,13 +192,17 @@
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
         long behindMillis = CatchUp.BEHIND_MILLIS + (standsBy() ? STAND_BY_GATHER_MILLIS : 0);
         if (documents.isToAsk(peer, behindMillis)) {
-            documents.ask(peer, links.open(peer.peerAddress(), this), own.frame(takesCallers, intervalMillis()));
+            documents.ask(peer, links.open(peer.peerAddress(), this), heartbeats.greeting());
+        }
+        if (beat.getNothingPlaced()) {
+            start.toldBy(process.host());
         }
-        if (takesCallers && peer.takesCallers() && !links.isOpen(peer.peerAddress())) {
-            links.open(peer.peerAddress(), this).heartbeat(own.frame(takesCallers, intervalMillis()), intervalMillis());
+        if (!heartbeats.takesCallers()) {
+            beat.getSilentHostsList().forEach(host -> peers.toldSilent(new HostId(host), now));
         }
+        heartbeats.openTo(peer);
         if (isNew && beat.getPeerAddressesCount() < KNOWS_FEW) {
-            heartbeats.send(peer.peerAddress(), own.introduction(takesCallers, intervalMillis()));
+            heartbeats.introduce(peer);
         }
     }
 
@@ -274,6 +241,7 @@
     public void placed(EnginePlacement placement, long limitMillis) {
         requests.count();
         open.place(placement, limitMillis, loop.nowMillis());
+        heartbeats.placed();
         news().addPlaced(NewsMessages.placed(placement, limitMillis));
     }
 
@@ -342,7 +310,7 @@
      * @return whether others tell it of placements
      */
     public boolean takesCallers() {
-        return takesCallers;
+        return heartbeats != null && heartbeats.takesCallers();
     }
 
     /**
@@ -351,7 +319,7 @@
      * @return whether this router of a large fleet stands by
      */
     public boolean standsBy() {
-        return !takesCallers && EntryRouters.isLarge(knownRouters());
+        return !takesCallers() && EntryRouters.isLarge(knownRouters());
     }
 
     /**
@@ -363,6 +331,24 @@
         return links.openToDeciding();
     }
 
+    /**
+     * Returns how many other routers are known to decide on requests.
+     *
+     * @return routers
+     */
+    public int decidingPeers() {
+        return links.deciding();
+    }
+
+    /**
+     * Returns how many streams of news to other routers there are, open or not.
+     *
+     * @return streams
+     */
+    public int streams() {
+        return links.size();
+    }
+
     /**
      * Returns how many placements of other routers were heard of.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
@@ -72,6 +72,21 @@
         });
     }
 
+    /** Tells whether there is a stream to the router at an address, open or not. */
+    boolean has(Address address) {
+        return links.containsKey(address);
+    }
+
+    /** Returns how many streams there are, open or not. */
+    int size() {
+        return links.size();
+    }
+
+    /** Returns how many other routers decide on requests. */
+    int deciding() {
+        return (int) heard.keySet().stream().filter(this::decides).count();
+    }
+
     /** Tells whether news can be sent to the router at an address. */
     boolean isOpen(Address address) {
         NewsLink link = links.get(address);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.RequestRate;
+import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
@@ -33,18 +34,31 @@
     /** Addresses told to a router that was not heard before, at most: as many as fit in a datagram of 1,400 bytes. */
     private static final int MOST_INTRODUCED = 48;
 
+    /** Hosts told to be silent in one heartbeat, at most: as many as fit in a datagram beside the rest. */
+    private static final int MOST_SILENT = 24;
+
+    private final ServingLoop loop;
     private final RouterIdentity self;
     private final PeerTable peers;
     private final PublishedState state;
     private final BooleanSupplier ready;
     private final RequestRate requests;
+    private final BooleanSupplier nothingPlaced;
     private List<Address> told = List.of();
     private int nextAddress;
     private long beats;
 
     /** Creates the heartbeat of a router. */
     OwnHeartbeat(
-            RouterIdentity self, PeerTable peers, PublishedState state, BooleanSupplier ready, RequestRate requests) {
+            ServingLoop loop,
+            RouterIdentity self,
+            PeerTable peers,
+            PublishedState state,
+            BooleanSupplier ready,
+            RequestRate requests,
+            BooleanSupplier nothingPlaced) {
+        this.loop = loop;
+        this.nothingPlaced = nothingPlaced;
         this.self = self;
         this.peers = peers;
         this.state = state;
@@ -59,6 +73,11 @@
         told = tells ? someAddresses(MOST_ADDRESSES) : List.of();
     }
 
+    /** Tells whether this router can serve callers. */
+    boolean isReady() {
+        return ready.getAsBoolean();
+    }
+
     /** Returns this router as others hear of it. */
     Peer peer(boolean takesCallers, long nextMillis) {
         return new Peer(
@@ -94,7 +113,11 @@
 
     /** Writes a heartbeat that tells some addresses. */
     private EncodedFrame frame(boolean takesCallers, long nextMillis, List<Address> addresses) {
-        Heartbeat.Builder beat = NewsMessages.heartbeat(peer(takesCallers, nextMillis));
+        Heartbeat.Builder beat =
+                NewsMessages.heartbeat(peer(takesCallers, nextMillis)).setNothingPlaced(nothingPlaced.getAsBoolean());
+        if (takesCallers) {
+            peers.silent(MOST_SILENT, loop.nowMillis()).forEach(host -> beat.addSilentHosts(host.value()));
+        }
         addresses.forEach(address -> beat.addPeerAddresses(address.toString()));
         return EncodedFrame.of(NewsFrame.newBuilder().setHeartbeat(beat).build());
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/StartPhase.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/StartPhase.java
@@ -34,6 +34,11 @@
         this.startedMillis = startedMillis;
     }
 
+    /** Tells whether this router has started so lately that others may not have heard of it. */
+    boolean isYoung(long nowMillis) {
+        return nowMillis - startedMillis < YOUNG_MILLIS;
+    }
+
     /** Notes that a router has told all its open placements. */
     void toldBy(HostId router) {
         toldBy.add(router);
@@ -41,13 +46,12 @@
 
     /** Tells whether all known routers, this one among them, have told their placements, or would have by now. */
     boolean heardOthers(int knownRouters, long nowMillis) {
-        return nowMillis - startedMillis >= YOUNG_MILLIS || toldBy.size() >= knownRouters - 1;
+        return !isYoung(nowMillis) || toldBy.size() >= knownRouters - 1;
     }
 
     /** Returns the time between two heartbeats. */
     long heartbeatMillis(int knownRouters, long nowMillis) {
-        boolean young = nowMillis - startedMillis < YOUNG_MILLIS;
-        return (young ? YOUNG_HEARTBEAT_MILLIS : HEARTBEAT_MILLIS)
+        return (isYoung(nowMillis) ? YOUNG_HEARTBEAT_MILLIS : HEARTBEAT_MILLIS)
                 + Math.max(0, knownRouters - 1) * HEARTBEAT_MILLIS_EACH;
     }
 }
