--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementId.java
@@ -10,6 +10,16 @@
  */
 public record PlacementId(ProcessId process, long number) {
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PlacementId that && number == that.number && process.equals(that.process);
+    }
+
+    @Override
+    public int hashCode() {
+        return process.hashCode() ^ Long.hashCode(number);
+    }
+
     @Override
     public String toString() {
         return process + "#" + number;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/Address.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/Address.java
@@ -47,6 +47,16 @@
                 ErrorCode.INVALID_NAME, "\"" + text + "\" is no address; write IP:PORT, such as 127.0.0.1:8080.");
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && port == that.port && ip.equals(that.ip);
+    }
+
+    @Override
+    public int hashCode() {
+        return ip.hashCode() ^ port;
+    }
+
     @Override
     public String toString() {
         return (ip.indexOf(':') >= 0 ? "[" + ip + "]" : ip) + ":" + port;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/ClientAccountId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/ClientAccountId.java
@@ -17,6 +17,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ClientAccountId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/DataCentreId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/DataCentreId.java
@@ -17,6 +17,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DataCentreId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/HostId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/HostId.java
@@ -17,6 +17,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/ProcessId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/ProcessId.java
@@ -34,6 +34,16 @@
         }
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ProcessId that && incarnation == that.incarnation && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return host.hashCode() ^ Long.hashCode(incarnation);
+    }
+
     @Override
     public String toString() {
         return host.value() + SEPARATOR + incarnation;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/ServiceId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/ServiceId.java
@@ -17,6 +17,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/UpstreamId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/UpstreamId.java
@@ -53,6 +53,16 @@
         return byName != 0 ? byName : Long.compare(incarnation, other.incarnation);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamId that && incarnation == that.incarnation && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode() ^ Long.hashCode(incarnation);
+    }
+
     @Override
     public String toString() {
         return incarnation == ANY_START ? value : value + "@" + incarnation;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -3,10 +3,12 @@
 import java.util.List;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.core.source64.SplitMix64;
+import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.route.CallerLimits;
@@ -77,8 +79,7 @@
         this.loop = loop;
         this.options = options;
         this.log = log;
-        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(
-                options.identity().process().hashCode());
+        UniformRandomProvider random = random(options.identity().process());
         UpstreamTable upstreams = new UpstreamTable();
         UpstreamJudge judge = new UpstreamJudge();
         EngineBoard board = new EngineBoard();
@@ -113,6 +114,12 @@
         addGauges(board);
     }
 
+    /** Creates random numbers of this process; the library's factory would load all of its generators first. */
+    private static UniformRandomProvider random(ProcessId process) {
+        SplitMix64 seeds = new SplitMix64(process.hashCode());
+        return new XoRoShiRo128PlusPlus(seeds.nextLong(), seeds.nextLong());
+    }
+
     /** Adds what is read when somebody asks. */
     private void addGauges(EngineBoard board) {
         metrics.gauge("requests.open", runs::open);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/DecisionLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/DecisionLog.java
@@ -1,45 +1,68 @@
 package org.apricotstack.serving.observe;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import org.tinylog.Logger;
 
 /**
  * Writes one JSON object a line for each decision on a request and each change of what the router believes.
  *
- * <p>Lines wait in a bounded queue for a thread that writes them; when it is full, lines are dropped and counted, so
- * that logging never holds a request up.
+ * <p>Lines wait in a bounded queue for a thread that writes them, many at once; when it is full, the oldest are dropped
+ * and counted, so that logging never holds a request up.
  */
 public final class DecisionLog implements AutoCloseable {
 
     /** Lines that may wait; about a megabyte. */
     private static final int MOST_WAITING = 4_096;
 
+    /**
+     * Time in which lines are gathered for one write, in milliseconds. Each write wakes a thread and calls the kernel,
+     * and a request makes about five lines; what is lost when a process is killed is no more than these milliseconds.
+     */
+    private static final long GATHER_MILLIS = 20;
+
+    /**
+     * Time for the last write of the writing thread, in milliseconds; a stop does not wait for a reader that is gone.
+     */
+    private static final long CLOSE_MILLIS = 200;
+
     private static final JsonFactory JSON = new JsonFactory();
 
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MOST_WAITING);
     private final AtomicLong dropped = new AtomicLong();
     private final LongSupplier wallClockMillis;
     private final String host;
+    private final OutputStream out;
     private final Thread writer;
 
     /**
-     * Creates a log and starts its writing thread.
+     * Creates a log to standard output and starts its writing thread.
      *
      * @param host name of this host, which each line carries
      * @param wallClockMillis the time of day, in milliseconds since 1970
      */
     public DecisionLog(String host, LongSupplier wallClockMillis) {
+        this(host, wallClockMillis, new FileOutputStream(FileDescriptor.out));
+    }
+
+    /** Creates a log and starts its writing thread. */
+    DecisionLog(String host, LongSupplier wallClockMillis, OutputStream out) {
         this.host = host;
         this.wallClockMillis = wallClockMillis;
+        this.out = out;
         this.writer = new Thread(this::writeLines, "decision-log");
         writer.setDaemon(true);
         writer.start();
@@ -49,13 +72,32 @@
     private void writeLines() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                Logger.info(waiting.take());
+                String first = waiting.take();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(GATHER_MILLIS));
+                write(first);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Writes a line and all that wait behind it in one piece. */
+    private void write(String first) {
+        StringBuilder text = new StringBuilder(first).append('\n');
+        for (String line = waiting.poll(); line != null; line = waiting.poll()) {
+            text.append(line).append('\n');
+        }
+        try {
+            synchronized (out) {
+                out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            }
+        } catch (IOException e) {
+            // Nobody reads the output any more; the router goes on, and the counter tells that lines are missing.
+            dropped.incrementAndGet();
+        }
+    }
+
     /**
      * Begins a line.
      *
@@ -90,8 +132,14 @@
     @Override
     public void close() {
         writer.interrupt();
-        for (String line = waiting.poll(); line != null; line = waiting.poll()) {
-            Logger.info(line);
+        try {
+            writer.join(CLOSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        String first = waiting.poll();
+        if (first != null) {
+            write(first);
         }
     }
 
@@ -172,8 +220,9 @@
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
-            if (!waiting.offer(text.toString())) {
-                dropped.incrementAndGet();
+            String line = text.toString();
+            while (!waiting.offer(line)) {
+                dropped.addAndGet(waiting.poll() == null ? 0 : 1);
             }
         }
     }
