--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -1,7 +1,6 @@
 package org.apricotstack.core.peer;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -49,7 +48,7 @@
         if (!isLarge(ready.size())) {
             return ready;
         }
-        Map<DataCentreId, List<Peer>> byDataCentre = new TreeMap<>(Comparator.comparing(DataCentreId::value));
+        Map<DataCentreId, List<Peer>> byDataCentre = new TreeMap<>();
         for (Peer peer : ready) {
             byDataCentre
                     .computeIfAbsent(peer.dataCentre(), id -> new ArrayList<>())
@@ -72,12 +71,13 @@
 
     /** Chooses routers of one data centre: the strongest first, equal ones in an order of their own. */
     private static List<Peer> chooseOf(List<Peer> peers, int spare, EntryWeights weights) {
-        double neededPercent =
-                PERCENT * peers.stream().mapToDouble(Peer::requestsPerSecond).sum() / REQUESTS_PER_CORE;
+        double requestsPerSecond = 0;
+        for (Peer peer : peers) {
+            requestsPerSecond += peer.requestsPerSecond();
+        }
+        double neededPercent = PERCENT * requestsPerSecond / REQUESTS_PER_CORE;
         List<Peer> sorted = new ArrayList<>(peers);
-        sorted.sort(Comparator.comparingInt((Peer peer) -> -peer.capacityPercent())
-                .thenComparingLong(peer -> -weights.of(peer))
-                .thenComparing(peer -> peer.process().host()));
+        sorted.sort((one, other) -> compare(one, other, weights));
         int number = 0;
         double havePercent = 0;
         while (number < sorted.size() && (number < LEAST_EACH || havePercent < neededPercent)) {
@@ -86,4 +86,16 @@
         }
         return sorted.subList(0, Math.min(sorted.size(), number + spare));
     }
+
+    /** Puts the stronger router first, and equal ones in the order of their weights. */
+    private static int compare(Peer one, Peer other, EntryWeights weights) {
+        int byCapacity = Integer.compare(other.capacityPercent(), one.capacityPercent());
+        if (byCapacity != 0) {
+            return byCapacity;
+        }
+        int byWeight = Long.compare(weights.of(other), weights.of(one));
+        return byWeight != 0
+                ? byWeight
+                : one.process().host().compareTo(other.process().host());
+    }
 }
