--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
@@ -34,15 +34,18 @@
         Map<String, Command> commands = commands();
         JCommander parser = JCommander.newBuilder().programName(PROGRAM).build();
         commands.forEach(parser::addCommand);
+        CommandHelp help = new CommandHelp(parser);
+        if (help.answers(arguments)) {
+            return ExitCode.OK;
+        }
         try {
             parser.parse(arguments);
         } catch (ParameterException e) {
-            return usage(parser, e.getMessage());
+            return usage(parser, e.getMessage(), help.remedy(arguments));
         }
         Command command = commands.get(parser.getParsedCommand());
         if (command == null) {
-            parser.usage();
-            return arguments.length == 0 ? ExitCode.USAGE : ExitCode.OK;
+            return usage(parser, "A command is missing.", help.remedy(arguments));
         }
         if (command.isHelp()) {
             parser.getUsageFormatter().usage(parser.getParsedCommand());
@@ -57,13 +60,12 @@
     }
 
     /** Says what is wrong with the command line and how to find out what is right. */
-    private static int usage(JCommander parser, String problem) {
+    private static int usage(JCommander parser, String problem, String remedy) {
         String named = parser.getParsedCommand();
         System.err.println(problem);
         System.err.println(
                 named == null
-                        ? "Run \"bin/apricot --help\" for the commands: "
-                                + parser.getCommands().keySet() + "."
+                        ? remedy + "Run \"bin/apricot --help\" for the commands."
                         : "Run \"bin/apricot " + named + " --help\" for the options of this command.");
         return ExitCode.USAGE;
     }
--- a/apricotstack-cli/src/test/java/org/apricotstack/cli/MainTest.java
+++ b/apricotstack-cli/src/test/java/org/apricotstack/cli/MainTest.java
@@ -40,6 +40,15 @@
             delimiter = '|',
             value = {
                 "nonsense|2 Expected a command",
+                "nonsense|2 bin/apricot --help",
+                "mesure|2 Did you mean \"measure\"?",
+                "lost-wort --log x|2 Did you mean \"lost-worth\"?",
+                "--help|0 Commands:",
+                "-h|0 Commands:",
+                "help|0 Commands:",
+                "help demo|0 Runs a whole deployment",
+                "help nonsense|2 bin/apricot --help",
+                "--version|0 apricot ",
                 "router|2 The following option is required",
                 "demo --nope|2 Was passed main parameter",
                 "demo --deployment moon|2 Invalid value",
@@ -55,6 +64,15 @@
         assertThat(result).startsWith(start.substring(0, 1)).contains(expected);
     }
 
+    @Test
+    void listsAllCommandsWithALineEachIfNothingIsAsked() {
+        String listed = run();
+        assertThat(listed).startsWith("0 ");
+        assertThat(listed.lines().filter(line -> line.startsWith("  ")))
+                .hasSize(17)
+                .allMatch(line -> line.strip().split(" +", 2).length == 2);
+    }
+
     /** Settings files of the examples. */
     static Stream<Path> settings() {
         return Stream.of("registry", "cooperative").flatMap(name -> IntStream.rangeClosed(1, 6)
