--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/CommandHelp.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/CommandHelp.java
@@ -51,9 +51,8 @@
                 .append(" ".repeat(width - name.length() + 2))
                 .append(parser.getUsageFormatter().getCommandDescription(name))
                 .append('\n'));
-        return text.append(
-                        "\n\"apricot COMMAND --help\" lists the options of a command, \"apricot --version\" tells the version.\n")
-                .toString();
+        text.append("\n\"apricot COMMAND --help\" lists the options of a command.\n");
+        return text.append("\"apricot --version\" tells the version.\n").toString();
     }
 
     /** Returns the version of the program. */
