Let one router of each data centre read the platform for the others of a large fleet

Change: a router follows the platform unless one before it in the order of its data centre said in the last 2 s that it does. The reader tells its data centre of changes; who knows less asks it for what is newer. The list of usable upstreams is sorted when it is asked for, not at each of the entries read at a start.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -53,7 +53,7 @@
         log = new DecisionLog("host-" + number, System::currentTimeMillis);
         UpstreamJudge judge = new UpstreamJudge();
         PublishedState state = new PublishedState(null, new UpstreamTable(), judge, board, log);
-        hub = new NewsHub(loop, peers, board, judge, state, log, () -> true, () -> {});
+        hub = new NewsHub(loop, peers, board, judge, state, log, () -> true, () -> true, () -> {});
         server = new NewsServer(loop, ANY, hub);
         identity = new RouterIdentity(
                 new ProcessId(new HostId("host-" + number), 1),
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
@@ -45,7 +45,17 @@
                 peer.configurationRevision() > configurationRevision || peer.upstreamsRevision() > upstreamsRevision;
         boolean knowsNothing = configurationRevision == 0 || upstreamsRevision == 0;
         boolean waited = knowsNothing || nowMillis - behindSinceMillis >= behindMillis;
-        return knowsMore && waited && nowMillis - askedMillis >= ASK_MILLIS;
+        return knowsMore && waited && mayAsk(nowMillis);
+    }
+
+    /**
+     * Tells whether a peer may be asked again.
+     *
+     * @param nowMillis the time
+     * @return whether the last question is long enough ago
+     */
+    public boolean mayAsk(long nowMillis) {
+        return nowMillis - askedMillis >= ASK_MILLIS;
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/EntryRouters.java
@@ -88,7 +88,7 @@
     }
 
     /** Puts the stronger router first, and equal ones in the order of their weights. */
-    private static int compare(Peer one, Peer other, EntryWeights weights) {
+    static int compare(Peer one, Peer other, EntryWeights weights) {
         int byCapacity = Integer.compare(other.capacityPercent(), one.capacityPercent());
         if (byCapacity != 0) {
             return byCapacity;
--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PlatformReaders.java
@@ -0,0 +1,88 @@
+package org.apricotstack.core.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.apricotstack.core.id.HostId;
+
+/**
+ * Decides whether a router of a large fleet follows the platform itself, or hears of changes from another router of its
+ * data centre that does.
+ *
+ * <p>Calls to the platform are paid for, and all routers share their rate. A router follows it unless one that stands
+ * before it in the order of its data centre said lately that it does and is answered. So without an election one router
+ * of each data centre is left, the strongest; if it falls silent, or the platform turns it away, all others follow by
+ * themselves until the next one in the order has told them that it does.
+ */
+public final class PlatformReaders {
+
+    /** Time between two words of a reader to its data centre, in milliseconds. */
+    public static final long BEAT_MILLIS = 900;
+
+    /**
+     * Time for which a reader's word holds, in milliseconds: two of them may be lost. A change is in force within 3 s
+     * of its publication in the fleets that need readers; this, the look at it and one call stay below.
+     */
+    public static final long TRUST_MILLIS = 2_000;
+
+    private final EntryWeights weights = new EntryWeights();
+    private final Map<HostId, Word> words = new HashMap<>();
+
+    /**
+     * What a reader said last.
+     *
+     * @param peer the reader
+     * @param atMillis when
+     */
+    private record Word(Peer peer, long atMillis) {}
+
+    /**
+     * Takes a heartbeat in.
+     *
+     * @param peer who sent it
+     * @param reads whether the platform answers the sender, and it follows
+     * @param nowMillis the time
+     */
+    public void heard(Peer peer, boolean reads, long nowMillis) {
+        HostId host = peer.process().host();
+        if (reads) {
+            words.put(host, new Word(peer, nowMillis));
+        } else {
+            words.remove(host);
+        }
+    }
+
+    /**
+     * Tells whether a router has to follow the platform itself.
+     *
+     * @param own the router
+     * @param nowMillis the time
+     * @return whether no router before it in its data centre said lately that it does
+     */
+    public boolean mustRead(Peer own, long nowMillis) {
+        for (Word word : words.values()) {
+            if (nowMillis - word.atMillis() < TRUST_MILLIS && isBefore(word.peer(), own)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Tells whether a router relies on another one for what the platform says.
+     *
+     * @param own the router
+     * @param peer the other one
+     * @param nowMillis the time
+     * @return whether the other one is a reader before it in its data centre
+     */
+    public boolean reliesOn(Peer own, Peer peer, long nowMillis) {
+        Word word = words.get(peer.process().host());
+        return word != null && nowMillis - word.atMillis() < TRUST_MILLIS && isBefore(peer, own);
+    }
+
+    /** Tells whether a router stands before another one of the same data centre. */
+    private boolean isBefore(Peer one, Peer other) {
+        return one.dataCentre().equals(other.dataCentre()) && EntryRouters.compare(one, other, weights) < 0;
+    }
+}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -34,7 +34,7 @@
     private final Map<UpstreamId, Long> lapsedUntilMillis = new HashMap<>();
     private final Map<UpstreamId, Long> removedRevisions = new HashMap<>();
     private List<UpstreamEntry> ended = new ArrayList<>();
-    private Map<ServiceId, List<UpstreamEntry>> usable = Map.of();
+    private Map<ServiceId, List<UpstreamEntry>> usable;
     private long revision;
     private long holdMissingUntilMillis = Long.MIN_VALUE;
 
@@ -113,7 +113,7 @@
         entries.put(name, entry);
         lapsedUntilMillis.remove(name);
         removedRevisions.remove(name);
-        rebuild();
+        usable = null;
         return true;
     }
 
@@ -134,7 +134,7 @@
         ended.add(entries.remove(name));
         lapsedUntilMillis.remove(name);
         removedRevisions.put(name, removalRevision);
-        rebuild();
+        usable = null;
         return true;
     }
 
@@ -156,10 +156,29 @@
             }
         }
         if (dropped) {
-            rebuild();
+            usable = null;
         }
     }
 
+    /**
+     * Returns how many upstreams are listed, draining ones and those that are held after an outage too.
+     *
+     * @return upstreams
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    /**
+     * Finds the listed start of an upstream.
+     *
+     * @param name the upstream, whichever start
+     * @return its entry, or {@code null} if it is not listed
+     */
+    public UpstreamEntry listed(UpstreamId name) {
+        return entries.get(name.anyStart());
+    }
+
     /**
      * Hands over the starts that are no longer listed: of upstreams that are gone, and of those that started again.
      *
@@ -171,8 +190,8 @@
         return taken;
     }
 
-    /** Lists the usable upstreams by service anew, each list in the order of ids, which all routers share. */
-    private void rebuild() {
+    /** Lists the usable upstreams by service, each list in the order of ids, which all routers share. */
+    private Map<ServiceId, List<UpstreamEntry>> listUsable() {
         Map<ServiceId, List<UpstreamEntry>> lists = new TreeMap<>();
         for (UpstreamEntry entry : entries.values()) {
             if (!entry.draining()) {
@@ -181,7 +200,7 @@
             }
         }
         lists.values().forEach(list -> list.sort(Comparator.comparing(UpstreamEntry::id)));
-        usable = lists;
+        return lists;
     }
 
     /**
@@ -191,6 +210,9 @@
      * @return the entries, in an order that all routers share
      */
     public List<UpstreamEntry> usable(ServiceId service) {
+        if (usable == null) {
+            usable = listUsable();
+        }
         return usable.getOrDefault(service, List.of());
     }
 
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PlatformReadersTest.java
@@ -0,0 +1,90 @@
+package org.apricotstack.core.peer;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PlatformReadersTest {
+
+    private static final DataCentreId EAST = new DataCentreId("east");
+    private static final DataCentreId WEST = new DataCentreId("west");
+
+    private final PlatformReaders readers = new PlatformReaders();
+    private final Peer strong = peer("strong", EAST, 150);
+    private final Peer middle = peer("middle", EAST, 75);
+    private final Peer weak = peer("weak", EAST, 36);
+    private final Peer elsewhere = peer("elsewhere", WEST, 150);
+
+    private static Peer peer(String host, DataCentreId dataCentre, int capacityPercent) {
+        Address address = new Address("127.0.0.1", 1);
+        return new Peer(
+                new ProcessId(new HostId(host), 1),
+                dataCentre,
+                address,
+                address,
+                true,
+                1,
+                1,
+                capacityPercent,
+                0,
+                true,
+                500);
+    }
+
+    @Test
+    void readsUnlessOneBeforeItInItsDataCentreSaysThatItDoes() {
+        assertThat(readers.mustRead(middle, 0)).isTrue();
+        readers.heard(elsewhere, true, 0);
+        readers.heard(weak, true, 0);
+        assertThat(readers.mustRead(middle, 0)).isTrue();
+        readers.heard(strong, true, 0);
+        assertThat(readers.mustRead(middle, 0)).isFalse();
+        assertThat(readers.mustRead(weak, 0)).isFalse();
+        assertThat(readers.mustRead(strong, 0)).isTrue();
+    }
+
+    /** Of all that read at a start exactly one of each data centre is left, whoever is heard first. */
+    @Test
+    void leavesOneOfThoseThatAllRead() {
+        for (Peer peer : new Peer[] {weak, strong, middle, elsewhere}) {
+            readers.heard(peer, true, 0);
+        }
+        assertThat(new Peer[] {strong, middle, weak, elsewhere})
+                .filteredOn(peer -> readers.mustRead(peer, 0))
+                .containsExactly(strong, elsewhere);
+    }
+
+    /**
+     * Symptom: a change of the configuration is not in force after its bound. Sequence: the router that reads for its
+     * data centre falls silent, or the platform turns it away. Cause to be excluded: the others go on to wait for its
+     * word.
+     */
+    @Test
+    void readsAgainOnceTheReaderIsSilentOrTurnedAway() {
+        readers.heard(strong, true, 0);
+        assertThat(readers.mustRead(weak, PlatformReaders.TRUST_MILLIS - 1)).isFalse();
+        assertThat(readers.mustRead(weak, PlatformReaders.TRUST_MILLIS)).isTrue();
+        readers.heard(strong, true, 5_000);
+        readers.heard(middle, true, 5_000);
+        readers.heard(strong, false, 5_001);
+        assertThat(readers.mustRead(weak, 5_001)).isFalse();
+        assertThat(readers.mustRead(middle, 5_001)).isTrue();
+        readers.heard(middle, false, 5_002);
+        assertThat(readers.mustRead(weak, 5_002)).isTrue();
+    }
+
+    @Test
+    void reliesOnlyOnReadersThatItWasToldOf() {
+        readers.heard(strong, true, 0);
+        readers.heard(weak, true, 0);
+        assertThat(readers.reliesOn(middle, strong, 0)).isTrue();
+        assertThat(readers.reliesOn(middle, weak, 0)).isFalse();
+        assertThat(readers.reliesOn(middle, elsewhere, 0)).isFalse();
+        assertThat(readers.reliesOn(middle, strong, PlatformReaders.TRUST_MILLIS))
+                .isFalse();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -88,8 +88,9 @@
         connections = new UpstreamConnections(loop);
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(
-                loop, ports.source().apply(calls), state, log, random, this::knownRouters, this::gatherMillis);
-        hub = new NewsHub(loop, peers, board, judge, state, log, this::ready, follower::restartIfSilent);
+                loop, ports.source().apply(calls), state, log, random, this::platformReaders, this::mustReadPlatform);
+        hub = new NewsHub(
+                loop, peers, board, judge, state, log, this::ready, follower::reads, follower::restartIfSilent);
         RunContext context = new RunContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -128,6 +129,8 @@
         metrics.gauge("upstreams.connections_opened", connections::opened);
         metrics.gauge("platform.calls", follower::calls);
         metrics.gauge("platform.faults", follower::faults);
+        metrics.gauge("platform.followed", () -> follower.reads() ? 1 : 0);
+        metrics.gauge("upstreams.listed", state::upstreamsListed);
         metrics.gauge("configuration.revision", state::configurationRevision);
         metrics.gauge("upstreams.revision", state::upstreamsRevision);
         metrics.gauge("documents.rejected", state::rejected);
@@ -164,14 +167,14 @@
         return identity;
     }
 
-    /** Returns how many routers are known. */
-    private int knownRouters() {
-        return hub.knownRouters();
+    /** Returns how many routers follow the platform at the same time. */
+    private int platformReaders() {
+        return hub.platformReaders();
     }
 
-    /** Returns for how long changes of the platform are gathered. */
-    private long gatherMillis() {
-        return hub.standsBy() ? NewsHub.STAND_BY_GATHER_MILLIS : 0;
+    /** Tells whether this router has to follow the platform itself. */
+    private boolean mustReadPlatform() {
+        return hub.mustReadPlatform();
     }
 
     /** Drops what leads to a start of an upstream that is over. */
@@ -191,7 +194,9 @@
             log.line("stood_still").put("millis", still).write();
             follower.readAgain();
         }
+        follower.look();
         state.dropLapsed(now);
+        hub.tellNewReadings();
         callers.checkTimes();
         connections.closeExpired();
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
@@ -90,6 +90,16 @@
         links.sendToAll(own.frame(takesCallers, intervalMillis.getAsLong()));
     }
 
+    /** Sends a heartbeat to the routers of this data centre, which rely on what this one reads of the platform. */
+    void beatToDataCentre() {
+        EncodedFrame frame = greeting();
+        for (Address address : links.addressesIn(own.dataCentre())) {
+            if (!address.equals(ownAddress)) {
+                port.send(address, frame);
+            }
+        }
+    }
+
     /** Sends a heartbeat to those whose turn it is, or to all, as when it says something else than the last one. */
     private void send(boolean toAll, long nowMillis) {
         boolean everywhere = update(nowMillis) || toAll;
@@ -176,6 +186,6 @@
 
     /** Returns a heartbeat that begins a stream. */
     EncodedFrame greeting() {
-        return own.frame(takesCallers, intervalMillis.getAsLong());
+        return own.frame(takesCallers, intervalMillis.getAsLong() * (takesCallers ? 1 : RARE_BEATS));
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -13,10 +13,9 @@
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.peer.CatchUp;
-import org.apricotstack.core.peer.EntryRouters;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.peer.PlatformReaders;
 import org.apricotstack.core.peer.RequestRate;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.serving.http.ServingLoop;
@@ -33,13 +32,6 @@
 /** Sends this router's news to all others and takes theirs in. */
 public final class NewsHub implements NewsSink, PlacementNews, AutoCloseable {
 
-    /**
-     * Time in which a router that stands by gathers changes of the platform, in milliseconds. A release of 22 upstreams
-     * is some 70 changes, and each would cost each router a call. With {@link CatchUp#BEHIND_MILLIS} and the time of a
-     * call it stays below the two seconds within which changes have to be in force.
-     */
-    public static final long STAND_BY_GATHER_MILLIS = 1_000;
-
     /** Addresses in the first heartbeat of a router from which on it need not be told of others: more than seeds. */
     private static final int KNOWS_FEW = 5;
 
@@ -56,7 +48,9 @@
     private final OpenPlacements open = new OpenPlacements();
     private final StartPhase start;
     private final BooleanSupplier ready;
+    private final BooleanSupplier readsPlatform;
     private HeartbeatSender heartbeats;
+    private PlatformNews readings;
     private NewsFrame.Builder pending;
     private long placementsHeard;
     private long spanMillis;
@@ -72,6 +66,7 @@
      * @param state takes documents that others know
      * @param log takes changes of what is believed
      * @param ready whether this router takes callers
+     * @param readsPlatform whether the platform answers this router, and it follows
      * @param whenBehind called when peers know more than the platform told here
      */
     public NewsHub(
@@ -82,6 +77,7 @@
             PublishedState state,
             DecisionLog log,
             BooleanSupplier ready,
+            BooleanSupplier readsPlatform,
             Runnable whenBehind) {
         this.loop = loop;
         this.peers = peers;
@@ -90,6 +86,7 @@
         this.state = state;
         this.log = log;
         this.ready = ready;
+        this.readsPlatform = readsPlatform;
         this.documents = new PeerDocuments(loop, state, log, whenBehind);
         this.links = new NewsLinks(loop, peers, this::openPlacements);
         this.heardLog = new PeerLog(log);
@@ -106,11 +103,37 @@
      */
     public void start(RouterIdentity identity, HeartbeatPort port) {
         port.take(frame -> frame(frame, new NewsStream()));
-        OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, open::isEmpty);
+        OwnHeartbeat own =
+                new OwnHeartbeat(loop, identity, peers, state, ready, requests, open::isEmpty, readsPlatform);
         peers.mention(identity.peerAddress());
         heartbeats =
                 new HeartbeatSender(this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis);
+        readings = new PlatformNews(loop, this, state, documents, links, heartbeats, readsPlatform, this::knownRouters);
         beat();
+        loop.every(PlatformReaders.BEAT_MILLIS, readings::tell);
+    }
+
+    /** Tells the routers of this data centre at once if more of the platform is known than they were told of. */
+    public void tellNewReadings() {
+        readings.tellChanges();
+    }
+
+    /**
+     * Returns how many routers follow the platform at the same time, about.
+     *
+     * @return all of a small fleet, one of each data centre of a large one
+     */
+    public int platformReaders() {
+        return readings == null ? 1 : readings.readers();
+    }
+
+    /**
+     * Tells whether this router has to follow the platform itself.
+     *
+     * @return whether the fleet is small, or no other router of this data centre does so for it
+     */
+    public boolean mustReadPlatform() {
+        return readings == null || readings.mustRead();
     }
 
     /** Sends a heartbeat and plans the next. */
@@ -160,7 +183,7 @@
             return;
         }
         try {
-            if (frame.hasHeartbeat()) {
+            if (frame.hasHeartbeat() && heartbeats != null) {
                 takeHeartbeat(frame.getHeartbeat(), stream);
             }
             if (stream.sender() != null) {
@@ -190,10 +213,7 @@
             board.removeProcess(before, now);
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
-        long behindMillis = CatchUp.BEHIND_MILLIS + (standsBy() ? STAND_BY_GATHER_MILLIS : 0);
-        if (documents.isToAsk(peer, behindMillis)) {
-            documents.ask(peer, links.open(peer.peerAddress(), this), heartbeats.greeting());
-        }
+        readings.heard(peer, beat.getReadsPlatform(), beat.getUpstreamsListed());
         if (beat.getNothingPlaced()) {
             start.toldBy(process.host());
         }
@@ -313,15 +333,6 @@
         return heartbeats != null && heartbeats.takesCallers();
     }
 
-    /**
-     * Tells whether others decide on requests and this router does not; it then need not hear of changes at once.
-     *
-     * @return whether this router of a large fleet stands by
-     */
-    public boolean standsBy() {
-        return !takesCallers() && EntryRouters.isLarge(knownRouters());
-    }
-
     /**
      * Returns how many other routers can be told of placements now.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsLinks.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -72,6 +74,19 @@
         });
     }
 
+    /** Lists the addresses of the routers of a data centre that were heard. */
+    List<Address> addressesIn(DataCentreId dataCentre) {
+        return heard.values().stream()
+                .filter(peer -> peer.dataCentre().equals(dataCentre))
+                .map(Peer::peerAddress)
+                .toList();
+    }
+
+    /** Returns in how many data centres routers were heard. */
+    int dataCentres() {
+        return (int) heard.values().stream().map(Peer::dataCentre).distinct().count();
+    }
+
     /** Tells whether there is a stream to the router at an address, open or not. */
     boolean has(Address address) {
         return links.containsKey(address);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.RequestRate;
@@ -44,6 +45,7 @@
     private final BooleanSupplier ready;
     private final RequestRate requests;
     private final BooleanSupplier nothingPlaced;
+    private final BooleanSupplier readsPlatform;
     private List<Address> told = List.of();
     private int nextAddress;
     private long beats;
@@ -56,9 +58,11 @@
             PublishedState state,
             BooleanSupplier ready,
             RequestRate requests,
-            BooleanSupplier nothingPlaced) {
+            BooleanSupplier nothingPlaced,
+            BooleanSupplier readsPlatform) {
         this.loop = loop;
         this.nothingPlaced = nothingPlaced;
+        this.readsPlatform = readsPlatform;
         this.self = self;
         this.peers = peers;
         this.state = state;
@@ -78,6 +82,11 @@
         return ready.getAsBoolean();
     }
 
+    /** Returns where this router stands. */
+    DataCentreId dataCentre() {
+        return self.dataCentre();
+    }
+
     /** Returns this router as others hear of it. */
     Peer peer(boolean takesCallers, long nextMillis) {
         return new Peer(
@@ -113,8 +122,10 @@
 
     /** Writes a heartbeat that tells some addresses. */
     private EncodedFrame frame(boolean takesCallers, long nextMillis, List<Address> addresses) {
-        Heartbeat.Builder beat =
-                NewsMessages.heartbeat(peer(takesCallers, nextMillis)).setNothingPlaced(nothingPlaced.getAsBoolean());
+        Heartbeat.Builder beat = NewsMessages.heartbeat(peer(takesCallers, nextMillis))
+                .setNothingPlaced(nothingPlaced.getAsBoolean())
+                .setReadsPlatform(readsPlatform.getAsBoolean())
+                .setUpstreamsListed(state.upstreamsListed());
         if (takesCallers) {
             peers.silent(MOST_SILENT, loop.nowMillis()).forEach(host -> beat.addSilentHosts(host.value()));
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PeerDocuments.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PeerDocuments.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.CatchUp;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.serving.http.ServingLoop;
@@ -20,6 +21,7 @@
     private final DecisionLog log;
     private final Runnable whenBehind;
     private final CatchUp catchUp = new CatchUp();
+    private boolean needsWhole;
 
     /** Creates the exchange of documents. */
     PeerDocuments(ServingLoop loop, PublishedState state, DecisionLog log, Runnable whenBehind) {
@@ -35,12 +37,22 @@
                 peer, state.configurationRevision(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
     }
 
+    /** Tells whether to ask a reader that lists other upstreams at the same revision: some did not come back there. */
+    boolean listsOthers(Peer reader, int listed) {
+        return reader.upstreamsRevision() == state.upstreamsRevision()
+                && listed != state.upstreamsListed()
+                && catchUp.mayAsk(loop.nowMillis());
+    }
+
     /** Asks a peer for what it knows and this router does not. */
     void ask(Peer peer, NewsLink link, EncodedFrame greeting) {
+        // One revision less than known, as a list may differ at the same revision.
+        long known = Math.max(0, state.upstreamsRevision() - 1);
         NewsFrame request = NewsFrame.newBuilder()
                 .setDocuments(DocumentRequest.newBuilder()
                         .setConfigurationRevision(state.configurationRevision())
-                        .setUpstreamsRevision(state.upstreamsRevision()))
+                        .setUpstreamsRevision(needsWhole ? 0 : known)
+                        .setNewerOnly(known > 0 && !needsWhole))
                 .build();
         if (link.ask(greeting, request)) {
             catchUp.asked(loop.nowMillis());
@@ -63,7 +75,14 @@
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
             reply.setUpstreamsRevision(state.upstreamsRevision());
-            state.upstreamDocuments().forEach(upstream -> reply.addUpstreams(NewsMessages.document(upstream)));
+            for (Publication upstream : state.upstreamDocuments()) {
+                if (request.getNewerOnly()) {
+                    reply.addUpstreamNames(upstream.upstream().value());
+                }
+                if (!request.getNewerOnly() || upstream.revision() > request.getUpstreamsRevision()) {
+                    reply.addUpstreams(NewsMessages.document(upstream));
+                }
+            }
         }
         return reply.build();
     }
@@ -73,12 +92,20 @@
         if (reply.hasConfiguration()) {
             state.take(NewsMessages.publication(reply.getConfiguration()), source);
         }
-        if (reply.getUpstreamsRevision() > state.upstreamsRevision()) {
-            List<Publication> upstreams = reply.getUpstreamsList().stream()
-                    .map(NewsMessages::publication)
-                    .toList();
-            state.takeAllUpstreams(upstreams, reply.getUpstreamsRevision(), source, loop.nowMillis());
-            state.caughtUp(reply.getUpstreamsRevision());
+        if (reply.getUpstreamsRevision() == 0 || reply.getUpstreamsRevision() < state.upstreamsRevision()) {
+            return;
+        }
+        List<Publication> upstreams =
+                reply.getUpstreamsList().stream().map(NewsMessages::publication).toList();
+        if (reply.getUpstreamNamesCount() > 0) {
+            List<UpstreamId> names =
+                    reply.getUpstreamNamesList().stream().map(UpstreamId::new).toList();
+            needsWhole = !state.takeChangedUpstreams(
+                    upstreams, names, reply.getUpstreamsRevision(), source, loop.nowMillis());
+            return;
         }
+        needsWhole = false;
+        state.takeAllUpstreams(upstreams, reply.getUpstreamsRevision(), source, loop.nowMillis());
+        state.caughtUp(reply.getUpstreamsRevision());
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -1,8 +1,8 @@
 package org.apricotstack.serving.publication;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
-import java.util.function.LongSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotstack.serving.http.ServingLoop;
@@ -53,13 +53,14 @@
     private final DecisionLog log;
     private final UniformRandomProvider random;
     private final IntSupplier routers;
-    private final LongSupplier gatherMillis;
+    private final BooleanSupplier mustRead;
     private final Disposable.Swap call = Disposables.swap();
     private long known;
     private boolean readAll = true;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long lastAnswerMillis;
     private boolean away;
+    private boolean idle;
     private long restartedMillis = Long.MIN_VALUE / 2;
     private long round;
     private long calls;
@@ -73,8 +74,8 @@
      * @param state takes what is read
      * @param log takes losses and returns of the platform
      * @param random spreads the calls of many routers
-     * @param routers how many routers are known
-     * @param gatherMillis least pause before the next wait after a change, in milliseconds
+     * @param routers how many routers follow at the same time
+     * @param mustRead whether this router has to follow the platform, and does not hear of changes from another one
      */
     public PublicationFollower(
             ServingLoop loop,
@@ -83,14 +84,14 @@
             DecisionLog log,
             UniformRandomProvider random,
             IntSupplier routers,
-            LongSupplier gatherMillis) {
+            BooleanSupplier mustRead) {
         this.loop = loop;
         this.source = source;
         this.state = state;
         this.log = log;
         this.random = random;
         this.routers = routers;
-        this.gatherMillis = gatherMillis;
+        this.mustRead = mustRead;
         this.lastAnswerMillis = loop.nowMillis();
     }
 
@@ -99,9 +100,13 @@
         next();
     }
 
-    /** Makes the next call. */
+    /** Makes the next call, or none while another router tells what the platform says. */
     private void next() {
         long mine = ++round;
+        idle = known > 0 && !mustRead.getAsBoolean();
+        if (idle) {
+            return;
+        }
         calls++;
         call.update(
                 readAll
@@ -162,7 +167,7 @@
         if (changes.documents().isEmpty() || readAll) {
             next();
         } else {
-            nextAfter(mine, Math.max(GATHER_MILLIS, gatherMillis.getAsLong()));
+            nextAfter(mine, GATHER_MILLIS);
         }
     }
 
@@ -208,10 +213,28 @@
         });
     }
 
+    /** Looks whether this router has to follow the platform again; called some times a second. */
+    public void look() {
+        if (idle && mustRead.getAsBoolean()) {
+            // It was not the platform that was silent meanwhile.
+            lastAnswerMillis = loop.nowMillis();
+            next();
+        }
+    }
+
+    /**
+     * Tells whether this router follows the platform and is answered.
+     *
+     * @return whether others may rely on it
+     */
+    public boolean reads() {
+        return !idle && !away && !readAll;
+    }
+
     /** Gives a call up that seems dead, as peers know of changes that it should have told, and makes another. */
     public void restartIfSilent() {
         long now = loop.nowMillis();
-        if (!away && now - restartedMillis > RESTART_MILLIS) {
+        if (!idle && !away && now - restartedMillis > RESTART_MILLIS) {
             restartedMillis = now;
             log.line("platform_wait_restarted").put("known", known).write();
             next();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.publication;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -275,6 +276,52 @@
                 .write();
     }
 
+    /**
+     * Takes in what changed of the list of upstreams; listed ones that are not named are gone.
+     *
+     * @param changed the documents that are newer than what is known here
+     * @param names all upstreams
+     * @param revision the platform's revision up to which the list is complete
+     * @param source who brought it, for the log
+     * @param nowMillis the time
+     * @return whether the list could be put together; otherwise nothing changed, and the whole list is needed
+     */
+    public boolean takeChangedUpstreams(
+            List<Publication> changed, Collection<UpstreamId> names, long revision, String source, long nowMillis) {
+        Set<UpstreamId> brought = new HashSet<>();
+        changed.forEach(document -> brought.add(document.upstream()));
+        List<UpstreamEntry> entries = new ArrayList<>();
+        for (UpstreamId name : names) {
+            UpstreamEntry listed = upstreams.listed(name);
+            if (listed == null && !brought.contains(name)) {
+                return false;
+            }
+            if (listed != null) {
+                entries.add(listed);
+            }
+        }
+        changed.forEach(document -> take(document, source));
+        for (UpstreamId name : brought) {
+            UpstreamEntry listed = upstreams.listed(name);
+            if (listed != null) {
+                entries.add(listed);
+            }
+        }
+        upstreams.replaceAll(entries, revision, nowMillis);
+        upstreams.caughtUp(revision);
+        forgetEnded(source);
+        return true;
+    }
+
+    /**
+     * Returns how many upstreams are listed.
+     *
+     * @return upstreams
+     */
+    public int upstreamsListed() {
+        return upstreams.size();
+    }
+
     /**
      * Notes that all changes up to a revision are known.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
@@ -40,7 +40,8 @@
     private final UpstreamJudge judge = new UpstreamJudge();
     private final EngineBoard board = new EngineBoard();
     private final PublishedState state = new PublishedState(null, upstreams, judge, board, log);
-    private final NewsHub hub = new NewsHub(loop, new PeerTable(), board, judge, state, log, () -> true, () -> {});
+    private final NewsHub hub =
+            new NewsHub(loop, new PeerTable(), board, judge, state, log, () -> true, () -> true, () -> {});
 
     @BeforeEach
     void listTheEngine() {
