End a request after twelve refused connections, not after four

Long prompts come at three times their rate while 6, then 4 of 23 engines are lost. The four that crash together are tried again at the same moment, each refuses the connection within 4 ms, and nine of 93 longest prompts were refused (attempts_used) with 10 to 13 s left while 18 engines ran. Change: twelve sends that reach nobody instead of four. Each goes to another upstream, as before. Ruled out: retries (a refused connection spends no retry budget), avoidance (all four were avoided and came free together). Test: AttemptCountTest, failed before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -10,8 +10,12 @@
     /** Less time than this is not worth a send, in milliseconds. */
     static final long LEAST_LEFT_MILLIS = 5;
 
-    /** Sends that reach no upstream at all and count for no attempt, at most. */
-    private static final int MOST_UNCONNECTED = 4;
+    /**
+     * Sends that reach no upstream at all and count for no attempt, at most. Each costs a few milliseconds and goes to
+     * another upstream; engines that are lost together are also tried again together, and a prompt that meets them all
+     * still has the time for the next one.
+     */
+    private static final int MOST_UNCONNECTED = 12;
 
     private final Route route;
     private int sent;
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/AttemptCountTest.java
@@ -0,0 +1,67 @@
+package org.apricotstack.serving.run;
+
+import java.util.List;
+
+import org.apricotstack.core.route.RequestKind;
+import org.apricotstack.core.route.Route;
+import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.serving.observe.RefusalCause;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AttemptCountTest {
+
+    private static final long LEFT_MILLIS = 10_000;
+    private static final int MAX_ATTEMPTS = 2;
+
+    private final AttemptCount attempts = new AttemptCount(new Route(
+            "reviews",
+            "a.example",
+            "/",
+            RequestKind.STREAMING,
+            15_000,
+            3_000,
+            1,
+            List.of(),
+            MAX_ATTEMPTS,
+            false,
+            true,
+            1_000));
+
+    private RefusalCause fail(FailureKind kind) {
+        attempts.send();
+        attempts.failed(kind);
+        return attempts.whyNotAgain(kind, LEFT_MILLIS);
+    }
+
+    /**
+     * Symptom: the longest prompts of an overload are refused with ten seconds left while 18 of 22 engines run.
+     * Sequence: four engines crash at once and are tried again at the same moment, each refuses the connection. Cause:
+     * four sends that reached nobody ended the request.
+     */
+    @Test
+    void goesOnAfterAsManyRefusedConnectionsAsEnginesAreLostTogether() {
+        for (int i = 0; i < 6; i++) {
+            assertThat(fail(FailureKind.NO_CONNECTION)).isNull();
+        }
+        assertThat(attempts.sent()).isZero();
+        assertThat(attempts.mayHaveRun()).isFalse();
+    }
+
+    @Test
+    void givesUpInTheEndIfNobodyTakesAConnection() {
+        RefusalCause cause = null;
+        for (int i = 0; i < 100 && cause == null; i++) {
+            cause = fail(FailureKind.NO_CONNECTION);
+        }
+        assertThat(cause).isEqualTo(RefusalCause.ATTEMPTS_USED);
+    }
+
+    @Test
+    void countsSendsThatReachedAnUpstream() {
+        assertThat(fail(FailureKind.NO_CONNECTION)).isNull();
+        assertThat(fail(FailureKind.RESET)).isNull();
+        assertThat(fail(FailureKind.RESET)).isEqualTo(RefusalCause.ATTEMPTS_USED);
+    }
+}
