--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Supplier;
 
 /** Runs the measurements behind the page on capacity. */
 public final class Measurements {
@@ -37,6 +38,16 @@
         print(files.write("news", new NewsMeasurement().run()));
     }
 
+    /**
+     * Measures starts of routers as processes of their own.
+     *
+     * @param fleets starts a fleet without routers
+     * @param mostRouters size of the largest fleet
+     */
+    public void starts(Supplier<RouterPrograms> fleets, int mostRouters) {
+        print(files.write("start", new StartMeasurement(fleets, mostRouters).run()));
+    }
+
     /** Prints lines. */
     private void print(List<Slope> slopes) {
         for (Slope slope : slopes) {
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
@@ -13,9 +13,15 @@
     @Parameter(names = "--out", description = "Folder for the results.")
     private String out = "docs/measurements";
 
-    @Parameter(names = "--only", description = "state, control or news; all if left out.")
+    @Parameter(names = "--only", description = "state, control, news or starts; the first three if left out.")
     private String only = "";
 
+    @Parameter(names = "--program", description = "Folder of the sources whose built program is started.")
+    private String folder = "";
+
+    @Parameter(names = "--most-routers", description = "Largest fleet of starts; a router takes some 80 MB.")
+    private int mostRouters = 40;
+
     @Override
     int run() {
         Measurements measurements = new Measurements(Path.of(out), System.out);
@@ -28,6 +34,10 @@
         if (only.isEmpty() || only.equals("news")) {
             measurements.news();
         }
+        if (only.equals("starts")) {
+            DeployedProgram program = new DeployedProgram(Path.of(folder).toAbsolutePath());
+            measurements.starts(program::fleet, mostRouters);
+        }
         return ExitCode.OK;
     }
 }
--- a/apricotstack-cli/src/test/java/org/apricotstack/cli/MainTest.java
+++ b/apricotstack-cli/src/test/java/org/apricotstack/cli/MainTest.java
@@ -49,6 +49,7 @@
                 "help demo|0 Runs a whole deployment",
                 "help nonsense|2 bin/apricot --help",
                 "--version|0 apricot ",
+                "measure --only starts --program /nowhere|3 Cannot read /nowhere/deploy/system.toml",
                 "router|2 The following option is required",
                 "demo --nope|2 Was passed main parameter",
                 "demo --deployment moon|2 Invalid value",
