Forget a router only when heartbeats that it sends seldom are missing

Cause: found on reading the change: above some 165 hosts two routers that stand by in different data centres hear of each other less often than the two minutes after which an address is forgotten, so the fleet would take itself for a smaller one. Change: who sends seldom is kept until its own time of suspicion. Fleets of fewer hosts behave as before. Test: PeerTableTest.keepsRoutersThatSendHeartbeatsSeldom, failed before.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -32,7 +32,10 @@
     /** Silence after which a router's placements are taken off, in milliseconds. */
     public static final long GONE_MILLIS = 4_000;
 
-    /** Silence after which its address is no longer tried, in milliseconds; longer than any usual outage. */
+    /**
+     * Least silence after which its address is no longer tried, in milliseconds; longer than any usual outage. One that
+     * sends heartbeats more seldom is kept until some of them are missing.
+     */
     public static final long FORGET_MILLIS = 120_000;
 
     /** Routers that callers are told at least, if there are so many: one alone would be a single point of failure. */
@@ -55,6 +58,11 @@
             return Math.max(SUSPECT_MILLIS, (long) (SUSPECT_BEATS * peer.nextMillis()));
         }
 
+        /** Returns the silence after which its address is no longer tried, in milliseconds. */
+        private long forgetMillis() {
+            return Math.max(FORGET_MILLIS, suspectMillis());
+        }
+
         /** Returns the silence after which its placements are taken off, in milliseconds. */
         private long goneMillis() {
             return Math.max(GONE_MILLIS, suspectMillis());
@@ -169,7 +177,7 @@
             if (silence > one.goneMillis()) {
                 gone.add(one.peer().process());
             }
-            if (silence > FORGET_MILLIS) {
+            if (silence > one.forgetMillis()) {
                 it.remove();
                 addresses.remove(one.peer().peerAddress());
             }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -151,4 +151,17 @@
         table.toldSilent(new HostId("host-2"), PeerTable.SUSPECT_MILLIS - 1);
         assertThat(named(EAST, PeerTable.SUSPECT_MILLIS - 1)).containsExactly("127.0.0.1");
     }
+
+    /**
+     * Symptom: a large fleet takes itself for a small one, and all of its routers take callers. Sequence: routers that
+     * stand by in different data centres hear of each other every three minutes. Cause: they were forgotten after two.
+     */
+    @Test
+    void keepsRoutersThatSendHeartbeatsSeldom() {
+        table.heartbeat(peer(1, 1, EAST, true, 197_000), 0);
+        table.expire(197_000);
+        assertThat(table.addresses()).hasSize(1);
+        table.expire(3 * 197_000);
+        assertThat(table.addresses()).isEmpty();
+    }
 }
