Say in an introduction when the next heartbeat comes at the latest

Cause: found on reading the change: a router that stands by told a new one of the others and of a next heartbeat after one beat, though it follows after up to twelve, so the new one suspected it in between. Change: the introduction says twelve beats. Routers that take callers say what they said. Test: HeartbeatSenderTest.saysInAnIntroductionThatTheNextHeartbeatMayBeFar (not run without the change).

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
@@ -205,11 +205,19 @@
 
     /** Tells a router that was not heard before of the others. */
     void introduce(Peer peer) {
-        port.send(peer.peerAddress(), own.introduction(takesCallers, intervalMillis.getAsLong()));
+        port.send(peer.peerAddress(), own.introduction(takesCallers, longestMillis()));
     }
 
     /** Returns a heartbeat that begins a stream. */
     EncodedFrame greeting() {
-        return own.frame(takesCallers, intervalMillis.getAsLong() * (takesCallers ? 1 : RARE_BEATS));
+        return own.frame(takesCallers, longestMillis());
+    }
+
+    /**
+     * Returns the time until the next heartbeat to whichever router of this data centre hears of this one least
+     * often.
+     */
+    private long longestMillis() {
+        return intervalMillis.getAsLong() * (takesCallers ? 1 : RARE_BEATS);
     }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
@@ -173,6 +173,25 @@
         assertThat(arrived).extracting(Heartbeat::getNextMillis).containsOnly(expectedNextMillis);
     }
 
+    /**
+     * Symptom: a router that stands by is suspected a few seconds after it was heard first. Sequence: one that has just
+     * started is told of the others at once, by all of them. Cause: what they said of their next heartbeat was too
+     * soon.
+     */
+    @Test
+    void saysInAnIntroductionThatTheNextHeartbeatMayBeFar() throws InterruptedException {
+        Peer young = peer("receiver", EAST, receiver.address(), 5, false);
+        HeartbeatSender sender = sender(10);
+        onLoop(() -> {
+            sender.introduce(young);
+            port.send(
+                    receiver.address(),
+                    EncodedFrame.of(NewsFrame.newBuilder().addEnded(1).build()));
+        });
+        assertThat(last.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(arrived).singleElement().extracting(Heartbeat::getNextMillis).isEqualTo(12_000);
+    }
+
     /**
      * Symptom: routers that start together use twice the processor time of one that starts alone. Sequence: each has
      * heard of few others, so takes itself for part of a small fleet, and opens streams to all of them. Cause: streams
