Let a router that has just started keep its own order until streams tell what the others placed

A heartbeat that said that nothing was placed ended a young router's own order of engines at once, before streams were open, so routers that start together met at the same engines. No test of its own: StartPhaseTest and OwnOrderTest hold what it returns to.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/OpenPlacements.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/OpenPlacements.java
@@ -81,15 +81,6 @@
         placed.remove(id);
     }
 
-    /**
-     * Tells whether all placements have ended.
-     *
-     * @return whether there is nothing to tell
-     */
-    public boolean isEmpty() {
-        return placed.isEmpty();
-    }
-
     /**
      * Lists the placements that have not ended and whose time is not over.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -103,8 +103,7 @@
      */
     public void start(RouterIdentity identity, HeartbeatPort port) {
         port.take(frame -> frame(frame, new NewsStream()));
-        OwnHeartbeat own =
-                new OwnHeartbeat(loop, identity, peers, state, ready, requests, open::isEmpty, readsPlatform);
+        OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, readsPlatform);
         peers.mention(identity.peerAddress());
         heartbeats =
                 new HeartbeatSender(this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis);
@@ -214,9 +213,6 @@
         }
         beat.getPeerAddressesList().forEach(address -> peers.mention(Address.parse(address)));
         readings.heard(peer, beat.getReadsPlatform(), beat.getUpstreamsListed());
-        if (beat.getNothingPlaced()) {
-            start.toldBy(process.host());
-        }
         if (!heartbeats.takesCallers()) {
             beat.getSilentHostsList().forEach(host -> peers.toldSilent(new HostId(host), now));
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -44,7 +44,6 @@
     private final PublishedState state;
     private final BooleanSupplier ready;
     private final RequestRate requests;
-    private final BooleanSupplier nothingPlaced;
     private final BooleanSupplier readsPlatform;
     private List<Address> told = List.of();
     private int nextAddress;
@@ -58,10 +57,8 @@
             PublishedState state,
             BooleanSupplier ready,
             RequestRate requests,
-            BooleanSupplier nothingPlaced,
             BooleanSupplier readsPlatform) {
         this.loop = loop;
-        this.nothingPlaced = nothingPlaced;
         this.readsPlatform = readsPlatform;
         this.self = self;
         this.peers = peers;
@@ -123,7 +120,6 @@
     /** Writes a heartbeat that tells some addresses. */
     private EncodedFrame frame(boolean takesCallers, long nextMillis, List<Address> addresses) {
         Heartbeat.Builder beat = NewsMessages.heartbeat(peer(takesCallers, nextMillis))
-                .setNothingPlaced(nothingPlaced.getAsBoolean())
                 .setReadsPlatform(readsPlatform.getAsBoolean())
                 .setUpstreamsListed(state.upstreamsListed());
         if (takesCallers) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
@@ -122,8 +122,7 @@
                 new PublishedState(null, new UpstreamTable(), new UpstreamJudge(), new EngineBoard(), log);
         RouterIdentity identity = new RouterIdentity(
                 new ProcessId(new HostId("self"), 1), EAST, port.address(), port.address(), capacityPercent);
-        OwnHeartbeat own =
-                new OwnHeartbeat(loop, identity, peers, state, () -> true, new RequestRate(0), () -> true, () -> true);
+        OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, () -> true, new RequestRate(0), () -> true);
         return new HeartbeatSender(
                 new Nothing(), own, peers, links, port, new StartPhase(0), port.address(), () -> 1_000);
     }
