--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PlatformReaders.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PlatformReaders.java
@@ -20,7 +20,7 @@
     public static final long BEAT_MILLIS = 900;
 
     /**
-     * Time for which a reader's word holds, in milliseconds: two of them may be lost. A change is in force within 3 s
+     * Time for which a reader's word holds, in milliseconds: one of them may be lost. A change is in force within 3 s
      * of its publication in the fleets that need readers; this, the look at it and one call stay below.
      */
     public static final long TRUST_MILLIS = 2_000;
