--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/peer/GrpcPeerClient.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/peer/GrpcPeerClient.java
@@ -1,8 +1,5 @@
 package org.apricotstack.adapters.peer;
 
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-
 import io.netty.handler.ssl.SslContext;
 import org.apricotstack.core.dispatch.DispatchCommand;
 import org.apricotstack.core.id.Address;
@@ -30,7 +27,7 @@
 /** Calls peers. Connections are opened on first use and closed when idle, so their number follows the traffic. */
 public final class GrpcPeerClient implements PeerProbes, AutoCloseable {
 
-    private final Map<HostId, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final PeerConnections connections;
     private final ProcessId self;
     private final SslContext tls;
     private final MonotonicClock clock;
@@ -49,6 +46,7 @@
         this.tls = tls;
         this.clock = clock;
         this.newsSource = newsSource;
+        this.connections = new PeerConnections(tls, clock);
     }
 
     /** Makes the news of a probe. */
@@ -71,7 +69,7 @@
      * @return its events
      */
     public Flux<AttemptEvent> dispatch(RosterHost target, DispatchCommand command) {
-        PeerConnection connection = connection(target);
+        PeerConnection connection = connections.to(target);
         readClockIfDue(target, connection);
         return connection.ready().flatMapMany(channel -> GrpcCalls.streaming(
                         channel,
@@ -88,7 +86,7 @@
      * @return its events
      */
     public Flux<AttemptEvent> submit(RosterHost target, SubmitCommand command) {
-        PeerConnection connection = connection(target);
+        PeerConnection connection = connections.to(target);
         readClockIfDue(target, connection);
         return connection.ready().flatMapMany(channel -> {
             SubmitRequest.Builder message = SubmitRequest.newBuilder()
@@ -116,7 +114,7 @@
 
     @Override
     public Mono<ProbeAnswer> probe(RosterHost target, ProbeNews news) {
-        return probe(connection(target), news);
+        return probe(connections.to(target), news);
     }
 
     /**
@@ -127,7 +125,10 @@
      * @return the answer
      */
     public Mono<ProbeAnswer> probeAddress(Address address, ProbeNews news) {
-        return Mono.using(() -> new PeerConnection(address, tls), seed -> probe(seed, news), PeerConnection::close);
+        return Mono.using(
+                () -> new PeerConnection(address, tls, clock.nanos()),
+                seed -> probe(seed, news),
+                PeerConnection::close);
     }
 
     /** Probes over one connection and takes the reading of the clock. */
@@ -142,7 +143,7 @@
     public Mono<Boolean> probeThrough(RosterHost via, HostId target) {
         ProbeForRequest request =
                 ProbeForRequest.newBuilder().setHost(target.value()).build();
-        return GrpcCalls.unary(connection(via).channel(), PeerGrpc.getProbeForMethod(), request)
+        return GrpcCalls.unary(connections.to(via).channel(), PeerGrpc.getProbeForMethod(), request)
                 .map(ProbeForReply::getAnswered);
     }
 
@@ -155,7 +156,7 @@
      * @return the changes
      */
     public Mono<DocumentDelta> documents(RosterHost target, ReplicationTopic topic, long since) {
-        return documents(connection(target), topic, since);
+        return documents(connections.to(target), topic, since);
     }
 
     /**
@@ -168,7 +169,9 @@
      */
     public Mono<DocumentDelta> documentsFrom(Address address, ReplicationTopic topic, long since) {
         return Mono.using(
-                () -> new PeerConnection(address, tls), seed -> documents(seed, topic, since), PeerConnection::close);
+                () -> new PeerConnection(address, tls, clock.nanos()),
+                seed -> documents(seed, topic, since),
+                PeerConnection::close);
     }
 
     /** Fetches over one connection. */
@@ -195,7 +198,7 @@
                 .setSender(PeerMessages.process(self))
                 .setWantedTokens(wantedTokens)
                 .build();
-        return GrpcCalls.unary(connection(home).channel(), PeerGrpc.getLeaseLimitMethod(), request)
+        return GrpcCalls.unary(connections.to(home).channel(), PeerGrpc.getLeaseLimitMethod(), request)
                 .map(reply -> reply.getShareMillionths() / GrpcPeerService.MILLIONTHS);
     }
 
@@ -207,7 +210,7 @@
      */
     public Mono<byte[]> status(RosterHost target) {
         return GrpcCalls.unary(
-                        connection(target).channel(),
+                        connections.to(target).channel(),
                         PeerGrpc.getReadStatusMethod(),
                         ReadStatusRequest.getDefaultInstance())
                 .map(ReadStatusReply::getJson)
@@ -215,32 +218,17 @@
     }
 
     /**
-     * Drops the connection to a peer; the next call opens a new one.
+     * Drops the connection to a peer over which an attempt was sent; the next call opens a new one.
      *
      * @param host the peer
+     * @param sentNanos when the attempt was sent, on the local clock
      */
-    public void replace(HostId host) {
-        PeerConnection old = connections.remove(host);
-        if (old != null) {
-            old.close();
-        }
-    }
-
-    /** Returns the connection to a peer; a peer that has moved gets a new one. */
-    private PeerConnection connection(RosterHost target) {
-        PeerConnection current = connections.get(target.id());
-        if (current != null && current.address().equals(target.peerAddress())) {
-            return current;
-        }
-        if (current != null && connections.remove(target.id(), current)) {
-            current.close();
-        }
-        return connections.computeIfAbsent(target.id(), id -> new PeerConnection(target.peerAddress(), tls));
+    public void replace(HostId host, long sentNanos) {
+        connections.dropOpenedBefore(host, sentNanos);
     }
 
     @Override
     public void close() {
-        connections.values().forEach(PeerConnection::close);
-        connections.clear();
+        connections.close();
     }
 }
--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/peer/PeerConnection.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/peer/PeerConnection.java
@@ -32,10 +32,12 @@
     private final Address address;
     private final ManagedChannel channel;
     private final PeerClock clock = new PeerClock();
+    private final long openedNanos;
 
     /** Creates a connection; it connects on first use. */
-    PeerConnection(Address address, SslContext tls) {
+    PeerConnection(Address address, SslContext tls, long openedNanos) {
         this.address = address;
+        this.openedNanos = openedNanos;
         NettyChannelBuilder builder = NettyChannelBuilder.forAddress(address.ip(), address.port())
                 .maxInboundMessageSize(GrpcPeerServer.MOST_MESSAGE_BYTES)
                 .keepAliveTime(GrpcPeerServer.KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
@@ -85,6 +87,11 @@
         return clock;
     }
 
+    /** Tells whether it was opened before a moment of the local clock, or at it. */
+    boolean openedBefore(long nanos) {
+        return openedNanos - nanos <= 0;
+    }
+
     /** Returns the address. */
     Address address() {
         return address;
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/DeploymentDocuments.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/DeploymentDocuments.java
@@ -14,6 +14,12 @@
 /** Writes the configuration documents of a deployment. */
 public final class DeploymentDocuments {
 
+    /** Key of the document with the limits of the fleet. */
+    public static final String LIMITS = "fleet/limits";
+
+    /** Time between heartbeats of an attempt, in milliseconds. */
+    private static final long HEARTBEAT_MILLIS = 250;
+
     /** The one model. */
     public static final String MODEL = "general";
 
@@ -56,14 +62,22 @@
         documents.put("presets/peak", preset(Math.min(1, shape.slowdownWeight() + 0.1), 0.3, 9, 0.9));
         documents.put("presets/maintenance", preset(shape.slowdownWeight(), 0.2, 5, 0.5));
         documents.put("fleet/preset", preset("ordinary"));
-        documents.put(
-                "fleet/limits",
-                object().put("entryKeepMillis", 3_000)
-                        .put("heartbeatMillis", 250)
-                        .toString());
+        documents.put(LIMITS, limits(HEARTBEAT_MILLIS));
         return documents;
     }
 
+    /**
+     * Writes the limits of the fleet.
+     *
+     * @param heartbeatMillis time between events of an attempt of which nothing else is to be said, in milliseconds
+     * @return the document
+     */
+    public static String limits(long heartbeatMillis) {
+        return object().put("entryKeepMillis", 3_000)
+                .put("heartbeatMillis", heartbeatMillis)
+                .toString();
+    }
+
     /** Names the group of engines of a data centre. */
     static String group(String dataCentre) {
         return MODEL + "-" + dataCentre;
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/SilentConnectionTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/SilentConnectionTest.java
@@ -42,9 +42,16 @@
     private static final RouterSettings.Timings NO_PROBES =
             new RouterSettings.Timings(600_000, 200, 600, 500, 5_000, 1_000);
 
+    /**
+     * Time between heartbeats of an attempt. After three of them without a word its connection counts as silent; a busy
+     * machine must not make a sound one look so before the connection is silenced.
+     */
+    private static final long HEARTBEAT_MILLIS = 1_000;
+
     @Test
     void repeatsOverANewConnectionWhenTheOpenOneGoesSilent() {
         try (LocalDeployment deployment = new LocalDeployment(SHAPE, SPEED, 1, NO_PROBES)) {
+            publishHeartbeats(deployment);
             Router far = deployment.routers().get("router-dc-b-1");
             try (TcpRelay relay = new TcpRelay(new Address("127.0.0.1", far.peerPort()))) {
                 deployment.publishRoster(Map.of("router-dc-b-1", relay.address()));
@@ -61,11 +68,19 @@
                                 .counter("entry.retries.owner_lost")
                                 .getCount())
                         .isPositive();
+                assertThat(relay.soundConnections()).isPositive();
             }
             LocalDeployment.await("no engine holds memory", () -> deployment.heldTokens() == 0);
         }
     }
 
+    private static void publishHeartbeats(LocalDeployment deployment) {
+        Map<String, String> limits = Map.of(DeploymentDocuments.LIMITS, DeploymentDocuments.limits(HEARTBEAT_MILLIS));
+        long version = deployment.platform().publish(ReplicationTopic.CONFIGURATION, limits, List.of());
+        LocalDeployment.await("the limits are in force", () -> deployment.routers().values().stream()
+                .allMatch(router -> router.configurationVersion() >= version));
+    }
+
     private static List<ReplayResult> replay(List<Address> entries, long seed) {
         TraceOptions options =
                 new TraceOptions(seed, 40, 40, 0, 100_001, 0.3, 0, SHAPE.accountNames(), DeploymentDocuments.SERVICES);
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/AttemptDispatcher.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/AttemptDispatcher.java
@@ -20,9 +20,11 @@
     Flux<AttemptEvent> dispatch(HostId owner, DispatchCommand command);
 
     /**
-     * Drops the connection to a router that went silent, so that the next attempt takes a new one.
+     * Drops the connection to a router that went silent, so that the next attempt takes a new one. A connection that
+     * was opened after the silent attempt was sent stays, as others use it already.
      *
      * @param owner the router
+     * @param sentNanos when the silent attempt was sent, on the local clock
      */
-    void replaceConnection(HostId owner);
+    void replaceConnection(HostId owner, long sentNanos);
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/RequestRun.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/RequestRun.java
@@ -117,16 +117,15 @@
                 request.deadline().withMargin(clock),
                 offset,
                 Set.copyOf(excluded));
-        return parts.dispatcher()
-                .dispatch(found.owner(), command)
-                .timeout(silence, silent(found.owner()), parts.timer())
+        Flux<AttemptEvent> events = parts.dispatcher().dispatch(found.owner(), command);
+        return events.timeout(silence, silent(found.owner(), clock.nanos()), parts.timer())
                 .doOnNext(event -> takeLoad(event));
     }
 
     /** What follows when nothing was heard from the owner: its connection is not to be used again. */
-    private Flux<AttemptEvent> silent(HostId owner) {
+    private Flux<AttemptEvent> silent(HostId owner, long sentNanos) {
         return Flux.defer(() -> {
-            parts.dispatcher().replaceConnection(owner);
+            parts.dispatcher().replaceConnection(owner, sentNanos);
             return Flux.error(Refusal.unknown(RefusalReason.OWNER_LOST).toException());
         });
     }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -186,7 +186,7 @@
         }
 
         @Override
-        public void replaceConnection(HostId owner) {
+        public void replaceConnection(HostId owner, long sentNanos) {
             // Each call of the faulty network is a connection of its own.
         }
     }
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RoutingDispatcher.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RoutingDispatcher.java
@@ -56,9 +56,9 @@
     }
 
     @Override
-    public void replaceConnection(HostId owner) {
+    public void replaceConnection(HostId owner, long sentNanos) {
         if (!owner.equals(self)) {
-            peers.replace(owner);
+            peers.replace(owner, sentNanos);
         }
     }
 
