--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineBoard.java
@@ -70,6 +70,24 @@
         }
     }
 
+    /**
+     * Predicts when all engines of a placement will have read their parts.
+     *
+     * @param id the placement
+     * @param nowMillis the time
+     * @return milliseconds from now; 0 if they have read them, or the placement is not known
+     */
+    public double readingMillis(PlacementId id, long nowMillis) {
+        Placed placed = placements.get(id);
+        if (placed == null) {
+            return 0;
+        }
+        return placed.placement().parts().stream()
+                .mapToDouble(part -> load(part.engine()).readingMillis(id, nowMillis))
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Takes a placement off.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -282,6 +282,17 @@
         return loss;
     }
 
+    /** Predicts when the part of a placement will have been read, in milliseconds from now; 0 if it was. */
+    double readingMillis(PlacementId id, long nowMillis) {
+        double[] longest = new double[1];
+        eachReading(nowMillis, (part, readyMillis, passes) -> {
+            if (part.leftMillis() > 0 && part.placement().id().equals(id)) {
+                longest[0] = Math.max(longest[0], readyMillis);
+            }
+        });
+        return longest[0];
+    }
+
     /** Predicts when each part will have been read, those of the pass that runs too. */
     void eachReading(long nowMillis, ReadingVisitor visitor) {
         advance(nowMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -91,7 +91,7 @@
             return;
         }
         int mine = watches;
-        run.silence().reason(upstream(), begun()).subscribe(silence -> {
+        run.silence().reason(choice, begun()).subscribe(silence -> {
             if (over || mine != watches) {
                 return;
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -50,14 +50,25 @@
     /**
      * Says why an engine is silent on a request; the answer may take a fraction of a second.
      *
-     * @param engine the engine
+     * @param choice the engine and those that help it
      * @param begun whether events of the request came before
      */
-    Mono<Silence> reason(UpstreamEntry engine, boolean begun) {
-        if (!showsLife(engine)) {
-            return answer(engine).map(found -> found == Silence.PASSED_OVER ? Silence.BUSY : found);
+    Mono<Silence> reason(UpstreamChoice choice, boolean begun) {
+        UpstreamEntry engine = choice.upstream();
+        if (showsLife(engine) && begun) {
+            return Mono.just(Silence.PASSED_OVER);
         }
-        return begun ? Mono.just(Silence.PASSED_OVER) : answer(engine);
+        boolean waits = !showsLife(engine) || waitsForHelpers(choice);
+        return answer(engine).map(found -> waits && found == Silence.PASSED_OVER ? Silence.BUSY : found);
+    }
+
+    /**
+     * Tells whether helpers still read parts of the prompt. The queue of the engine that answers says nothing of them,
+     * as newer parts go ahead of them at the helpers. Taken for lost, the whole prompt would be read again.
+     */
+    private boolean waitsForHelpers(UpstreamChoice choice) {
+        return !choice.helpers().isEmpty()
+                && context.board().readingMillis(choice.placement().id(), context.nowMillis()) > 0;
     }
 
     /** Tells whether a silent engine is gone; the answer may take a fraction of a second. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -115,7 +115,7 @@
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
     boolean fasterElsewhere(RequestFacts facts, UpstreamChoice used, boolean begun, Set<UpstreamId> excluded) {
         UpstreamId engine = used.upstream().id();
-        double here = context.board().load(engine).nextEventMillis(context.nowMillis());
+        double here = nextEventMillis(used, begun);
         if (here < CallerPatience.WORTH_MOVING_MILLIS) {
             return false;
         }
@@ -127,6 +127,17 @@
                 && elsewhere.predictedMillis() + CallerPatience.WORTH_MOVING_MILLIS < here;
     }
 
+    /** Predicts when a stream gets its next event; one that is still read by several engines, when all have done so. */
+    private double nextEventMillis(UpstreamChoice used, boolean begun) {
+        long now = context.nowMillis();
+        double reading = begun || used.helpers().isEmpty()
+                ? 0
+                : context.board().readingMillis(used.placement().id(), now);
+        return reading > 0
+                ? reading
+                : context.board().load(used.upstream().id()).nextEventMillis(now);
+    }
+
     /** Notes that a choice is used. */
     void begin(UpstreamChoice choice, long limitMillis) {
         inFlight.merge(choice.upstream().id(), 1, Integer::sum);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -1,8 +1,17 @@
 package org.apricotstack.serving.run;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.EngineProfile;
+import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -18,6 +27,8 @@
 
 class SilenceCheckTest {
 
+    private static final ProcessId ROUTER = new ProcessId(new HostId("router"), 1);
+
     private static final UpstreamEntry ENGINE = new UpstreamEntry(
             new UpstreamId("engine", 1),
             new ServiceId("service"),
@@ -27,6 +38,20 @@
             false,
             1);
 
+    private static final UpstreamChoice ALONE = new UpstreamChoice(ENGINE, List.of(), null, 0, false, false);
+
+    private static final UpstreamEntry HELPER = new UpstreamEntry(
+            new UpstreamId("helper", 1),
+            ENGINE.service(),
+            new Address("127.0.0.1", 2),
+            ENGINE.dataCentre(),
+            8,
+            false,
+            1);
+
+    private static final EngineProfile PROFILE =
+            new EngineProfile(8, 300_000, 50, 1, 0, 0, 200, 0, Integer.MAX_VALUE, 800);
+
     private long nowMillis;
     private int asked;
     private Mono<EngineCalls.Report> report = Mono.just(new EngineCalls.Report(5, 3, 1));
@@ -86,14 +111,14 @@
      */
     @Test
     void leavesStreamsAtAnEngineThatIsBusy() {
-        assertThat(check.reason(ENGINE, true).block()).isEqualTo(Silence.BUSY);
+        assertThat(check.reason(ALONE, true).block()).isEqualTo(Silence.BUSY);
         assertThat(board.load(ENGINE.id()).pace()).isEqualTo(5);
     }
 
     @Test
     void movesStreamsFromAnEngineThatDoesNotAnswer() {
         report = Mono.error(new IllegalStateException("no answer"));
-        assertThat(check.reason(ENGINE, true).block()).isEqualTo(Silence.GONE);
+        assertThat(check.reason(ALONE, true).block()).isEqualTo(Silence.GONE);
     }
 
     @Test
@@ -106,7 +131,7 @@
     void movesAStreamThatIsSilentAloneWithoutAsking() {
         check.progress(ENGINE.id());
         nowMillis += 100;
-        assertThat(check.reason(ENGINE, true).block()).isEqualTo(Silence.PASSED_OVER);
+        assertThat(check.reason(ALONE, true).block()).isEqualTo(Silence.PASSED_OVER);
         assertThat(asked).isZero();
     }
 
@@ -120,23 +145,55 @@
     void tellsAQueueFromALossWhileOtherStreamsGoOn(int queued, Silence expected) {
         report = Mono.just(new EngineCalls.Report(1, queued, 1));
         check.progress(ENGINE.id());
-        assertThat(check.reason(ENGINE, false).block()).isEqualTo(expected);
+        assertThat(check.reason(ALONE, false).block()).isEqualTo(expected);
+    }
+
+    /**
+     * Symptom: the longest prompts were late by seconds in phases with many of them, and read twice. Sequence: several
+     * engines share a reading; a newer one goes ahead of it at a helper; the engine that is to answer has no queue and
+     * writes other streams. Cause: the request was taken for lost, though a helper had yet to read its part.
+     */
+    @ParameterizedTest
+    @CsvSource({"1000, BUSY", "1900, BUSY", "2100, PASSED_OVER"})
+    void leavesAPromptThatHelpersStillRead(long afterMillis, Silence expected) {
+        board.load(ENGINE.id()).profile(PROFILE);
+        board.load(HELPER.id()).profile(PROFILE);
+        EnginePlacement older = place(1, ENGINE, HELPER);
+        place(2, HELPER);
+        UpstreamChoice choice = new UpstreamChoice(ENGINE, List.of(HELPER), older, 1_000, false, false);
+        report = Mono.just(new EngineCalls.Report(1, 0, 1));
+        nowMillis = afterMillis;
+        check.progress(ENGINE.id());
+
+        assertThat(check.reason(choice, false).block()).isEqualTo(expected);
+    }
+
+    /** Places a prompt of which each engine reads for a second, ahead of what is there. */
+    private EnginePlacement place(long number, UpstreamEntry... engines) {
+        List<EnginePart> parts = new ArrayList<>();
+        for (UpstreamEntry engine : engines) {
+            parts.add(new EnginePart(engine.id(), 1_000, 0));
+        }
+        parts.add(new EnginePart(new UpstreamId("other-" + number, 1), 1_000, 0));
+        EnginePlacement placement = new EnginePlacement(new PlacementId(ROUTER, number), parts, 200_000, 3_000, 1_000);
+        board.place(placement, nowMillis, 15_000);
+        return placement;
     }
 
     @Test
     void leavesARequestAtAnEngineThatIsSilentOnAllButAnswers() {
         report = Mono.just(new EngineCalls.Report(1, 0, 1));
-        assertThat(check.reason(ENGINE, false).block()).isEqualTo(Silence.BUSY);
+        assertThat(check.reason(ALONE, false).block()).isEqualTo(Silence.BUSY);
     }
 
     @Test
     void asksOnceForAllStreamsThatAreSilentTogether() {
         for (int i = 0; i < 10; i++) {
-            check.reason(ENGINE, true).block();
+            check.reason(ALONE, true).block();
         }
         assertThat(asked).isEqualTo(1);
         nowMillis += 10_000;
-        check.reason(ENGINE, true).block();
+        check.reason(ALONE, true).block();
         assertThat(asked).isEqualTo(2);
     }
 }
