Play loads in virtual time, and keep the decision to wait and what is left in hand apart

PlacementCaution holds two figures of the placer, so that experiments can state others; nothing decides otherwise yet.

Not in it: faults, news that is late, routers that are lost.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -272,12 +272,13 @@
      * Adds up what the writing requests lose if their next pause has a given length.
      *
      * @param pauseMillis the pause, in milliseconds
+     * @param spread spread of the prediction's error in relation to the target
      * @return value lost, in the units of {@link PromptValue}
      */
-    public double lossByPause(double pauseMillis) {
+    public double lossByPause(double pauseMillis, double spread) {
         double loss = 0;
         for (EnginePlacement placement : writing.values()) {
-            loss += placement.value() * PromptValue.lossByPause(pauseMillis, placement.pauseTargetMillis());
+            loss += placement.value() * PromptValue.lossByPause(pauseMillis, placement.pauseTargetMillis(), spread);
         }
         return loss;
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -7,10 +7,10 @@
 /**
  * Chooses the engines for a prompt so that the expected loss of value over all requests is least.
  *
- * <p>Load that it answers: short prompts that write with pauses of at most 250 ms, beside long ones whose reading takes
- * seconds. A pass lasts as long as everything that is read in it, so a long reading next to short writers makes all of
- * them late. For each number of parts the loss of each engine's writers and readers and the lateness of the new request
- * are predicted; the cheapest combination wins.
+ * <p>Load that it answers: short prompts that write with pauses of a fraction of a second, beside long ones whose
+ * reading takes seconds. A pass lasts as long as everything that is read in it, so a long reading next to short writers
+ * makes all of them late. For each number of parts the loss of each engine's writers and readers and the lateness of
+ * the new request are predicted; the cheapest combination wins.
  *
  * <p>Short prompts keep to the first engines of an order that all routers share, as many as their number needs now, and
  * long ones use the others. The border follows the load at once and needs no agreement: every router counts the same
@@ -24,7 +24,7 @@
     /** Parts shorter than this are not made, in milliseconds: a step of a pass is about 1 ms, its overhead counts. */
     private static final double LEAST_PART_MILLIS = 25;
 
-    /** Short requests that one engine runs well at once: a pass of 52 ms leaves room for reading within 250 ms. */
+    /** Short requests that one engine runs well at once: its pass leaves room for reading within their pause. */
     private static final double SHORT_PER_ENGINE = 7.5;
 
     /** Engines kept for short prompts beyond what they need now, for those of the next moment. */
@@ -45,9 +45,7 @@
     /** Mean time that a request holds a slot, in milliseconds, for predicting when a full engine has room. */
     private static final double SLOT_HOLD_MILLIS = 1_700;
 
-    /** Share of the engines in use from which their time is scarce, and share at which it has its full price. */
-    private static final double SCARCE_FROM = 0.55;
-
+    /** Share of the engines in use at which their time has its full price. */
     private static final double SCARCE_TO = 0.95;
 
     /**
@@ -59,6 +57,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final EngineProfile profile;
+    private final PlacementCaution caution;
 
     /**
      * Creates a placer.
@@ -66,7 +65,18 @@
      * @param profile figures of the engines
      */
     public EnginePlacer(EngineProfile profile) {
+        this(profile, PlacementCaution.STANDARD);
+    }
+
+    /**
+     * Creates a placer for an experiment.
+     *
+     * @param profile figures of the engines
+     * @param caution how much is left in hand
+     */
+    public EnginePlacer(EngineProfile profile, PlacementCaution caution) {
         this.profile = profile;
+        this.caution = caution;
     }
 
     /**
@@ -118,12 +128,13 @@
     }
 
     /** Returns what a millisecond of an engine is worth to others now. */
-    private static double pricePerMilli(List<EngineCandidate> candidates, long nowMillis) {
+    private double pricePerMilli(List<EngineCandidate> candidates, long nowMillis) {
         double busy = 0;
         for (EngineCandidate candidate : candidates) {
             busy += candidate.load().busyShare(nowMillis);
         }
-        double scarcity = (busy / Math.max(1, candidates.size()) - SCARCE_FROM) / (SCARCE_TO - SCARCE_FROM);
+        double scarcity =
+                (busy / Math.max(1, candidates.size()) - caution.scarceFrom()) / (SCARCE_TO - caution.scarceFrom());
         return Math.max(0, Math.min(1, scarcity)) * VALUE_PER_SECOND / MILLIS_PER_SECOND;
     }
 
@@ -159,11 +170,12 @@
             EngineLoad load = candidate.load();
             double lead = load.readyMillis(partMillis, shares > 1, nowMillis) + slotWaitMillis(load);
             double pause = load.pauseMillis(partMillis, nowMillis);
-            double loss = load.lossByPause(pause)
-                    - load.lossByPause(load.pauseMillis(0, nowMillis))
+            double loss = load.lossByPause(pause, caution.pauseSpread())
+                    - load.lossByPause(load.pauseMillis(0, nowMillis), caution.pauseSpread())
                     + sideCost(isShort, i, border, candidates.size());
-            double late =
-                    value * PromptValue.LOST_WHEN_LATE * Lateness.probability(lead, request.targetLatencyMillis());
+            double late = value
+                    * PromptValue.LOST_WHEN_LATE
+                    * Lateness.probability(lead, request.targetLatencyMillis(), Lateness.WAIT_SPREAD);
             double waiting = open.loss(candidate, partMillis, shares > 1);
             double failing = value * candidate.failureProbability();
             double help = lead - slotWaitMillis(load);
@@ -229,9 +241,9 @@
     }
 
     /** Estimates what the new answer loses by its pause if an engine writes it. */
-    private static double lossByOwnPause(PromptRequest request, Score score) {
+    private double lossByOwnPause(PromptRequest request, Score score) {
         return PromptValue.of(request.promptTokens())
-                * PromptValue.lossByPause(score.ownPauseMillis(), request.pauseTargetMillis());
+                * PromptValue.lossByPause(score.ownPauseMillis(), request.pauseTargetMillis(), caution.pauseSpread());
     }
 
     /** Returns the memory of an engine that is free to plan with. */
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/Lateness.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/Lateness.java
@@ -4,10 +4,16 @@
 final class Lateness {
 
     /**
-     * Spread of the prediction's error in relation to the target. A tenth keeps a prediction of 80% of the target at
-     * a probability of one in eight, and one of 120% at seven in eight.
+     * Spread of the error of a predicted wait in relation to its target. A tenth keeps a prediction of 80% of the
+     * target at a probability of one in eight, and one of 120% at seven in eight: others place prompts meanwhile.
      */
-    private static final double SPREAD = 0.1;
+    static final double WAIT_SPREAD = 0.1;
+
+    /**
+     * Spread of the error of a predicted pause in relation to its target. A pause is one pass, of which all is known
+     * but what others place in that moment.
+     */
+    static final double PAUSE_SPREAD = 0.1;
 
     private Lateness() {}
 
@@ -16,12 +22,13 @@
      *
      * @param predictedMillis the predicted duration, in milliseconds
      * @param targetMillis the target, in milliseconds; 0 or less if there is none
+     * @param spread spread of the prediction's error in relation to the target
      * @return 0 to 1
      */
-    static double probability(double predictedMillis, double targetMillis) {
+    static double probability(double predictedMillis, double targetMillis, double spread) {
         if (targetMillis <= 0) {
             return 0;
         }
-        return 1 / (1 + Math.exp((targetMillis - predictedMillis) / (targetMillis * SPREAD)));
+        return 1 / (1 + Math.exp((targetMillis - predictedMillis) / (targetMillis * spread)));
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PromptValue.java
@@ -18,7 +18,7 @@
     /** Value of an answer to an empty prompt; in the unit in which a short question of 5,000 tokens has about 1.3. */
     private static final double BASE = 0.7;
 
-    /** Prompt tokens that add 1 to the value; fits 1.3 at 5,000 and 20 at 154,000 tokens. */
+    /** Prompt tokens that add 1 to the value. */
     private static final double TOKENS_PER_UNIT = 8_000;
 
     /** Callers leave a stream after a pause of two seconds, or eight times the allowed one if that is longer. */
@@ -54,8 +54,8 @@
     static double lossByWait(double waitMillis, double targetMillis, double waitedMillis) {
         double whole = targetMillis + waitedMillis;
         double patience = Math.max(1, Math.max(LEAST_PATIENCE_MILLIS, TARGETS_OF_PATIENCE * whole) - waitedMillis);
-        return LOST_WHEN_LATE * Lateness.probability(waitMillis, targetMillis)
-                + (1 - LOST_WHEN_LATE) * Lateness.probability(waitMillis, patience)
+        return LOST_WHEN_LATE * Lateness.probability(waitMillis, targetMillis, Lateness.WAIT_SPREAD)
+                + (1 - LOST_WHEN_LATE) * Lateness.probability(waitMillis, patience, Lateness.WAIT_SPREAD)
                 + LOST_PER_TARGET * waitMillis / whole;
     }
 
@@ -64,11 +64,12 @@
      *
      * @param pauseMillis the pause, in milliseconds
      * @param pauseTargetMillis longest pause that is on time, in milliseconds; 0 if any is
+     * @param spread spread of the prediction's error in relation to the target
      * @return 0 to 1
      */
-    static double lossByPause(double pauseMillis, double pauseTargetMillis) {
+    static double lossByPause(double pauseMillis, double pauseTargetMillis, double spread) {
         double patience = Math.max(LEAST_PATIENCE_MILLIS, PAUSES_OF_PATIENCE * pauseTargetMillis);
-        return LOST_WHEN_LATE * Lateness.probability(pauseMillis, pauseTargetMillis)
-                + (1 - LOST_WHEN_LATE) * Lateness.probability(pauseMillis, patience);
+        return LOST_WHEN_LATE * Lateness.probability(pauseMillis, pauseTargetMillis, spread)
+                + (1 - LOST_WHEN_LATE) * Lateness.probability(pauseMillis, patience, Lateness.WAIT_SPREAD);
     }
 }
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/RoomWaitTest.java
@@ -0,0 +1,38 @@
+package org.apricotstack.core.engine;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RoomWaitTest {
+
+    private static final long LONG_TOKENS = 300_000;
+
+    @ParameterizedTest
+    @CsvSource({"0, false", "0.99, false", "1.01, true", "3, true"})
+    void findsAChoiceDearOnceOthersLoseMoreThanItsValue(double harmInValues, boolean dear) {
+        double harm = harmInValues * PromptValue.of(LONG_TOKENS);
+        PlacementChoice choice = new PlacementChoice(List.of(), 1_000, 0, harm, harm, false);
+
+        assertThat(RoomWait.isDear(choice, LONG_TOKENS)).isEqualTo(dear);
+    }
+
+    /** Callers wait 10 s for the first event; writing the answer takes 2.5 s. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 0, 15000, true",
+        "1000, 2900, 15000, true",
+        "1000, 3100, 15000, false",
+        "4100, 0, 15000, false",
+        "1000, 0, 3400, false",
+        "0, 3000, 2600, true"
+    })
+    void letsAPromptWaitWhileItsCallerStaysAndItsAnswerCanBeWritten(
+            double predictedMillis, long waitedMillis, long leftMillis, boolean allowed) {
+        assertThat(RoomWait.isAllowed(predictedMillis, waitedMillis, 10_000, leftMillis))
+                .isEqualTo(allowed);
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/play/LoadPlay.java
@@ -0,0 +1,260 @@
+package org.apricotstack.core.engine.play;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.engine.EngineCandidate;
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementChoice;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.engine.PromptRequest;
+import org.apricotstack.core.engine.RoomWait;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.UpstreamId;
+
+/** Plays a load in virtual time: prompts are placed on engines by what one board tells of all of them. */
+final class LoadPlay implements PlayedEngine.Listener {
+
+    private static final ProcessId ROUTER = new ProcessId(new HostId("router"), 1);
+
+    /** Time between two looks of a prompt that waits, and from a decision to its arrival at the engines. */
+    private static final long LOOK_MILLIS = 100;
+
+    private static final long SEND_MILLIS = 5;
+
+    /** Time after the last arrival until which answers may end. */
+    private static final long END_MILLIS = 20_000;
+
+    /** Share of a caller's patience that a prediction may use. */
+    private static final double PLANNED_SHARE = 0.9;
+
+    private static final double EVENT_SPREAD = 0.6;
+    private static final double MOST_EVENTS_TIMES = 2.5;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final PlayedLoad load;
+    private final Placing placing;
+    private final Random random;
+    private final EngineBoard board = new EngineBoard();
+    private final Map<UpstreamId, PlayedEngine> engines = new HashMap<>();
+    private final List<EngineCandidate> candidates = new ArrayList<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Map<Long, PlayedRequest> placed = new HashMap<>();
+    private final List<PlayedRequest> requests = new ArrayList<>();
+    private double nowMillis;
+    private long numbers;
+
+    /**
+     * Something that is due at a moment.
+     *
+     * @param atMillis the moment
+     * @param order decides between those of one moment
+     * @param action what is done
+     */
+    private record Timer(double atMillis, long order, Runnable action) implements Comparable<Timer> {
+
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Double.compare(atMillis, other.atMillis);
+            return byTime == 0 ? Long.compare(order, other.order) : byTime;
+        }
+    }
+
+    private LoadPlay(PlayedLoad load, Placing.Maker maker, long seed) {
+        this.load = load;
+        this.placing = maker.of(load.profile());
+        this.random = new Random(seed);
+        for (int i = 0; i < load.engines(); i++) {
+            UpstreamId id = new UpstreamId(String.format("engine-%04d", i));
+            double pace = 1 + (load.slowest() - 1) * random.nextDouble();
+            engines.put(id, new PlayedEngine(id, load.profile(), pace, this));
+            board.load(id).profile(load.profile());
+            candidates.add(new EngineCandidate(id, board.load(id), 0, true));
+        }
+    }
+
+    /** Plays a load once and returns its requests. */
+    static List<PlayedRequest> play(PlayedLoad load, Placing.Maker maker, long seed) {
+        LoadPlay play = new LoadPlay(load, maker, seed);
+        for (int kind = 0; kind < load.kinds().size(); kind++) {
+            play.arriveNext(kind, 0);
+        }
+        play.run();
+        return play.requests;
+    }
+
+    /** Plays a load with some seeds and returns the share of the worth owed that was earned. */
+    static double shareEarned(PlayedLoad load, Placing.Maker maker, int seeds) {
+        double owed = 0;
+        double earned = 0;
+        for (int seed = 1; seed <= seeds; seed++) {
+            for (PlayedRequest request : play(load, maker, seed)) {
+                owed += request.owed();
+                earned += request.earned();
+            }
+        }
+        return earned / owed;
+    }
+
+    private void run() {
+        double next = nextMillis();
+        while (next <= load.lengthMillis() + END_MILLIS) {
+            nowMillis = Math.max(nowMillis, next);
+            for (PlayedEngine engine : engines.values()) {
+                engine.advance(nowMillis);
+            }
+            engines.values().forEach(PlayedEngine::act);
+            while (!timers.isEmpty() && timers.peek().atMillis() <= nowMillis) {
+                timers.poll().action().run();
+            }
+            next = nextMillis();
+        }
+    }
+
+    private double nextMillis() {
+        double next =
+                timers.isEmpty() ? Double.POSITIVE_INFINITY : timers.peek().atMillis();
+        for (PlayedEngine engine : engines.values()) {
+            next = Math.min(next, engine.nextMillis());
+        }
+        return next;
+    }
+
+    private void at(double millis, Runnable action) {
+        timers.add(new Timer(Math.max(millis, nowMillis), ++numbers, action));
+    }
+
+    /** Draws the next arrival of a kind; candidates at the greatest rate are thinned out to the rate of the moment. */
+    private void arriveNext(int kind, double fromMillis) {
+        double most = load.mostPerSecond(kind);
+        double at = fromMillis;
+        do {
+            at -= Math.log(1 - random.nextDouble()) / most * MILLIS_PER_SECOND;
+        } while (random.nextDouble() * most > load.perSecond(kind, at));
+        double arrivalMillis = at;
+        if (arrivalMillis < load.lengthMillis()) {
+            at(arrivalMillis, () -> {
+                arrive(load.kinds().get(kind));
+                arriveNext(kind, arrivalMillis);
+            });
+        }
+    }
+
+    private void arrive(PlayedKind kind) {
+        long tokens = (long) drawn(kind.meanTokens(), kind.spread(), kind.mostTokens());
+        int events = (int) drawn(kind.meanEvents(), EVENT_SPREAD, kind.meanEvents() * MOST_EVENTS_TIMES);
+        PlayedRequest request = new PlayedRequest(kind, tokens, events, nowMillis);
+        requests.add(request);
+        at(nowMillis + kind.patienceMillis(), () -> {
+            if (!request.begun()) {
+                leave(request);
+            }
+        });
+        at(nowMillis + kind.limitMillis(), () -> leave(request));
+        decide(request);
+    }
+
+    /** Draws a length around a mean, at least 1. */
+    private double drawn(double mean, double spread, double most) {
+        double sigma = Math.sqrt(Math.log(1 + spread * spread));
+        return Math.max(1, Math.min(most, mean * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2)));
+    }
+
+    private void leave(PlayedRequest request) {
+        if (!request.over()) {
+            request.leave();
+            end(request);
+        }
+    }
+
+    private void end(PlayedRequest request) {
+        EnginePlacement placement = request.placement();
+        if (placement != null) {
+            board.remove(placement.id(), (long) nowMillis);
+            placement.parts().forEach(part -> engines.get(part.engine())
+                    .drop(placement.id().number()));
+            placed.remove(placement.id().number());
+        }
+    }
+
+    /** Places a prompt, lets it wait, or refuses it, by the rules that routers follow. */
+    private void decide(PlayedRequest request) {
+        if (request.over()) {
+            return;
+        }
+        PlayedKind kind = request.kind();
+        long waited = (long) (nowMillis - request.arrivedMillis());
+        long left = (long) (kind.limitMillis() - waited);
+        long patience = (long) (kind.patienceMillis() * PLANNED_SHARE);
+        PromptRequest prompt = new PromptRequest(
+                request.tokens(),
+                (long) (kind.meanEvents() * load.profile().strideSteps()),
+                Math.max(1, (long) kind.targetMillis() - waited),
+                (long) kind.pauseTargetMillis(),
+                Math.min(left, patience - waited),
+                waited);
+        PlacementChoice choice = placing.choose(prompt, candidates, (long) nowMillis);
+        boolean waits = choice.found()
+                ? RoomWait.isDear(choice, request.tokens())
+                        && RoomWait.isAllowed(choice.firstTokenMillis(), waited, patience, left)
+                : RoomWait.isAllowed(0, waited, patience, left);
+        if (waits) {
+            at(nowMillis + LOOK_MILLIS, () -> decide(request));
+        } else if (choice.found()) {
+            place(request, prompt, choice);
+        } else {
+            leave(request);
+        }
+    }
+
+    private void place(PlayedRequest request, PromptRequest prompt, PlacementChoice choice) {
+        long number = ++numbers;
+        EnginePlacement placement = new EnginePlacement(
+                new PlacementId(ROUTER, number),
+                choice.parts(),
+                request.tokens(),
+                prompt.targetLatencyMillis(),
+                prompt.pauseTargetMillis());
+        request.place(placement);
+        placed.put(number, request);
+        board.place(placement, (long) nowMillis, (long) request.kind().limitMillis());
+        at(nowMillis + SEND_MILLIS, () -> {
+            if (!request.over()) {
+                for (EnginePart part : placement.parts()) {
+                    engines.get(part.engine())
+                            .take(number, placement.isShared(), part == placement.lead(), part.readMillis());
+                }
+            }
+        });
+    }
+
+    @Override
+    public void read(UpstreamId engine, long number) {
+        PlayedRequest request = placed.get(number);
+        if (request == null || !request.readBy(engine)) {
+            return;
+        }
+        board.startWriting(request.placement().id(), (long) nowMillis);
+        engines.get(request.placement().lead().engine()).write(number, request.tokens());
+        event(number);
+    }
+
+    @Override
+    public void event(long number) {
+        PlayedRequest request = placed.get(number);
+        if (request == null) {
+            return;
+        }
+        request.event(nowMillis);
+        if (request.served()) {
+            end(request);
+        }
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
@@ -39,15 +39,9 @@
     /** Time between two looks of a request that waits for room, in milliseconds: two passes. */
     static final long LOOK_MILLIS = 100;
 
-    /** Time that an answer takes after its first event, in milliseconds: most long ones have 16 to 20 events. */
-    static final long WRITING_MILLIS = 2_500;
-
     /** Time that moving a stream must gain, in milliseconds; its prompt is read again elsewhere. */
     static final double WORTH_MOVING_MILLIS = 400;
 
-    /** Share of a caller's patience for which a request waits for room before it is refused. */
-    private static final double ROOM_SHARE = 0.4;
-
     private CallerPatience() {}
 
     /** Returns how long a caller waits for the first event, as far as a prediction may use it. */
@@ -57,11 +51,6 @@
         return (long) (gap * PLANNED_SHARE);
     }
 
-    /** Returns how long a request may wait for room. */
-    static long roomMillis(Route route) {
-        return (long) (millis(route) * ROOM_SHARE);
-    }
-
     /** Returns the silence before the first event after which another upstream is tried. */
     static long firstEventLimitMillis(double predictedMillis) {
         return (long) (FIRST_EVENT_TIMES * predictedMillis) + FIRST_EVENT_MILLIS;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.engine.PromptRequest;
+import org.apricotstack.core.engine.RoomWait;
 import org.apricotstack.core.id.ClientAccountId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.route.KeyedAccount;
@@ -68,13 +69,10 @@
         return endMillis - nowMillis;
     }
 
-    /**
-     * Tells whether it may still wait for room: its caller would not leave before the predicted first event, and there
-     * would be time to write the answer.
-     */
+    /** Tells whether it may still wait for room. */
     boolean mayWait(double predictedMillis, long nowMillis) {
-        return nowMillis - arrivedMillis + predictedMillis < CallerPatience.roomMillis(route)
-                && leftMillis(nowMillis) - predictedMillis > CallerPatience.WRITING_MILLIS;
+        return RoomWait.isAllowed(
+                predictedMillis, nowMillis - arrivedMillis, CallerPatience.millis(route), leftMillis(nowMillis));
     }
 
     /** Tells whether it may wait for another attempt of the same request: half of its time is left for its own. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -16,6 +16,7 @@
 import org.apricotstack.core.engine.PlacementChoice;
 import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.engine.PromptRequest;
+import org.apricotstack.core.engine.RoomWait;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.FailureKind;
@@ -109,7 +110,7 @@
                 placement,
                 choice.firstTokenMillis(),
                 choice.reservesMemory(),
-                choice.harm() > placement.value());
+                RoomWait.isDear(choice, request.promptTokens()));
     }
 
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
