Let engines have a price from 40% in use on

Cause: a long prompt that takes a whole engine for five seconds costs others what they would earn there. With a price only from 55% of the engines in use on, long prompts were all placed at once at the beginning of their phase, one ahead of the other, where a wait of some 100 ms would have kept most in time.

Not kept: 0.6 of a prompt's value counting as dear together with 0.6 of its patience for the wait. Nor kept: that a shared prompt which is late makes no engine look overdue (no gain).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementCaution.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/PlacementCaution.java
@@ -11,5 +11,5 @@
 public record PlacementCaution(double pauseSpread, double scarceFrom) {
 
     /** What routers use. */
-    public static final PlacementCaution STANDARD = new PlacementCaution(Lateness.PAUSE_SPREAD, 0.55);
+    public static final PlacementCaution STANDARD = new PlacementCaution(Lateness.PAUSE_SPREAD, 0.4);
 }
