--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/OpenReadings.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/OpenReadings.java
@@ -12,8 +12,8 @@
  *
  * <p>A prompt that many engines share has been read when the last of them is done. So what delays it is looked at once
  * and not for each part: a part that is done early anyway may wait for nothing, and a new prompt that delays all parts
- * delays the prompt once. Adding up over the parts made a prompt that 14 engines read look 14 times as precious, and
- * new ones went to a single engine each, for six to eight seconds, rather than beside it.
+ * delays the prompt once. Added up over its parts, a prompt that 14 engines read would look 14 times as precious, and
+ * new ones would go to a single engine each rather than beside it.
  */
 final class OpenReadings {
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/OwnOrder.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/OwnOrder.java
@@ -12,9 +12,8 @@
  * An order of the engines that belongs to one router process.
  *
  * <p>All routers fill engines in one common order, which works as each knows what the others placed. Routers that start
- * together know nothing of each other for a while, and all would begin with the same engines: in the first half second
- * after a loss of power on a played day 101 of 152 prompts went to 2 of 23 engines, which rejected 48 and answered the
- * others after up to 1.9 s. With orders of their own they spread over all engines.
+ * together know nothing of each other for a while, and all would begin with the same engines, which reject a part of
+ * the prompts and answer the others late. With orders of their own they spread over all engines.
  */
 public final class OwnOrder {
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/ReadingQueue.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/ReadingQueue.java
@@ -62,8 +62,8 @@
     /**
      * Ends a pass earlier than predicted, as a first event came: what could not be read in its time is left.
      *
-     * <p>Taken as read, a part of 2.2 s vanished from an engine when the first event of a short prompt came that had
-     * been read ahead of it. Ten short prompts followed within half a second, predicted in 0.1 s, and stood for 1.6 s.
+     * <p>Taken as read, a long part would vanish from an engine with the first event of a short prompt that was read
+     * ahead of it, and short prompts would follow to an engine that reads on.
      */
     void breakPass(double afterMillis) {
         double rest = Math.max(0, afterMillis);
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamJudge.java
@@ -18,12 +18,12 @@
     /** Time for which an upstream is avoided after its first failure, in milliseconds. */
     private static final long FIRST_AVOID_MILLIS = 700;
 
-    /** Longest time for which an upstream is avoided, in milliseconds; users' outages last about 5 s. */
+    /** Longest time for which an upstream is avoided, in milliseconds. */
     private static final long MOST_AVOID_MILLIS = 2_500;
 
     /**
-     * Time for which an upstream that was full is avoided, in milliseconds. Its slots are held for about 1.7 s each, so
-     * with 11 of them two or three are free again; sooner, a second request is rejected too and has used its attempts.
+     * Time for which an upstream that was full is avoided, in milliseconds. By then some of its slots are free again;
+     * sooner, a second request is rejected too and has used its attempts.
      */
     private static final long FULL_AVOID_MILLIS = 400;
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -14,8 +14,7 @@
  * the other engines, and these pause too. A stream that stops while others of its engine go on is lost alone. In all
  * other cases the engine is asked: one that does not answer, or that has started again since, is gone. One whose queue
  * is not empty is overloaded and not faulty: a request without a first event is most likely in that queue. Taken for a
- * fault, the engine was avoided, and the others took its load: on a played day 22 sends in the 1.5 s after all routers
- * had started.
+ * fault, the engine would be avoided, and the others would have to take its load.
  */
 final class SilenceCheck {
 
