Leave every prompt a tenth of its value when it is weighed against what others lose

What speaks against engines may be wrong. With all of them just failed, or with a caller who has waited long, nothing was left of a prompt's value, and the cost of an engine's place alone, a few per cent of it, would have refused it beside idle engines. Judgements raise a cost and never exclude.

Found by reading; RoomWaitTest has the cases, one of which fails without it. Played loads as before (PlacingUnderLoadTest).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/RoomWait.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/RoomWait.java
@@ -20,6 +20,9 @@
     /** Times what is left of an answer's value that others may lose by it. */
     private static final double MOST_HARM_TIMES = 8;
 
+    /** Share of its value that an answer has left at least: what speaks against the engines may be wrong. */
+    private static final double LEAST_LEFT_SHARE = 0.1;
+
     private RoomWait() {}
 
     /**
@@ -41,8 +44,9 @@
      * @return whether it is refused
      */
     public static boolean isRefused(PlacementChoice choice, long promptTokens) {
+        double value = PromptValue.of(promptTokens);
         double ownLoss = choice.cost() - choice.harm();
-        double left = Math.max(0, PromptValue.of(promptTokens) - ownLoss);
+        double left = Math.max(LEAST_LEFT_SHARE * value, value - ownLoss);
         return choice.harm() > MOST_HARM_TIMES * left;
     }
 
