Let the test of idle engines that are likely to fail be able to fail, and keep a constant of RoomWait to itself

Found by reading the whole change: the test passed with the guard switched off (a fresh caller always has something left), so it proved nothing; only a case of the other test did. Its caller has now waited past its target: without the guard two of its four lengths are refused, with it none. WRITING_MILLIS is used by RoomWait alone and is private.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/RoomWait.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/RoomWait.java
@@ -12,7 +12,7 @@
 public final class RoomWait {
 
     /** Time that an answer takes after its first event, in milliseconds: most long ones have 16 to 20 events. */
-    public static final long WRITING_MILLIS = 2_500;
+    private static final long WRITING_MILLIS = 2_500;
 
     /** Share of a caller's patience that may pass until the predicted first event of a prompt that waits. */
     private static final double PATIENCE_SHARE = 0.4;
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/RoomWaitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/RoomWaitTest.java
@@ -49,8 +49,8 @@
 
     /**
      * Symptom: prompts would be refused beside idle engines. Sequence: all engines have just failed, so that an answer
-     * is unlikely from each of them. Cause: with nothing left of a prompt's value the cost of an engine's place alone
-     * would refuse it.
+     * is unlikely from each of them, and the caller has waited past its target. Cause: with nothing left of a prompt's
+     * value the cost of an engine's place alone would refuse it.
      */
     @ParameterizedTest
     @ValueSource(longs = {1_000, 5_000, 45_000, LONG_TOKENS})
@@ -60,8 +60,8 @@
                 .map(engine -> new EngineCandidate(engine.engine(), engine.load(), 0.95, true))
                 .toList();
 
-        PlacementChoice choice =
-                new EnginePlacer(EngineTestData.PROFILE).choose(EngineTestData.request(promptTokens), doubtful, 0);
+        PlacementChoice choice = new EnginePlacer(EngineTestData.PROFILE)
+                .choose(new PromptRequest(promptTokens, 800, 1, 1_000, 10_800, 5_000), doubtful, 0);
 
         assertThat(choice.found()).isTrue();
         assertThat(RoomWait.isRefused(choice, promptTokens)).isFalse();
