Write down which rate limits upstreams name in their answers

The logs of the incident could not tell whether an answer named a limit, which one, and when a router learnt of it, so they could not distinguish routers that do not read the field from routers that each keep to it alone. Each answer's field is now read into a typed value, and a router logs and counts when an upstream's limit begins, changes, ends or cannot be read, with the request whose answer said so. No decision depends on it yet.

A limit is lowered at once and raised or ended only by an answer to a request that was sent after the limit was last named, as answers on different connections overtake each other. Empty, negative, non-numeric values and values with a unit are neither a limit nor the end of one; of several values the least counts; 100,000 a second and more is no limit.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -11,6 +11,7 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.suspect.SuspectTable;
@@ -58,6 +59,7 @@
     private final ServingMetrics metrics = new ServingMetrics();
     private final PeerTable peers = new PeerTable();
     private final SuspectTable suspects;
+    private final LimitTable limits = new LimitTable();
     private final PublishedState state;
     private final PublicationFollower follower;
     private final UpstreamConnections connections;
@@ -118,6 +120,7 @@
                 hub,
                 suspects,
                 hub.suspects(),
+                limits,
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
@@ -158,6 +161,7 @@
         metrics.gauge("suspects.dropped", suspects::dropped);
         metrics.gauge("suspects.ends_heard", hub.suspects()::heard);
         metrics.gauge("suspects.news_dropped", hub.suspects()::dropped);
+        metrics.gauge("limits.in_force", () -> limits.all().size());
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> newsServer == null ? 0 : newsServer.malformed());
         metrics.gauge("log.lines_dropped", log::dropped);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/AnswerHead.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.apricotstack.serving.http;
 
+import org.apricotstack.core.ratelimit.StatedLimit;
+
 /**
  * What the beginning of an upstream's answer says.
  *
@@ -12,6 +14,7 @@
  * @param eventStream whether the body is a series of events
  * @param faultyAddress address of the helper at fault, as {@code IP:PORT}, or {@code null}
  * @param closes whether the connection cannot be used again
+ * @param statedLimit what it says of the upstream's rate limit
  * @param idleMillis time for which the upstream keeps the connection, in milliseconds; 0 if it does not say
  */
 public record AnswerHead(
@@ -24,6 +27,7 @@
         boolean eventStream,
         String faultyAddress,
         boolean closes,
+        StatedLimit statedLimit,
         long idleMillis) {
 
     private static final int FIRST_SUCCESS = 200;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -12,6 +12,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.upstream.FailureKind;
 
@@ -25,6 +26,8 @@
     private final Map<FailureKind, Counter> failures = counters(FailureKind.class, k -> "attempts.failed." + k.code());
     private final Map<FailureKind, Counter> retries = counters(FailureKind.class, k -> "retries." + k.code());
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
+    private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
+    private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
     private final Histogram longestPause = histogram("streams.longest_pause_millis");
@@ -103,6 +106,20 @@
         served.get(kind).inc();
     }
 
+    /**
+     * Counts a change of the rate limit of an upstream.
+     *
+     * @param change what changed
+     */
+    public void limitChanged(LimitChange change) {
+        limitChanges.get(change).inc();
+    }
+
+    /** Counts an answer that names something as a rate limit that is none. */
+    public void limitUnreadable() {
+        limitsUnreadable.inc();
+    }
+
     /**
      * Notes the time to the answer, or to the first event of a stream.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -182,6 +182,7 @@
     public void head(AnswerHead answer, HttpResponse response) {
         head = answer;
         raw = response;
+        run.answerBegan(this, answer);
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.serving.http.AnswerHead;
 import org.apricotstack.serving.http.CallerExchange;
 import org.apricotstack.serving.http.CallerRun;
 import org.apricotstack.serving.http.PlainProtocol;
@@ -29,6 +30,7 @@
     private final AttemptCount attempts;
     private final StreamProgress progress;
     private final SuspectGate gate;
+    private final LimitGate limits;
     private final RunSuspicion suspicion;
     private final RunLog log;
     private final Consumer<RequestRun> onEnd;
@@ -43,6 +45,7 @@
             RunContext context,
             UpstreamChooser chooser,
             SuspectGate gate,
+            LimitGate limits,
             CallerExchange exchange,
             RequestFacts facts,
             Consumer<RequestRun> onEnd) {
@@ -54,6 +57,7 @@
         this.attempts = new AttemptCount(facts.route());
         this.progress = new StreamProgress(facts.request().lastEventId());
         this.gate = gate;
+        this.limits = limits;
         this.suspicion = new RunSuspicion(gate, facts);
         this.log = new RunLog(context, facts, attempts, progress);
         this.sender = new RequestSender(this, chooser, facts, attempts, progress, suspicion, log);
@@ -180,6 +184,15 @@
         }
     }
 
+    /** Takes the beginning of an answer, whatever follows. */
+    void answerBegan(Attempt attempt, AnswerHead answer) {
+        limits.answered(
+                attempt.upstream(),
+                answer,
+                attempt.startMillis(),
+                facts.request().id());
+    }
+
     /** Takes a whole answer, or an upstream's failure that is passed on as it is. */
     void answered(Attempt attempt, boolean success, HttpResponse raw, ByteBuf answer) {
         if (over) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -40,6 +40,7 @@
     private final RunContext context;
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
+    private final LimitGate limits;
     private final Set<RequestRun> open = new HashSet<>();
     private boolean refusing;
 
@@ -52,6 +53,7 @@
         this.context = context;
         this.chooser = new UpstreamChooser(context);
         this.gate = new SuspectGate(context, this::suspected);
+        this.limits = new LimitGate(context);
     }
 
     @Override
@@ -72,7 +74,7 @@
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, context.nowMillis());
-        RequestRun run = new RequestRun(context, chooser, gate, exchange, facts, open::remove);
+        RequestRun run = new RequestRun(context, chooser, gate, limits, exchange, facts, open::remove);
         open.add(run);
         return run;
     }
@@ -129,6 +131,7 @@
         if (ended.draining()) {
             gate.leftAsPlanned(ended.id());
         }
+        limits.forget(ended.id());
         List.copyOf(open).forEach(run -> run.lostWith(ended.id()));
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
+import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.UpstreamJudge;
@@ -32,6 +33,7 @@
  * @param news tells other routers
  * @param suspects requests under which upstreams ended
  * @param suspectNews tells other routers of them
+ * @param limits the rate limits that upstreams named
  * @param budgets what may be repeated
  * @param bodies bounds the bytes of requests that are held
  * @param log takes decisions
@@ -51,6 +53,7 @@
         PlacementNews news,
         SuspectTable suspects,
         SuspectNews suspectNews,
+        LimitTable limits,
         RetryBudgets budgets,
         ByteBudget bodies,
         DecisionLog log,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -74,6 +74,7 @@
             null,
             null,
             null,
+            null,
             log,
             null));
 
