--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -1,13 +1,10 @@
 package org.apricotstack.serving.news;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.engine.EnginePlacement;
 import org.apricotstack.core.engine.OpenPlacements;
-import org.apricotstack.core.engine.PlacementId;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.HostId;
@@ -28,7 +25,6 @@
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
 import org.apricotstack.wire.news.NewsReply;
-import org.apricotstack.wire.news.Placed;
 
 /** Sends this router's news to all others and takes theirs in. */
 public final class NewsHub implements NewsSink, PlacementNews, AutoCloseable {
@@ -49,12 +45,12 @@
     private final RequestRate requests;
     private final OpenPlacements open = new OpenPlacements();
     private final StartPhase start;
+    private final PlacementIntake placements;
     private final BooleanSupplier ready;
     private final BooleanSupplier readsPlatform;
     private HeartbeatSender heartbeats;
     private PlatformNews readings;
     private NewsFrame.Builder pending;
-    private long placementsHeard;
     private long spanMillis;
     private boolean closed;
 
@@ -96,6 +92,7 @@
         this.suspects = new SuspectChannel(loop, suspects, log, this::news, this::decidingPeers);
         this.heardLog = new PeerLog(log);
         this.start = new StartPhase(loop.nowMillis());
+        this.placements = new PlacementIntake(board, state, start);
         this.spanMillis = loop.nowMillis();
         this.requests = new RequestRate(spanMillis);
     }
@@ -196,7 +193,7 @@
                 takeHeartbeat(frame.getHeartbeat(), stream);
             }
             if (stream.sender() != null) {
-                takePlacements(frame, stream.sender());
+                placements.take(frame, stream.sender(), loop.nowMillis());
             }
             suspects.take(frame, stream.sender());
             long now = loop.nowMillis();
@@ -233,27 +230,6 @@
         }
     }
 
-    /** Takes the placements of a peer in. */
-    private void takePlacements(NewsFrame frame, ProcessId sender) {
-        long now = loop.nowMillis();
-        if (frame.getWhole()) {
-            Set<PlacementId> told = new HashSet<>();
-            frame.getPlacedList().forEach(placed -> told.add(new PlacementId(sender, placed.getNumber())));
-            board.retainOf(sender, told, now);
-            start.toldBy(sender.host());
-        }
-        for (Placed placed : frame.getPlacedList()) {
-            if (placed.getPartsCount() > 0) {
-                EnginePlacement placement = NewsMessages.placement(sender, placed);
-                boolean over = state.isOver(placement.lead().engine());
-                boolean isNew = !over && board.place(placement, now, placed.getLimitMillis());
-                placementsHeard += isNew ? 1 : 0;
-            }
-        }
-        frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number), now));
-        frame.getEndedList().forEach(number -> board.remove(new PlacementId(sender, number), now));
-    }
-
     @Override
     public NewsReply documents(DocumentRequest request) {
         return documents.answer(request);
@@ -383,7 +359,7 @@
      * @return placements since the start
      */
     public long placementsHeard() {
-        return placementsHeard;
+        return placements.heard();
     }
 
     @Override
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PlacementIntake.java
@@ -0,0 +1,53 @@
+package org.apricotstack.serving.news;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.NewsFrame;
+import org.apricotstack.wire.news.Placed;
+
+/** Takes in what other routers place on engines. */
+final class PlacementIntake {
+
+    private final EngineBoard board;
+    private final PublishedState state;
+    private final StartPhase start;
+    private long heard;
+
+    /** Creates an intake that has heard nothing. */
+    PlacementIntake(EngineBoard board, PublishedState state, StartPhase start) {
+        this.board = board;
+        this.state = state;
+        this.start = start;
+    }
+
+    /** Takes the placements of a peer in. */
+    void take(NewsFrame frame, ProcessId sender, long nowMillis) {
+        if (frame.getWhole()) {
+            Set<PlacementId> told = new HashSet<>();
+            frame.getPlacedList().forEach(placed -> told.add(new PlacementId(sender, placed.getNumber())));
+            board.retainOf(sender, told, nowMillis);
+            start.toldBy(sender.host());
+        }
+        for (Placed placed : frame.getPlacedList()) {
+            if (placed.getPartsCount() > 0) {
+                EnginePlacement placement = NewsMessages.placement(sender, placed);
+                boolean over = state.isOver(placement.lead().engine());
+                boolean isNew = !over && board.place(placement, nowMillis, placed.getLimitMillis());
+                heard += isNew ? 1 : 0;
+            }
+        }
+        frame.getWritingList().forEach(number -> board.startWriting(new PlacementId(sender, number), nowMillis));
+        frame.getEndedList().forEach(number -> board.remove(new PlacementId(sender, number), nowMillis));
+    }
+
+    /** Returns how many placements of other routers were heard of since the start. */
+    long heard() {
+        return heard;
+    }
+}
