--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.suspect.SeenEnd;
 import org.apricotstack.core.suspect.SuspectTable;
@@ -51,6 +52,7 @@
     private final HeartbeatPort heartbeats;
     private final RouterIdentity identity;
     private final SuspectTable suspects;
+    private final LimitTable limits = new LimitTable();
     private long placements;
 
     /** Starts a router that knows some others. */
@@ -60,7 +62,19 @@
         PublishedState state = new PublishedState(null, new UpstreamTable(), judge, board, log);
         ProcessId process = new ProcessId(new HostId("host-" + number), 1);
         suspects = new SuspectTable(process, found -> {});
-        hub = new NewsHub(loop, peers, board, judge, suspects, state, log, () -> true, () -> true, () -> {});
+        hub = new NewsHub(
+                loop,
+                peers,
+                board,
+                judge,
+                suspects,
+                limits,
+                process.host(),
+                state,
+                log,
+                () -> true,
+                () -> true,
+                () -> {});
         server = new NewsServer(loop, ANY, hub);
         identity = new RouterIdentity(
                 process, new DataCentreId("dc"), ANY, new Address(ANY.ip(), server.port()), capacityPercent);
--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EnginePlacer.java
@@ -224,6 +224,7 @@
         for (Score score : scores) {
             if (chosen.size() < shares
                     && score != lead
+                    && score.candidate().helps()
                     && score.candidate().load().helps() < profile.slots()) {
                 chosen.add(score);
             }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -162,6 +162,31 @@
         return alive;
     }
 
+    /**
+     * Returns where a router takes other routers.
+     *
+     * @param host its host
+     * @return the address, or {@code null} if it was not heard
+     */
+    public Address addressOf(HostId host) {
+        Heard one = heard.get(host);
+        return one == null ? null : one.peer().peerAddress();
+    }
+
+    /**
+     * Counts the routers that decided on requests when they were last heard, and are suspected now; those that were
+     * about to stop are not among them.
+     *
+     * @param nowMillis the time
+     * @return routers
+     */
+    public int silentDeciding(long nowMillis) {
+        return (int) heard.values().stream()
+                .filter(one -> nowMillis - one.atMillis() >= one.suspectMillis())
+                .filter(one -> one.peer().ready() && one.peer().takesCallers())
+                .count();
+    }
+
     /**
      * Forgets routers that have been silent for long.
      *
--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitKeeping.java
@@ -0,0 +1,96 @@
+package org.apricotstack.core.ratelimit;
+
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.UpstreamId;
+
+/** The part of a router that keeps limits for all routers that ask it. */
+public final class LimitKeeping {
+
+    /** Time after which a router that asked the wrong one asks again, in milliseconds; both hear of more till then. */
+    private static final long NOT_HERE_MILLIS = 200;
+
+    private final HostId own;
+    private final LimitTable table;
+    private final Function<UpstreamId, KeeperChoice> choice;
+    private final LongSupplier clockMillis;
+    private final LimitKeeper keeper = new LimitKeeper();
+
+    /**
+     * Creates a part that has kept no limit.
+     *
+     * @param own this router
+     * @param table the limits that hold
+     * @param choice who keeps the limit of an upstream, as this router sees it
+     * @param clockMillis the time, in milliseconds
+     */
+    public LimitKeeping(
+            HostId own, LimitTable table, Function<UpstreamId, KeeperChoice> choice, LongSupplier clockMillis) {
+        this.own = own;
+        this.table = table;
+        this.choice = choice;
+        this.clockMillis = clockMillis;
+    }
+
+    /**
+     * Returns who keeps the limit of an upstream.
+     *
+     * @param upstream the upstream
+     * @return the keeper as this router sees it
+     */
+    public KeeperChoice keeperOf(UpstreamId upstream) {
+        return choice.apply(upstream);
+    }
+
+    /**
+     * Tells whether this router keeps a limit.
+     *
+     * @param kept the keeper as this router sees it
+     * @return whether it is this one
+     */
+    public boolean isOwn(KeeperChoice kept) {
+        return own.equals(kept.host());
+    }
+
+    /**
+     * Answers a router that asks for permits, this one too.
+     *
+     * @param upstream the limited upstream
+     * @param wanted permits that can be used soon
+     * @param charged requests that were sent without a permit
+     * @return the permits
+     */
+    public PermitGrant answer(UpstreamId upstream, int wanted, int charged) {
+        KeeperChoice kept = choice.apply(upstream);
+        RateLimit limit = table.find(upstream);
+        if (limit == null) {
+            return new PermitGrant(0, 0);
+        }
+        if (!isOwn(kept)) {
+            return new PermitGrant(0, NOT_HERE_MILLIS);
+        }
+        long now = clockMillis.getAsLong();
+        if (charged > 0) {
+            keeper.charge(upstream, limit.perSecond(), kept.share(), charged, now);
+        }
+        return wanted == 0
+                ? new PermitGrant(0, 0)
+                : keeper.grant(upstream, limit.perSecond(), kept.share(), wanted, now);
+    }
+
+    /** Forgets upstreams that are not limited any more. */
+    public void expire() {
+        keeper.retain(table);
+    }
+
+    /**
+     * Returns how many limits this router has kept.
+     *
+     * @return upstreams
+     */
+    public int kept() {
+        return keeper.size();
+    }
+}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
@@ -122,6 +122,16 @@
         return limits.isEmpty();
     }
 
+    /**
+     * Returns when an upstream had named its last limit for the last time, or earlier.
+     *
+     * @param upstream the start
+     * @return the time; {@code null} if a limit holds, or none is known to have held
+     */
+    public Long endMillis(UpstreamId upstream) {
+        return endsMillis.get(upstream);
+    }
+
     /**
      * Returns all limits that hold.
      *
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/KeeperChoiceTest.java
@@ -0,0 +1,56 @@
+package org.apricotstack.core.ratelimit;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class KeeperChoiceTest {
+
+    private static List<HostId> hosts(int number) {
+        List<HostId> hosts = new ArrayList<>();
+        for (int i = 0; i < number; i++) {
+            hosts.add(new HostId("host-" + i));
+        }
+        return hosts;
+    }
+
+    @Test
+    void isTheSameForAllThatHearOfEachOther() {
+        List<HostId> hosts = hosts(7);
+        List<HostId> reversed = new ArrayList<>(hosts);
+        Collections.reverse(reversed);
+        UpstreamId upstream = new UpstreamId("upstream", 1);
+        assertThat(KeeperChoice.of(upstream, hosts, 0)).isEqualTo(KeeperChoice.of(upstream, reversed, 0));
+    }
+
+    @Test
+    void sharesTheLimitsOfManyUpstreamsOut() {
+        Set<HostId> keepers = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            keepers.add(KeeperChoice.of(new UpstreamId("upstream-" + i), hosts(7), 0)
+                    .host());
+        }
+        assertThat(keepers).hasSize(7);
+    }
+
+    @Test
+    void givesPartsOfAFleetThatDoNotHearOfEachOtherTheLimitTogether() {
+        UpstreamId upstream = new UpstreamId("upstream");
+        double one = KeeperChoice.of(upstream, hosts(7).subList(0, 3), 4).share();
+        double other = KeeperChoice.of(upstream, hosts(7).subList(3, 7), 3).share();
+        assertThat(one + other).isEqualTo(1);
+    }
+
+    @Test
+    void isNobodyWithoutRouters() {
+        assertThat(KeeperChoice.of(new UpstreamId("upstream"), List.of(), 3)).isEqualTo(new KeeperChoice(null, 0));
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/LimitScheduleTest.java
@@ -0,0 +1,59 @@
+package org.apricotstack.core.ratelimit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.apricotstack.core.ratelimit.LimitScenario.RouterFaults;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** How many requests a limited upstream gets from all routers together, in virtual time over seeds. */
+class LimitScheduleTest {
+
+    private static final int SEEDS = 4;
+    private static final double DEMAND_TIMES = 3;
+
+    /** Limit's time whose requests may come in four seconds, in seconds, and requests beyond it. */
+    private static final double ALLOWED_SECONDS = 4.5;
+
+    private static final int BURST = 3;
+
+    /** Share of a limit that is used while there is demand. */
+    private static final double LEAST_USED = 0.8;
+
+    static Stream<LimitScenario> scenarios() {
+        List<LimitScenario> scenarios = new ArrayList<>();
+        for (int routers : new int[] {1, 7, 20, 95}) {
+            for (double perSecond : new double[] {0.3, 1, 1.7, 10, 100}) {
+                LimitScenario calm = LimitScenario.calm(routers, perSecond, DEMAND_TIMES);
+                scenarios.add(calm);
+                scenarios.add(calm.withDemandAtOneRouter());
+                if (routers > 1) {
+                    scenarios.add(calm.with(0.2, RouterFaults.NONE));
+                    scenarios.add(calm.with(0, RouterFaults.RESTARTS));
+                    scenarios.add(calm.with(0, RouterFaults.SPLIT));
+                }
+            }
+        }
+        return scenarios.stream();
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void sendsNoMoreThanTheLimitAndUsesMostOfIt(LimitScenario scenario) {
+        double used = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SeededLimits play = new SeededLimits(scenario, seed).play();
+            assertThat(play.worstArrivals())
+                    .as("requests in four seconds, seed %d", seed)
+                    .isLessThanOrEqualTo((int) (ALLOWED_SECONDS * scenario.perSecond() + BURST));
+            used += play.usedShare() / SEEDS;
+        }
+        if (scenario.faults() == RouterFaults.NONE && scenario.lostShare() == 0) {
+            assertThat(used).as("share of the limit that is used").isGreaterThanOrEqualTo(LEAST_USED);
+        }
+    }
+}
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/VirtualTime.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/VirtualTime.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Runs what was planned in the order of its times, without waiting. */
-final class VirtualTime {
+public final class VirtualTime {
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
@@ -20,17 +20,17 @@
      */
     private record Event(long atMillis, long number, Runnable action) {}
 
-    long nowMillis() {
+    public long nowMillis() {
         return nowMillis;
     }
 
     /** Plans something; what would be in the past happens next. */
-    void at(long millis, Runnable action) {
+    public void at(long millis, Runnable action) {
         events.add(new Event(Math.max(nowMillis, millis), number++, action));
     }
 
     /** Runs until nothing is left to happen. */
-    void run() {
+    public void run() {
         while (!events.isEmpty()) {
             Event next = events.poll();
             nowMillis = next.atMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -101,6 +101,8 @@
                 board,
                 judge,
                 suspects,
+                limits,
+                options.identity().process().host(),
                 state,
                 log,
                 this::ready,
@@ -121,6 +123,7 @@
                 suspects,
                 hub.suspects(),
                 limits,
+                hub.limits(),
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
@@ -162,6 +165,9 @@
         metrics.gauge("suspects.ends_heard", hub.suspects()::heard);
         metrics.gauge("suspects.news_dropped", hub.suspects()::dropped);
         metrics.gauge("limits.in_force", () -> limits.all().size());
+        metrics.gauge("limits.kept", hub.limits()::kept);
+        metrics.gauge("limits.questions_unanswered", hub.limits()::unanswered);
+        metrics.gauge("limits.news_dropped", hub.limits()::dropped);
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> newsServer == null ? 0 : newsServer.malformed());
         metrics.gauge("log.lines_dropped", log::dropped);
@@ -233,6 +239,8 @@
         follower.look();
         state.dropLapsed(now);
         suspects.expire(now);
+        runs.expireLimits();
+        hub.limits().expire();
         hub.tellNewReadings();
         callers.checkTimes();
         connections.closeExpired();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.apricotstack.core.failure.ApricotException;
@@ -38,9 +39,10 @@
      * A whole answer.
      *
      * @param status HTTP status
+     * @param headers the headers
      * @param body the body
      */
-    public record Answer(int status, byte[] body) {}
+    public record Answer(int status, HttpHeaders headers, byte[] body) {}
 
     /**
      * Makes a call when subscribed to.
@@ -80,6 +82,7 @@
         private final Address address;
         private final ByteBuf body = Unpooled.buffer();
         private int status;
+        private HttpHeaders headers;
         private ScheduledFuture<?> timeout;
 
         /** Creates a taker. */
@@ -91,6 +94,7 @@
         @Override
         public void head(AnswerHead head, HttpResponse raw) {
             status = head.status();
+            headers = raw.headers();
         }
 
         @Override
@@ -101,7 +105,7 @@
         @Override
         public void end() {
             stopTimeout();
-            sink.success(new Answer(status, ByteBufUtil.getBytes(body)));
+            sink.success(new Answer(status, headers, ByteBufUtil.getBytes(body)));
         }
 
         @Override
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/FleetLimitPeers.java
@@ -0,0 +1,108 @@
+package org.apricotstack.serving.news;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.ratelimit.KeeperChoice;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.NewsFrame;
+
+/** The other routers as heartbeats tell of them. */
+final class FleetLimitPeers implements LimitPeers {
+
+    private final ServingLoop loop;
+    private final HostId own;
+    private final PeerTable peers;
+    private final PublishedState state;
+    private final StartPhase start;
+    private final BooleanSupplier ready;
+    private final IntSupplier knownRouters;
+    private HeartbeatSender heartbeats;
+    private HeartbeatPort port;
+
+    /** Creates peers that cannot be reached yet. */
+    FleetLimitPeers(
+            ServingLoop loop,
+            HostId own,
+            PeerTable peers,
+            PublishedState state,
+            StartPhase start,
+            BooleanSupplier ready,
+            IntSupplier knownRouters) {
+        this.loop = loop;
+        this.own = own;
+        this.peers = peers;
+        this.state = state;
+        this.start = start;
+        this.ready = ready;
+        this.knownRouters = knownRouters;
+    }
+
+    /** Sets what reaches the others. */
+    void tellThrough(HeartbeatSender sender, HeartbeatPort datagrams) {
+        heartbeats = sender;
+        port = datagrams;
+    }
+
+    @Override
+    public HostId own() {
+        return own;
+    }
+
+    @Override
+    public KeeperChoice keeperOf(UpstreamId upstream) {
+        long now = loop.nowMillis();
+        List<HostId> deciding = new ArrayList<>();
+        List<HostId> others = new ArrayList<>();
+        for (Peer peer : peers.alive(now)) {
+            if (peer.ready()) {
+                (peer.takesCallers() ? deciding : others).add(peer.process().host());
+            }
+        }
+        if (ready.getAsBoolean()) {
+            (heartbeats.takesCallers() ? deciding : others).add(own);
+        }
+        KeeperChoice kept =
+                KeeperChoice.of(upstream, deciding.isEmpty() ? others : deciding, peers.silentDeciding(now));
+        boolean unsure = own.equals(kept.host()) && !start.heardOthers(knownRouters.getAsInt(), now);
+        return unsure ? new KeeperChoice(null, kept.share()) : kept;
+    }
+
+    @Override
+    public Address addressOf(HostId host) {
+        return peers.addressOf(host);
+    }
+
+    @Override
+    public int others() {
+        return knownRouters.getAsInt() - 1;
+    }
+
+    @Override
+    public boolean isOver(UpstreamId upstream) {
+        return state.isOver(upstream);
+    }
+
+    @Override
+    public void openStreams() {
+        heartbeats.openStreams();
+    }
+
+    @Override
+    public void tellStandBy(NewsFrame frame) {
+        heartbeats.sendToStandBy(EncodedFrame.of(frame));
+    }
+
+    @Override
+    public void send(Address address, NewsFrame frame) {
+        port.send(address, EncodedFrame.of(frame));
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatPort.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatPort.java
@@ -1,7 +1,7 @@
 package org.apricotstack.serving.news;
 
 import java.net.InetSocketAddress;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -18,14 +18,15 @@
 import org.apricotstack.wire.news.NewsFrame;
 
 /**
- * Sends and takes heartbeats as datagrams, so that a large fleet needs no connection between any two of its routers.
+ * Sends and takes heartbeats, and questions for permits, as datagrams, so that a large fleet needs no connection
+ * between any two of its routers.
  *
  * <p>A datagram may be lost; the next heartbeat makes up for it. What must arrive goes over a {@link NewsLink}.
  */
 public final class HeartbeatPort implements AutoCloseable {
 
     private final Channel channel;
-    private Consumer<NewsFrame> taker = frame -> {};
+    private BiConsumer<NewsFrame, Address> taker = (frame, sender) -> {};
     private long malformed;
 
     /**
@@ -51,8 +52,8 @@
         channel = bound.channel();
     }
 
-    /** Sets who takes heartbeats; called on the event loop. */
-    void take(Consumer<NewsFrame> newTaker) {
+    /** Sets who takes datagrams and where they came from; called on the event loop. */
+    void take(BiConsumer<NewsFrame, Address> newTaker) {
         taker = newTaker;
     }
 
@@ -94,7 +95,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
-                taker.accept(NewsFrame.parseFrom(packet.content().nioBuffer()));
+                InetSocketAddress sender = packet.sender();
+                Address from = new Address(sender.getAddress().getHostAddress(), sender.getPort());
+                taker.accept(NewsFrame.parseFrom(packet.content().nioBuffer()), from);
             } catch (InvalidProtocolBufferException e) {
                 malformed++;
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -14,13 +14,13 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.PlatformReaders;
 import org.apricotstack.core.peer.RequestRate;
+import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.run.PlacementNews;
-import org.apricotstack.wire.news.Avoided;
 import org.apricotstack.wire.news.DocumentRequest;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
@@ -35,13 +35,14 @@
     private final ServingLoop loop;
     private final PeerTable peers;
     private final EngineBoard board;
-    private final UpstreamJudge judge;
     private final PublishedState state;
     private final DecisionLog log;
     private final PeerDocuments documents;
     private final NewsLinks links;
     private final PeerLog heardLog;
     private final SuspectChannel suspects;
+    private final FleetLimitPeers limitPeers;
+    private final LimitChannel limits;
     private final RequestRate requests;
     private final OpenPlacements open = new OpenPlacements();
     private final StartPhase start;
@@ -62,6 +63,8 @@
      * @param board takes placements
      * @param judge takes failures that others saw
      * @param suspects takes requests under which upstreams ended at others
+     * @param limits takes the rate limits that upstreams named to others
+     * @param own this router's host
      * @param state takes documents that others know
      * @param log takes changes of what is believed
      * @param ready whether this router takes callers
@@ -74,6 +77,8 @@
             EngineBoard board,
             UpstreamJudge judge,
             SuspectTable suspects,
+            LimitTable limits,
+            HostId own,
             PublishedState state,
             DecisionLog log,
             BooleanSupplier ready,
@@ -82,7 +87,6 @@
         this.loop = loop;
         this.peers = peers;
         this.board = board;
-        this.judge = judge;
         this.state = state;
         this.log = log;
         this.ready = ready;
@@ -92,7 +96,9 @@
         this.suspects = new SuspectChannel(loop, suspects, log, this::news, this::decidingPeers);
         this.heardLog = new PeerLog(log);
         this.start = new StartPhase(loop.nowMillis());
-        this.placements = new PlacementIntake(board, state, start);
+        this.placements = new PlacementIntake(board, judge, state, start);
+        this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready, this::knownRouters);
+        this.limits = new LimitChannel(loop, limits, limitPeers, log, this::news);
         this.spanMillis = loop.nowMillis();
         this.requests = new RequestRate(spanMillis);
     }
@@ -104,12 +110,13 @@
      * @param port sends and takes heartbeats of routers to which no stream is open
      */
     public void start(RouterIdentity identity, HeartbeatPort port) {
-        port.take(frame -> frame(frame, new NewsStream()));
+        port.take(this::datagram);
         OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, readsPlatform);
         peers.mention(identity.peerAddress());
         heartbeats = new HeartbeatSender(
                 this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis, suspects::any);
         suspects.tellThrough(heartbeats);
+        limitPeers.tellThrough(heartbeats, port);
         readings = new PlatformNews(loop, this, state, documents, links, heartbeats, readsPlatform, this::knownRouters);
         beat();
         loop.every(PlatformReaders.BEAT_MILLIS, readings::tell);
@@ -182,12 +189,22 @@
         return heartbeats.peer();
     }
 
+    /** Takes a datagram in. */
+    private void datagram(NewsFrame frame, Address sender) {
+        take(frame, new NewsStream(), sender);
+    }
+
     @Override
     public void frame(NewsFrame frame, NewsStream stream) {
         if (!loop.loop().inEventLoop()) {
             loop.execute(() -> frame(frame, stream));
             return;
         }
+        take(frame, stream, null);
+    }
+
+    /** Takes news in; the sender is {@code null} if they came over a stream. */
+    private void take(NewsFrame frame, NewsStream stream, Address sender) {
         try {
             if (frame.hasHeartbeat() && heartbeats != null) {
                 takeHeartbeat(frame.getHeartbeat(), stream);
@@ -196,13 +213,8 @@
                 placements.take(frame, stream.sender(), loop.nowMillis());
             }
             suspects.take(frame, stream.sender());
-            long now = loop.nowMillis();
-            for (Avoided avoided : frame.getAvoidedList()) {
-                UpstreamId upstream = NewsMessages.upstream(avoided);
-                if (!state.isOver(upstream)) {
-                    judge.heard(upstream, avoided.getAvoidMillis(), now);
-                }
-            }
+            limits.take(frame, sender);
+            placements.takeAvoided(frame, loop.nowMillis());
         } catch (ApricotException e) {
             log.line("news_rejected").put("problem", e.getMessage()).write();
         }
@@ -280,6 +292,7 @@
             }
         }
         suspects.addAll(frame);
+        limits.addAll(frame);
         return frame.build();
     }
 
@@ -292,6 +305,15 @@
         return suspects;
     }
 
+    /**
+     * Returns what tells others of rate limits, and asks them for permits.
+     *
+     * @return the channel
+     */
+    public LimitChannel limits() {
+        return limits;
+    }
+
     /** Returns the frame that is sent at the end of this turn of the loop. */
     private NewsFrame.Builder news() {
         if (pending == null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -16,6 +16,8 @@
     NO_UPSTREAM,
     /** No upstream can answer before the caller leaves. */
     NO_ROOM,
+    /** All upstreams that could answer have got as many requests as they said that they take. */
+    UPSTREAM_LIMITS,
     /** Engines could answer, but late, and others would lose several times what that answer is worth. */
     TOO_DEAR,
     /** The process is about to stop. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -27,6 +27,7 @@
     private final Map<FailureKind, Counter> retries = counters(FailureKind.class, k -> "retries." + k.code());
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
     private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
+    private final Counter passedOver = registry.counter("limits.passed_over");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
@@ -115,6 +116,11 @@
         limitChanges.get(change).inc();
     }
 
+    /** Counts a request that was not sent to an upstream, as its limit let it not pass. */
+    public void passedOver() {
+        passedOver.inc();
+    }
+
     /** Counts an answer that names something as a rate limit that is none. */
     public void limitUnreadable() {
         limitsUnreadable.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.run;
 
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.StatedLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import reactor.core.publisher.Mono;
 
@@ -13,8 +14,17 @@
      * @param pace how slow it is: 1 for the published figures, more for a slow engine
      * @param queued requests that wait there for a slot or for memory
      * @param incarnation which of its starts answered, see {@link UpstreamId}
+     * @param statedLimit what the answer says of the engine's rate limit
      */
-    record Report(double pace, int queued, long incarnation) {}
+    record Report(double pace, int queued, long incarnation, StatedLimit statedLimit) {}
+
+    /**
+     * What an engine answers to an order.
+     *
+     * @param done whether it took the order
+     * @param statedLimit what the answer says of the engine's rate limit
+     */
+    record OrderAnswer(boolean done, StatedLimit statedLimit) {}
 
     /**
      * Reserves memory, or renews a reservation.
@@ -25,7 +35,7 @@
      * @param holdMillis time after which the engine frees it by itself, in milliseconds
      * @return whether it was reserved; an error if nobody knows
      */
-    Mono<Boolean> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis);
+    Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis);
 
     /**
      * Ends a reservation.
@@ -34,7 +44,7 @@
      * @param reservation names the reservation
      * @return whether the engine took it; an error if nobody knows
      */
-    Mono<Boolean> release(UpstreamEntry engine, String reservation);
+    Mono<OrderAnswer> release(UpstreamEntry engine, String reservation);
 
     /**
      * Asks an engine for its state. It is priced, so it is asked only when its silence has to be explained.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
@@ -2,73 +2,117 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.LimitAdmission;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.ratelimit.StatedLimit;
-import org.apricotstack.core.upstream.UpstreamEntry;
-import org.apricotstack.serving.http.AnswerHead;
+import org.apricotstack.serving.observe.DecisionLog;
 
-/** Reads in answers which limits upstreams name, and writes down each change. */
+/** Keeps what reaches upstreams within the rate limits that they name in their answers. */
 final class LimitGate {
 
     private final RunContext context;
+    private final LimitAdmission admission;
     private final Set<UpstreamId> unreadable = new HashSet<>();
 
     /** Creates a gate. */
     LimitGate(RunContext context) {
         this.context = context;
+        this.admission = new LimitAdmission(context.limits(), context.limitNews(), context::nowMillis);
     }
 
     /**
      * Takes in what an answer says.
      *
-     * @param upstream the upstream that was meant
-     * @param answer the beginning of the answer
+     * @param upstream the upstream that answered
+     * @param stated what the answer says
      * @param sentMillis when the request was sent, or before
-     * @param requestId the request
+     * @param requestId the request, or {@code null} if it is no caller's
      */
-    void answered(UpstreamEntry upstream, AnswerHead answer, long sentMillis, String requestId) {
-        if (answer.otherInstance()) {
+    void answered(UpstreamId upstream, StatedLimit stated, long sentMillis, String requestId) {
+        if (stated.kind() == StatedLimit.Kind.ABSENT && !admission.isLimited(upstream)) {
             return;
         }
-        UpstreamId id = upstream.id();
-        RateLimit before = context.limits().find(id);
-        LimitChange change = context.limits().answered(id, answer.statedLimit(), sentMillis, context.nowMillis());
-        if (answer.statedLimit().kind() == StatedLimit.Kind.UNREADABLE) {
-            noteUnreadable(id, requestId);
-        } else if (!unreadable.isEmpty()) {
-            unreadable.remove(id);
+        long now = context.nowMillis();
+        RateLimit before = context.limits().find(upstream);
+        LimitChange change = context.limits().answered(upstream, stated, sentMillis, now);
+        if (stated.kind() == StatedLimit.Kind.UNREADABLE) {
+            noteUnreadable(upstream, requestId);
+        } else {
+            unreadable.remove(upstream);
         }
-        if (change != LimitChange.NONE) {
-            context.metrics().limitChanged(change);
-            RateLimit limit =
-                    change == LimitChange.ENDED ? before : context.limits().find(id);
-            context.log()
-                    .request("limit_" + change.code(), requestId)
-                    .put("upstream", id.value())
-                    .put("incarnation", id.incarnation())
-                    .put("per_second", Double.toString(limit.perSecond()))
-                    .put("source", "answer")
-                    .write();
+        if (change == LimitChange.NONE) {
+            return;
         }
+        boolean ended = change == LimitChange.ENDED;
+        RateLimit limit = ended
+                ? new RateLimit(before.perSecond(), sentMillis)
+                : context.limits().find(upstream);
+        context.metrics().limitChanged(change);
+        line("limit_" + change.code(), requestId)
+                .put("upstream", upstream.value())
+                .put("incarnation", upstream.incarnation())
+                .put("per_second", Double.toString(limit.perSecond()))
+                .put("source", "answer")
+                .put("keeper", ended ? null : context.limitNews().keeperOf(upstream))
+                .write();
+        context.limitNews().told(upstream, change, limit);
+    }
+
+    /** Begins a line, on a request if one is known. */
+    private DecisionLog.Line line(String event, String requestId) {
+        return requestId == null ? context.log().line(event) : context.log().request(event, requestId);
     }
 
     /** Counts a value that is no limit, and writes the first one of an upstream down. */
     private void noteUnreadable(UpstreamId upstream, String requestId) {
         context.metrics().limitUnreadable();
         if (unreadable.add(upstream)) {
-            context.log()
-                    .request("limit_unreadable", requestId)
+            line("limit_unreadable", requestId)
                     .put("upstream", upstream.value())
                     .write();
         }
     }
 
-    /** Forgets an upstream that is over. */
+    /** Tells whether requests to an upstream need a permit. */
+    boolean isLimited(UpstreamId upstream) {
+        return admission.isLimited(upstream);
+    }
+
+    /** Tells whether no upstream is limited. */
+    boolean isIdle() {
+        return context.limits().isEmpty();
+    }
+
+    /** Returns the time until a request to an upstream may pass, in milliseconds; 0 if it may pass or be asked for. */
+    long opensMillis(UpstreamId upstream) {
+        return admission.opensMillis(upstream);
+    }
+
+    /** Lets one request to an upstream pass, or not. */
+    void acquire(UpstreamId upstream, Consumer<Boolean> then) {
+        admission.acquire(upstream, then);
+    }
+
+    /** Counts a request that is sent without a permit, as it cannot be left out. */
+    void charge(UpstreamId upstream) {
+        admission.charge(upstream);
+    }
+
+    /** Forgets a start of an upstream that is over. */
     void forget(UpstreamId upstream) {
         unreadable.remove(upstream);
         context.limits().forget(upstream);
     }
+
+    /** Forgets what was held for upstreams that are not limited any more. */
+    void expire() {
+        admission.expire();
+        if (!unreadable.isEmpty()) {
+            unreadable.removeIf(upstream -> !context.upstreams().lists(upstream));
+        }
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -75,6 +75,13 @@
                 predictedMillis, nowMillis - arrivedMillis, CallerPatience.millis(route), leftMillis(nowMillis));
     }
 
+    /** Tells whether it may wait until an upstream's limit lets it pass. */
+    boolean mayWaitForLimits(long opensMillis, long nowMillis) {
+        return runsOnEngines()
+                ? mayWait(opensMillis, nowMillis)
+                : nowMillis + opensMillis < arrivedMillis + route.targetLatencyMillis();
+    }
+
     /** Tells whether it may wait for another attempt of the same request: half of its time is left for its own. */
     boolean mayHold(long nowMillis) {
         boolean halfLeft = leftMillis(nowMillis) > (endMillis - arrivedMillis) / 2;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -60,7 +60,7 @@
         this.limits = limits;
         this.suspicion = new RunSuspicion(gate, facts);
         this.log = new RunLog(context, facts, attempts, progress);
-        this.sender = new RequestSender(this, chooser, facts, attempts, progress, suspicion, log);
+        this.sender = new RequestSender(this, chooser, limits, facts, attempts, progress, suspicion, log);
         this.timeLimit = context.loop().schedule(facts.leftMillis(context.nowMillis()), this::timeOver);
         log.arrived();
     }
@@ -186,11 +186,13 @@
 
     /** Takes the beginning of an answer, whatever follows. */
     void answerBegan(Attempt attempt, AnswerHead answer) {
-        limits.answered(
-                attempt.upstream(),
-                answer,
-                attempt.startMillis(),
-                facts.request().id());
+        if (!answer.otherInstance()) {
+            limits.answered(
+                    attempt.upstream().id(),
+                    answer.statedLimit(),
+                    attempt.startMillis(),
+                    facts.request().id());
+        }
     }
 
     /** Takes a whole answer, or an upstream's failure that is passed on as it is. */
@@ -273,11 +275,15 @@
 
     /** Ends the run without an answer of an upstream. */
     void endWithout(RefusalCause cause) {
+        endWithout(cause, CallerPatience.retryAfterMillis(cause, facts.leftMillis(context.nowMillis())));
+    }
+
+    /** Ends the run without an answer of an upstream, and tells the caller when to come back; 0 for no advice. */
+    void endWithout(RefusalCause cause, long retryMillis) {
         if (over) {
             return;
         }
         long now = context.nowMillis();
-        long retryMillis = CallerPatience.retryAfterMillis(cause, facts.leftMillis(now));
         boolean begun = exchange.begun();
         int status =
                 begun ? 0 : RequestRuns.status(cause, attempts.mayHaveRun()).code();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -51,9 +51,9 @@
      */
     public RequestRuns(RunContext context) {
         this.context = context;
-        this.chooser = new UpstreamChooser(context);
         this.gate = new SuspectGate(context, this::suspected);
         this.limits = new LimitGate(context);
+        this.chooser = new UpstreamChooser(context, limits);
     }
 
     @Override
@@ -149,6 +149,11 @@
         List.copyOf(open).forEach(run -> run.suspected(request));
     }
 
+    /** Forgets what is known of rate limits that hold no more. */
+    public void expireLimits() {
+        limits.expire();
+    }
+
     /** Refuses requests from now on, as the process is about to stop. */
     public void refuseNew() {
         refusing = true;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -18,6 +18,7 @@
     private final RequestRun run;
     private final RunContext context;
     private final UpstreamChooser chooser;
+    private final LimitGate limits;
     private final RequestFacts facts;
     private final AttemptCount attempts;
     private final StreamProgress progress;
@@ -34,6 +35,7 @@
     RequestSender(
             RequestRun run,
             UpstreamChooser chooser,
+            LimitGate limits,
             RequestFacts facts,
             AttemptCount attempts,
             StreamProgress progress,
@@ -42,6 +44,7 @@
         this.run = run;
         this.context = run.context();
         this.chooser = chooser;
+        this.limits = limits;
         this.facts = facts;
         this.attempts = attempts;
         this.progress = progress;
@@ -90,19 +93,19 @@
             run.endWithout(RefusalCause.TOO_DEAR);
             return;
         }
-        begin(choice, decision, now);
+        begin(choice, now);
     }
 
     /** Gives the request to the upstreams that were chosen. */
-    private void begin(UpstreamChoice choice, SuspectDecision decision, long now) {
+    private void begin(UpstreamChoice choice, long now) {
         chooser.begin(choice, facts.leftMillis(now));
-        reserved = new ReservedHelpers(context, choice);
+        reserved = new ReservedHelpers(context, limits, choice);
         Attempt attempt = newAttempt(choice, now);
         current = attempt;
         if (choice.reserves()) {
             reserved.reserve().subscribe(done -> afterReserving(attempt, done), e -> afterReserving(attempt, false));
         } else {
-            forward(attempt, decision);
+            acquire(attempt);
         }
     }
 
@@ -132,6 +135,11 @@
 
     /** Waits for room if some may still be found, and ends otherwise. */
     private void waitOrRefuse(long now) {
+        long opensMillis = chooser.opensMillis(facts.service(), excluded);
+        if (opensMillis > 0) {
+            waitForLimits(opensMillis, now);
+            return;
+        }
         if (waitsForRoom(now)) {
             waitForRoom();
             return;
@@ -140,6 +148,19 @@
         run.endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
     }
 
+    /** Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. */
+    private void waitForLimits(long opensMillis, long now) {
+        boolean inTime = progress.begun()
+                ? now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route())
+                : facts.mayWaitForLimits(opensMillis, now);
+        if (inTime) {
+            log.waits(now);
+            lookAgain(opensMillis);
+        } else {
+            run.endWithout(RefusalCause.UPSTREAM_LIMITS, opensMillis);
+        }
+    }
+
     /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
     private boolean waitsForRoom(long now) {
         return facts.runsOnEngines()
@@ -176,10 +197,31 @@
         if (attempt != current || attempt.over()) {
             return;
         }
-        SuspectDecision decision = suspicion.decide();
-        if (!done) {
+        if (done) {
+            acquire(attempt);
+        } else {
             attempt.failed(FailureKind.NOT_RESERVED);
-        } else if (decision.sends()) {
+        }
+    }
+
+    /** Goes on once the upstream's limit lets the request pass. */
+    private void acquire(Attempt attempt) {
+        limits.acquire(attempt.upstream().id(), granted -> afterAcquiring(attempt, granted));
+    }
+
+    /** Sends the request if it may be sent, and otherwise tries another upstream. */
+    private void afterAcquiring(Attempt attempt, boolean granted) {
+        if (attempt != current || attempt.over()) {
+            return;
+        }
+        if (!granted) {
+            log.passedOver(attempt, limits.opensMillis(attempt.upstream().id()));
+            cancel();
+            send();
+            return;
+        }
+        SuspectDecision decision = suspicion.decide();
+        if (decision.sends()) {
             forward(attempt, decision);
         } else {
             cancel();
@@ -205,7 +247,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, now);
+        log.sent(choice, chooser.closed(facts.service()), now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -37,6 +37,7 @@
     private static final long LATE_MILLIS = 13_000;
 
     private final RunContext context;
+    private final LimitGate limits;
     private final UpstreamChoice choice;
     private final List<Forwarding.Helper> helpers = new ArrayList<>();
     private ScheduledFuture<?> renewal;
@@ -44,8 +45,9 @@
     private boolean ended;
 
     /** Creates the helpers of a send; nothing is reserved yet. */
-    ReservedHelpers(RunContext context, UpstreamChoice choice) {
+    ReservedHelpers(RunContext context, LimitGate limits, UpstreamChoice choice) {
         this.context = context;
+        this.limits = limits;
         this.choice = choice;
         for (int i = 0; i < choice.helpers().size(); i++) {
             EnginePart part = choice.placement().parts().get(i + 1);
@@ -83,17 +85,37 @@
                 .filter(i -> helpers.get(i).reservation() != null)
                 .filter(i -> !context.upstreams()
                         .startedAgain(helpers.get(i).upstream().id()))
-                .flatMap(i -> context.engines()
-                        .reserve(
+                .flatMap(i -> order(
                                 helpers.get(i).upstream(),
-                                helpers.get(i).reservation(),
-                                choice.placement().parts().get(i + 1).memoryTokens(),
-                                HOLD_MILLIS)
+                                context.engines()
+                                        .reserve(
+                                                helpers.get(i).upstream(),
+                                                helpers.get(i).reservation(),
+                                                choice.placement()
+                                                        .parts()
+                                                        .get(i + 1)
+                                                        .memoryTokens(),
+                                                HOLD_MILLIS))
                         .doOnError(e -> unanswered(helpers.get(i).upstream()))
                         .onErrorReturn(false))
                 .all(reserved -> reserved);
     }
 
+    /**
+     * Gives one order. It counts towards the engine's limit, but is not held back: without it the request would be cut
+     * off, or memory would stay taken.
+     */
+    private Mono<Boolean> order(UpstreamEntry engine, Mono<EngineCalls.OrderAnswer> order) {
+        return Mono.defer(() -> {
+            long sentMillis = context.nowMillis();
+            limits.charge(engine.id());
+            return order.map(answer -> {
+                limits.answered(engine.id(), answer.statedLimit(), sentMillis, null);
+                return answer.done();
+            });
+        });
+    }
+
     /** Notes an order that was not answered and may be carried out late. */
     private void unanswered(UpstreamEntry engine) {
         unansweredMillis = context.nowMillis();
@@ -121,8 +143,7 @@
         if (context.upstreams().find(engine.id()) == null) {
             return;
         }
-        context.engines()
-                .release(engine, reservation)
+        order(engine, context.engines().release(engine, reservation))
                 .subscribe(done -> releaseLater(engine, reservation, LATE_RELEASE_MILLIS), error -> {
                     unanswered(engine);
                     releaseLater(engine, reservation, RELEASE_MILLIS);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunContext.java
@@ -34,6 +34,7 @@
  * @param suspects requests under which upstreams ended
  * @param suspectNews tells other routers of them
  * @param limits the rate limits that upstreams named
+ * @param limitNews tells other routers of them
  * @param budgets what may be repeated
  * @param bodies bounds the bytes of requests that are held
  * @param log takes decisions
@@ -54,6 +55,7 @@
         SuspectTable suspects,
         SuspectNews suspectNews,
         LimitTable limits,
+        LimitNews limitNews,
         RetryBudgets budgets,
         ByteBudget bodies,
         DecisionLog log,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -63,11 +65,12 @@
     }
 
     /** Notes a send. */
-    void sent(UpstreamChoice choice, long nowMillis) {
+    void sent(UpstreamChoice choice, List<UpstreamEntry> closed, long nowMillis) {
         line("sent")
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
+                .put("limits_used_up", names(closed))
                 .put(
                         "part_millis",
                         choice.placement() == null
@@ -80,6 +83,19 @@
                 .write();
     }
 
+    /** Notes that an upstream was passed over, as its limit lets no request pass now. */
+    void passedOver(Attempt attempt, long opensMillis) {
+        UpstreamId upstream = attempt.upstream().id();
+        RateLimit limit = context.limits().find(upstream);
+        context.metrics().passedOver();
+        line("passed_over")
+                .put("upstream", upstream.value())
+                .put("per_second", limit == null ? null : Double.toString(limit.perSecond()))
+                .put("keeper", context.limitNews().keeperOf(upstream))
+                .put("opens_millis", opensMillis)
+                .write();
+    }
+
     /** Joins the names of upstreams; {@code null} if there are none. */
     private static String names(List<UpstreamEntry> upstreams) {
         return upstreams.isEmpty()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -25,6 +25,7 @@
     private static final long SHARED_MILLIS = 500;
 
     private final RunContext context;
+    private final LimitGate limits;
     private final Map<UpstreamId, Long> progressMillis = new HashMap<>();
     private final Map<UpstreamId, Asked> asked = new HashMap<>();
 
@@ -37,8 +38,9 @@
     private record Asked(long atMillis, Mono<Silence> answer) {}
 
     /** Creates a check. */
-    SilenceCheck(RunContext context) {
+    SilenceCheck(RunContext context, LimitGate limits) {
         this.context = context;
+        this.limits = limits;
     }
 
     /** Notes an event of an engine. */
@@ -92,11 +94,20 @@
         return before.answer();
     }
 
-    /** Asks an engine. */
+    /** Asks an engine if its limit lets a request pass; one that named a limit and is silent counts as overloaded. */
     private Mono<Silence> ask(UpstreamEntry engine) {
+        return Mono.<Boolean>create(sink -> limits.acquire(engine.id(), sink::success))
+                .flatMap(granted -> granted ? report(engine) : Mono.just(Silence.BUSY))
+                .cache();
+    }
+
+    /** Reads an engine's report. */
+    private Mono<Silence> report(UpstreamEntry engine) {
+        long sentMillis = context.nowMillis();
         return context.engines()
                 .report(engine)
                 .map(report -> {
+                    limits.answered(engine.id(), report.statedLimit(), sentMillis, null);
                     UpstreamId answering = new UpstreamId(engine.id().value(), report.incarnation());
                     if (answering.isLaterStartOf(engine.id())) {
                         return Silence.GONE;
@@ -110,7 +121,6 @@
                             .write();
                     return report.queued() > 0 ? Silence.BUSY : Silence.PASSED_OVER;
                 })
-                .onErrorReturn(Silence.GONE)
-                .cache();
+                .onErrorReturn(Silence.GONE);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
@@ -60,6 +60,11 @@
         return begun;
     }
 
+    /** Returns when the last event was passed on. */
+    long lastMillis() {
+        return lastMillis;
+    }
+
     /** Returns the event after which the stream goes on, or {@code null}. */
     String lastEventId() {
         return lastEventId;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -34,12 +34,14 @@
     private final RunContext context;
     private final Map<UpstreamId, Integer> inFlight = new HashMap<>();
     private final SilenceCheck silence;
+    private final LimitGate limits;
     private long placements;
 
     /** Creates a chooser. */
-    UpstreamChooser(RunContext context) {
+    UpstreamChooser(RunContext context, LimitGate limits) {
         this.context = context;
-        this.silence = new SilenceCheck(context);
+        this.limits = limits;
+        this.silence = new SilenceCheck(context, limits);
     }
 
     /** Returns what finds out why an engine is silent. */
@@ -66,7 +68,7 @@
             double cost = inFlight.getOrDefault(entry.id(), 0)
                     + FAILURE_WEIGHT * context.judge().failureProbability(entry.id(), context.nowMillis())
                     + (entry.dataCentre().equals(context.dataCentre()) ? 0 : DISTANCE_WEIGHT);
-            if (!excluded.contains(entry.id()) && cost < bestCost) {
+            if (!excluded.contains(entry.id()) && cost < bestCost && limits.opensMillis(entry.id()) == 0) {
                 best = entry;
                 bestCost = cost;
             }
@@ -81,13 +83,14 @@
         context.board().expire(now);
         List<EngineCandidate> candidates = new ArrayList<>();
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
-            if (!excluded.contains(entry.id())) {
+            if (!excluded.contains(entry.id()) && limits.opensMillis(entry.id()) == 0) {
                 context.board().load(entry.id()).profile(profile);
                 candidates.add(new EngineCandidate(
                         entry.id(),
                         context.board().load(entry.id()),
                         context.judge().failureProbability(entry.id(), now),
-                        context.judge().takesOrders(entry.id(), now)));
+                        context.judge().takesOrders(entry.id(), now),
+                        !limits.isLimited(entry.id())));
             }
         }
         List<EngineCandidate> ordered =
@@ -114,6 +117,33 @@
                 RoomWait.isRefused(choice, request.promptTokens()));
     }
 
+    /**
+     * Returns the time until a limit lets a request pass, in milliseconds.
+     *
+     * @return 0 if not all upstreams that may be used are closed by their limits
+     */
+    long opensMillis(ServiceId service, Set<UpstreamId> excluded) {
+        if (limits.isIdle()) {
+            return 0;
+        }
+        long least = Long.MAX_VALUE;
+        for (UpstreamEntry entry : context.upstreams().usable(service)) {
+            if (!excluded.contains(entry.id())) {
+                least = Math.min(least, limits.opensMillis(entry.id()));
+            }
+        }
+        return least == Long.MAX_VALUE ? 0 : least;
+    }
+
+    /** Lists the upstreams that get no request now, as their limits are used up. */
+    List<UpstreamEntry> closed(ServiceId service) {
+        return limits.isIdle()
+                ? List.of()
+                : context.upstreams().usable(service).stream()
+                        .filter(entry -> limits.opensMillis(entry.id()) > 0)
+                        .toList();
+    }
+
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
     boolean fasterElsewhere(RequestFacts facts, UpstreamChoice used, boolean begun, Set<UpstreamId> excluded) {
         UpstreamId engine = used.upstream().id();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatPortTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatPortTest.java
@@ -41,7 +41,7 @@
         CompletableFuture<NewsFrame> taken = new CompletableFuture<>();
         try (HeartbeatPort sender = new HeartbeatPort(loop, ANY);
                 HeartbeatPort receiver = new HeartbeatPort(loop, ANY)) {
-            receiver.take(taken::complete);
+            receiver.take((frame, from) -> taken.complete(frame));
             sendGarbage(receiver.address());
             sender.send(addressOfNobody(), EncodedFrame.of(BEAT));
             sender.send(receiver.address(), EncodedFrame.of(BEAT));
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
@@ -57,7 +57,7 @@
 
     @BeforeEach
     void receive() {
-        receiver.take(frame -> {
+        receiver.take((frame, sender) -> {
             if (frame.hasHeartbeat()) {
                 arrived.add(frame.getHeartbeat());
             } else {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamJudge;
@@ -47,6 +48,8 @@
             board,
             judge,
             new SuspectTable(PEER, found -> {}),
+            new LimitTable(),
+            new HostId("own"),
             state,
             log,
             () -> true,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -14,6 +14,8 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.StatedLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -54,11 +56,11 @@
 
     private long nowMillis;
     private int asked;
-    private Mono<EngineCalls.Report> report = Mono.just(new EngineCalls.Report(5, 3, 1));
+    private Mono<EngineCalls.Report> report = Mono.just(new EngineCalls.Report(5, 3, 1, StatedLimit.ABSENT));
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
     private final EngineBoard board = new EngineBoard();
     private final DecisionLog log = new DecisionLog("host", () -> 0);
-    private final SilenceCheck check = new SilenceCheck(new RunContext(
+    private final RunContext context = new RunContext(
             null,
             null,
             loop,
@@ -72,11 +74,13 @@
             null,
             null,
             null,
+            new LimitTable(),
             null,
             null,
             null,
             log,
-            null));
+            null);
+    private final SilenceCheck check = new SilenceCheck(context, new LimitGate(context));
 
     @AfterEach
     void stop() {
@@ -87,12 +91,12 @@
     /** Counts the questions. */
     private final class Engines implements EngineCalls {
         @Override
-        public Mono<Boolean> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis) {
+        public Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis) {
             return Mono.error(new IllegalStateException("No order is expected."));
         }
 
         @Override
-        public Mono<Boolean> release(UpstreamEntry engine, String reservation) {
+        public Mono<OrderAnswer> release(UpstreamEntry engine, String reservation) {
             return Mono.error(new IllegalStateException("No order is expected."));
         }
 
@@ -124,7 +128,7 @@
 
     @Test
     void movesStreamsFromAnEngineThatStartedAgain() {
-        report = Mono.just(new EngineCalls.Report(1, 0, ENGINE.id().incarnation() + 1));
+        report = Mono.just(new EngineCalls.Report(1, 0, ENGINE.id().incarnation() + 1, StatedLimit.ABSENT));
         assertThat(check.gone(ENGINE).block()).isTrue();
     }
 
@@ -144,7 +148,7 @@
     @ParameterizedTest
     @CsvSource({"4, BUSY", "0, PASSED_OVER"})
     void tellsAQueueFromALossWhileOtherStreamsGoOn(int queued, Silence expected) {
-        report = Mono.just(new EngineCalls.Report(1, queued, 1));
+        report = Mono.just(new EngineCalls.Report(1, queued, 1, StatedLimit.ABSENT));
         check.progress(ENGINE.id());
         assertThat(check.reason(ALONE, false).block()).isEqualTo(expected);
     }
@@ -162,7 +166,7 @@
         EnginePlacement older = place(1, ENGINE, HELPER);
         place(2, HELPER);
         UpstreamChoice choice = new UpstreamChoice(ENGINE, List.of(HELPER), older, 1_000, false, false, false);
-        report = Mono.just(new EngineCalls.Report(1, 0, 1));
+        report = Mono.just(new EngineCalls.Report(1, 0, 1, StatedLimit.ABSENT));
         nowMillis = afterMillis;
         check.progress(ENGINE.id());
 
@@ -183,7 +187,7 @@
 
     @Test
     void leavesARequestAtAnEngineThatIsSilentOnAllButAnswers() {
-        report = Mono.just(new EngineCalls.Report(1, 0, 1));
+        report = Mono.just(new EngineCalls.Report(1, 0, 1, StatedLimit.ABSENT));
         assertThat(check.reason(ALONE, false).block()).isEqualTo(Silence.BUSY);
     }
 
