Tell routers that start later of limits, read them in late answers too, and show a gauge for each

A router that had just started knew no limit until it read one itself: streams to newcomers were opened for placements and suspected requests only. An answer to an earlier request that comes late over the same connection is skipped for its caller, but what it says of a limit now counts: it may begin or lower one, never end or raise one. Limits of upstreams that have left the list are forgotten after a minute. Each limit in force has a gauge.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.apricotstack.core.id.UpstreamId;
 
@@ -15,6 +16,9 @@
  */
 public final class LimitTable {
 
+    /** Time for which the limit of an upstream that is not listed is kept, in milliseconds: it may be listed again. */
+    private static final long UNLISTED_MILLIS = 60_000;
+
     /** Ends that are remembered, so that older news do not bring the limit back. */
     private static final int MOST_ENDS = 1_000;
 
@@ -103,6 +107,18 @@
         return limits.remove(upstream) != null;
     }
 
+    /**
+     * Forgets upstreams that have not been listed and have named no limit for long.
+     *
+     * @param listed tells whether an upstream is listed
+     * @param nowMillis the time
+     */
+    public void expire(Predicate<UpstreamId> listed, long nowMillis) {
+        limits.entrySet()
+                .removeIf(entry ->
+                        nowMillis - entry.getValue().namedMillis() > UNLISTED_MILLIS && !listed.test(entry.getKey()));
+    }
+
     /**
      * Returns the limit of an upstream.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -100,6 +100,22 @@
                 .isFalse());
     }
 
+    @Test
+    void letsNoEngineHelpThatMayNot() {
+        List<EngineCandidate> some = candidates(board, ENGINES).stream()
+                .map(candidate -> new EngineCandidate(
+                        candidate.engine(),
+                        candidate.load(),
+                        0,
+                        true,
+                        candidate.engine().compareTo(engine(4)) >= 0))
+                .toList();
+        PlacementChoice choice = placer.choose(request(154_000), some, 0);
+        assertThat(choice.parts().size()).isGreaterThan(2);
+        assertThat(choice.parts().subList(1, choice.parts().size()))
+                .allSatisfy(part -> assertThat(part.engine()).isGreaterThanOrEqualTo(engine(4)));
+    }
+
     @Test
     void avoidsAnEngineThatIsLikelyToFail() {
         List<EngineCandidate> candidates = candidates(board, ENGINES).stream()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -118,6 +118,7 @@
         framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         if (skipping) {
             tainted = true;
+            call.listener().late(read);
             return;
         }
         answer = read;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
@@ -15,6 +15,13 @@
      */
     void head(AnswerHead head, HttpResponse raw);
 
+    /**
+     * Takes the beginning of an answer to an earlier request, which came late over the same connection and is skipped.
+     *
+     * @param head what it says
+     */
+    default void late(AnswerHead head) {}
+
     /**
      * Takes a piece of the body.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/HeartbeatSender.java
@@ -46,7 +46,7 @@
     private final StartPhase start;
     private final Address ownAddress;
     private final LongSupplier intervalMillis;
-    private final BooleanSupplier suspectsAny;
+    private final BooleanSupplier hasNews;
     private boolean takesCallers;
     private boolean ready;
     private boolean tellsPlacements;
@@ -62,7 +62,7 @@
             StartPhase start,
             Address ownAddress,
             LongSupplier intervalMillis,
-            BooleanSupplier suspectsAny) {
+            BooleanSupplier hasNews) {
         this.sink = sink;
         this.own = own;
         this.peers = peers;
@@ -71,7 +71,7 @@
         this.start = start;
         this.ownAddress = ownAddress;
         this.intervalMillis = intervalMillis;
-        this.suspectsAny = suspectsAny;
+        this.hasNews = hasNews;
     }
 
     /** Tells whether this router said in its last heartbeat that it decides on requests. */
@@ -214,10 +214,10 @@
         }
     }
 
-    /** Opens a stream to a router that has to hear of placements or of suspected requests, if there is none. */
+    /** Opens a stream to a router that has to hear of placements or of other news, if there is none. */
     void openTo(Peer peer) {
-        boolean hasNews = tellsPlacements || suspectsAny.getAsBoolean();
-        if (hasNews && peer.takesCallers() && !links.isOpen(peer.peerAddress())) {
+        boolean tells = tellsPlacements || hasNews.getAsBoolean();
+        if (tells && peer.takesCallers() && !links.isOpen(peer.peerAddress())) {
             links.open(peer.peerAddress(), sink).heartbeat(greeting(), intervalMillis.getAsLong());
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitChannel.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitChannel.java
@@ -140,6 +140,11 @@
         }
     }
 
+    /** Tells whether any upstream is limited, of which the other routers have to hear. */
+    boolean any() {
+        return !table.isEmpty();
+    }
+
     /** Adds what is known to a frame for a router that missed news. */
     void addAll(NewsFrame.Builder frame) {
         if (table.isEmpty()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -114,7 +114,15 @@
         OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, readsPlatform);
         peers.mention(identity.peerAddress());
         heartbeats = new HeartbeatSender(
-                this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis, suspects::any);
+                this,
+                own,
+                peers,
+                links,
+                port,
+                start,
+                identity.peerAddress(),
+                this::intervalMillis,
+                () -> suspects.any() || limits.any());
         suspects.tellThrough(heartbeats);
         limitPeers.tellThrough(heartbeats, port);
         readings = new PlatformNews(loop, this, state, documents, links, heartbeats, readsPlatform, this::knownRouters);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -1,8 +1,10 @@
 package org.apricotstack.serving.observe;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -12,7 +14,9 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitChange;
+import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.upstream.FailureKind;
 
@@ -21,12 +25,16 @@
 
     private static final long WINDOW_SECONDS = 60;
 
+    /** Begins the name of the gauge of an upstream's limit. */
+    private static final String LIMIT_GAUGES = "limits.per_second.";
+
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<RefusalCause, Counter> refusals = counters(RefusalCause.class, c -> "refusals." + c.code());
     private final Map<FailureKind, Counter> failures = counters(FailureKind.class, k -> "attempts.failed." + k.code());
     private final Map<FailureKind, Counter> retries = counters(FailureKind.class, k -> "retries." + k.code());
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
     private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
+    private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
     private final Counter passedOver = registry.counter("limits.passed_over");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
@@ -116,6 +124,27 @@
         limitChanges.get(change).inc();
     }
 
+    /**
+     * Shows a gauge for each rate limit that holds, in requests a second.
+     *
+     * @param inForce the limits by upstream
+     */
+    public void limits(Map<UpstreamId, RateLimit> inForce) {
+        if (inForce.isEmpty() && shownLimits.isEmpty()) {
+            return;
+        }
+        Map<String, Double> byName = new HashMap<>();
+        inForce.forEach(
+                (upstream, limit) -> byName.merge(LIMIT_GAUGES + upstream.value(), limit.perSecond(), Math::min));
+        shownLimits.keySet().removeIf(name -> !byName.containsKey(name) && registry.remove(name));
+        byName.forEach((name, perSecond) -> {
+            if (shownLimits.put(name, perSecond) == null) {
+                Gauge<Double> gauge = () -> shownLimits.getOrDefault(name, 0.0);
+                registry.register(name, gauge);
+            }
+        });
+    }
+
     /** Counts a request that was not sent to an upstream, as its limit let it not pass. */
     public void passedOver() {
         passedOver.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -185,6 +185,11 @@
         run.answerBegan(this, answer);
     }
 
+    @Override
+    public void late(AnswerHead answer) {
+        run.lateAnswer(this, answer);
+    }
+
     @Override
     public void data(ByteBuf data) {
         if (body == null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
@@ -108,8 +108,10 @@
         context.limits().forget(upstream);
     }
 
-    /** Forgets what was held for upstreams that are not limited any more. */
+    /** Forgets what concerns upstreams that are not limited any more, or gone, and shows the limits that hold. */
     void expire() {
+        context.limits().expire(id -> context.upstreams().lists(id), context.nowMillis());
+        context.metrics().limits(context.limits().all());
         admission.expire();
         if (!unreadable.isEmpty()) {
             unreadable.removeIf(upstream -> !context.upstreams().lists(upstream));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -186,12 +186,20 @@
 
     /** Takes the beginning of an answer, whatever follows. */
     void answerBegan(Attempt attempt, AnswerHead answer) {
+        stated(attempt, answer, attempt.startMillis());
+    }
+
+    /** Takes the beginning of an answer to an earlier request; it may begin or lower a limit, but end none. */
+    void lateAnswer(Attempt attempt, AnswerHead answer) {
+        stated(attempt, answer, Long.MIN_VALUE);
+    }
+
+    /** Takes in what an upstream says of its limit; what another one at its address says concerns the other one. */
+    private void stated(Attempt attempt, AnswerHead answer, long sentMillis) {
         if (!answer.otherInstance()) {
+            UpstreamId upstream = attempt.upstream().id();
             limits.answered(
-                    attempt.upstream().id(),
-                    answer.statedLimit(),
-                    attempt.startMillis(),
-                    facts.request().id());
+                    upstream, answer.statedLimit(), sentMillis, facts.request().id());
         }
     }
 
