--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
@@ -17,6 +17,7 @@
     private final RunContext context;
     private final LimitAdmission admission;
     private final Set<UpstreamId> unreadable = new HashSet<>();
+    private int waiting;
 
     /** Creates a gate. */
     LimitGate(RunContext context) {
@@ -97,6 +98,16 @@
         admission.acquire(upstream, then);
     }
 
+    /** Notes that requests begin, or with a negative number end, to wait until a limit lets them pass. */
+    void waits(int requests) {
+        waiting += requests;
+    }
+
+    /** Returns how many requests wait until a limit lets them pass. */
+    int waiting() {
+        return waiting;
+    }
+
     /** Counts a request that is sent without a permit, as it cannot be left out. */
     void charge(UpstreamId upstream) {
         admission.charge(upstream);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -30,6 +30,7 @@
     private ReservedHelpers reserved;
     private boolean waiting;
     private boolean held;
+    private boolean waitedForLimits;
 
     /** Creates a sender that has no body yet. */
     RequestSender(
@@ -148,19 +149,34 @@
         run.endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
     }
 
-    /** Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. */
+    /**
+     * Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. A request waits once,
+     * and one for each closed upstream: more than that would wait for permits that others get.
+     */
     private void waitForLimits(long opensMillis, long now) {
-        boolean inTime = progress.begun()
-                ? now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route())
-                : facts.mayWaitForLimits(opensMillis, now);
-        if (inTime) {
+        if (mayWaitForLimits(opensMillis, now)) {
+            waitedForLimits = true;
+            limits.waits(1);
             log.waits(now);
-            lookAgain(opensMillis);
+            context.loop().schedule(opensMillis, () -> {
+                limits.waits(-1);
+                sendAgain();
+            });
         } else {
             run.endWithout(RefusalCause.UPSTREAM_LIMITS, opensMillis);
         }
     }
 
+    /** Tells whether it is of use to wait; a stream whose answer has begun waits as long as its caller may. */
+    private boolean mayWaitForLimits(long opensMillis, long now) {
+        if (progress.begun()) {
+            return now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route());
+        }
+        return !waitedForLimits
+                && limits.waiting() < chooser.closed(facts.service()).size()
+                && facts.mayWaitForLimits(opensMillis, now);
+    }
+
     /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
     private boolean waitsForRoom(long now) {
         return facts.runsOnEngines()
@@ -185,11 +201,14 @@
 
     /** Tries to send the request a little later. */
     private void lookAgain(long millis) {
-        context.loop().schedule(millis, () -> {
-            if (!run.over() && current == null) {
-                send();
-            }
-        });
+        context.loop().schedule(millis, this::sendAgain);
+    }
+
+    /** Sends the request unless it is over, or was sent meanwhile. */
+    private void sendAgain() {
+        if (!run.over() && current == null) {
+            send();
+        }
     }
 
     /** Goes on once the memory is reserved. */
