--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
@@ -43,6 +43,11 @@
         print(files.write("suspects", new SuspectNewsMeasurement().run()));
     }
 
+    /** Measures how soon all routers know of a rate limit that one of them read. */
+    public void limits() {
+        print(files.write("limits", new LimitNewsMeasurement().run()));
+    }
+
     /**
      * Measures starts of routers as processes of their own.
      *
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -14,7 +14,9 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.suspect.SeenEnd;
 import org.apricotstack.core.suspect.SuspectTable;
@@ -133,6 +135,26 @@
         });
     }
 
+    /** Does something once this router knows the limit of an upstream; looks every millisecond. */
+    void whenLimited(UpstreamId upstream, Runnable then) {
+        loop.execute(() -> {
+            if (limits.find(upstream) == null) {
+                loop.schedule(1, () -> whenLimited(upstream, then));
+            } else {
+                then.run();
+            }
+        });
+    }
+
+    /** Tells that an upstream named a limit. */
+    void tellLimit(UpstreamId upstream, double perSecond) {
+        loop.execute(() -> {
+            RateLimit limit = new RateLimit(perSecond, loop.nowMillis());
+            limits.heard(upstream, limit);
+            hub.limits().told(upstream, LimitChange.BEGAN, limit);
+        });
+    }
+
     @Override
     public void close() {
         hub.close();
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/SuspectNewsMeasurement.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/SuspectNewsMeasurement.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
@@ -24,13 +22,9 @@
     private static final Duration WARM_UP = Duration.ofSeconds(12);
     private static final Duration BETWEEN = Duration.ofMillis(150);
     private static final int CAPACITY_PERCENT = 100;
-    private static final double MEDIAN = 0.5;
-    private static final double NINETY_NINTH = 0.99;
-    private static final double NANOS_PER_MILLI = 1e6;
 
     private final List<Sample> samples = new ArrayList<>();
-    private final Map<RequestDigest, Long> toldNanos = new ConcurrentHashMap<>();
-    private final List<Double> knownMillis = new ArrayList<>();
+    private final KnownTimes<RequestDigest> times = new KnownTimes<>();
 
     /** Runs all measurements. */
     List<Sample> run() {
@@ -53,30 +47,27 @@
 
     /** Tells of requests under which upstreams end, one after the other, and notes when each router knows. */
     private void measure(List<NewsRouter> fleet) {
-        fleet.forEach(router -> router.whenHeardOfEnd(this::heard));
+        fleet.forEach(router -> router.whenHeardOfEnd(times::known));
         List<NewsRouter> deciding = fleet.stream()
                 .filter(router -> router.read(NewsHub::takesCallers))
                 .toList();
         deciding.forEach(NewsRouter::tellPlacement);
         pause(WARM_UP);
         tell(deciding, 1);
-        add("first-end-known-millis", fleet.size());
+        samples.addAll(times.samples("first-end-known-millis", fleet.size()));
         tell(deciding, ENDS);
-        add("third-end-known-millis", fleet.size());
+        samples.addAll(times.samples("third-end-known-millis", fleet.size()));
     }
 
     /** Lets upstreams end under requests, and tells of the last end only once the others are known. */
     private void tell(List<NewsRouter> deciding, int ends) {
-        toldNanos.clear();
-        synchronized (knownMillis) {
-            knownMillis.clear();
-        }
+        times.clear();
         for (int i = 0; i < REQUESTS; i++) {
             RequestDigest request = new RequestDigest(ends, i);
             NewsRouter teller = deciding.get(i % deciding.size());
             for (int end = 1; end <= ends; end++) {
                 if (end == ends) {
-                    toldNanos.put(request, System.nanoTime());
+                    times.told(request);
                 }
                 teller.tellEnd(request, new UpstreamId("i-" + ends + "-" + i + "-" + end), end == ENDS);
                 pause(BETWEEN);
@@ -84,37 +75,6 @@
         }
     }
 
-    /** Notes that a router heard of an end; ends before the last one are not timed. */
-    private void heard(RequestDigest request) {
-        long now = System.nanoTime();
-        Long told = toldNanos.get(request);
-        if (told != null) {
-            synchronized (knownMillis) {
-                knownMillis.add((now - told) / NANOS_PER_MILLI);
-            }
-        }
-    }
-
-    /** Adds the median, the 99th percentile and the longest time. */
-    private void add(String series, int routers) {
-        double[] sorted;
-        synchronized (knownMillis) {
-            sorted = knownMillis.stream()
-                    .mapToDouble(Double::doubleValue)
-                    .sorted()
-                    .toArray();
-        }
-        samples.add(new Sample(series + "-p50-by-routers", routers, at(sorted, MEDIAN)));
-        samples.add(new Sample(series + "-p99-by-routers", routers, at(sorted, NINETY_NINTH)));
-        samples.add(new Sample(series + "-most-by-routers", routers, at(sorted, 1)));
-        samples.add(new Sample(series + "-heard-by-routers", routers, (double) sorted.length / REQUESTS));
-    }
-
-    /** Returns a quantile of sorted values. */
-    private static double at(double[] sorted, double quantile) {
-        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.ceil(quantile * sorted.length) - 1];
-    }
-
     /** Lets time pass. */
     private static void pause(Duration duration) {
         Mono.delay(duration).block();
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
@@ -13,7 +13,9 @@
     @Parameter(names = "--out", description = "Folder for the results.")
     private String out = "docs/measurements";
 
-    @Parameter(names = "--only", description = "state, control, news, suspects or starts; the first three if left out.")
+    @Parameter(
+            names = "--only",
+            description = "state, control, news, suspects, limits or starts; the first three if left out.")
     private String only = "";
 
     @Parameter(names = "--program", description = "Folder of the sources whose built program is started.")
@@ -37,6 +39,9 @@
         if (only.equals("suspects")) {
             measurements.suspects();
         }
+        if (only.equals("limits")) {
+            measurements.limits();
+        }
         if (only.equals("starts")) {
             DeployedProgram program = new DeployedProgram(Path.of(folder).toAbsolutePath());
             measurements.starts(program::fleet, mostRouters);
