Decide whether a request waits for a limit in a class of its own, and test what had no test yet

The decision was in the sender and could only be tested with a network; LimitWait has it now, unchanged.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -52,6 +52,15 @@
         assertThat(named(null, 0)).hasSize(3);
     }
 
+    @Test
+    void countsRoutersThatFellSilentAndNotThoseThatSaidThatTheyStop() {
+        table.heartbeat(peer(1, 1, EAST, true), 0);
+        table.heartbeat(peer(2, 1, EAST, false), 0);
+        table.heartbeat(peer(3, 1, EAST, true), 1_000);
+        assertThat(table.silentDeciding(0)).isZero();
+        assertThat(table.silentDeciding(PeerTable.SUSPECT_MILLIS)).isEqualTo(1);
+    }
+
     @Test
     void namesNeitherSilentRoutersNorThoseThatAreNotReady() {
         table.heartbeat(peer(1, 1, EAST, true), 0);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/LimitTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/LimitTableTest.java
@@ -67,6 +67,17 @@
         assertThat(table.heard(UPSTREAM, new RateLimit(3, 130))).isEqualTo(LimitChange.BEGAN);
     }
 
+    @Test
+    void forgetsTheLimitOfAnUpstreamThatIsNotListedForAMinute() {
+        table.answered(UPSTREAM, of(2), 0, 100);
+        table.expire(id -> false, 60_100);
+        assertThat(table.find(UPSTREAM)).isNotNull();
+        table.expire(id -> true, 60_101);
+        assertThat(table.find(UPSTREAM)).isNotNull();
+        table.expire(id -> false, 60_101);
+        assertThat(table.isEmpty()).isTrue();
+    }
+
     @Test
     void limitsEachStartOfAnUpstreamByItself() {
         table.answered(UPSTREAM, of(2), 0, 100);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -37,9 +37,6 @@
         long arrivedMillis,
         long endMillis) {
 
-    /** Part of the target latency for which a request may wait for a limit; the rest is left for its answer. */
-    private static final long LIMIT_WAIT_DIVISOR = 4;
-
     /** Least urgent rank that upstreams know. */
     private static final int LAST_PRIORITY = 9;
 
@@ -78,11 +75,6 @@
                 predictedMillis, nowMillis - arrivedMillis, CallerPatience.millis(route), leftMillis(nowMillis));
     }
 
-    /** Tells whether it may wait so long until an upstream's limit lets it pass: its answer can still be in time. */
-    boolean mayWaitForLimits(long opensMillis, long nowMillis) {
-        return nowMillis + opensMillis < arrivedMillis + route.targetLatencyMillis() / LIMIT_WAIT_DIVISOR;
-    }
-
     /** Tells whether it may wait for another attempt of the same request: half of its time is left for its own. */
     boolean mayHold(long nowMillis) {
         boolean halfLeft = leftMillis(nowMillis) > (endMillis - arrivedMillis) / 2;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.LimitWait;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.suspect.SuspectDecision;
 import org.apricotstack.core.upstream.FailureKind;
@@ -173,8 +174,12 @@
             return now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route());
         }
         return !waitedForLimits
-                && limits.waiting() < chooser.closed(facts.service()).size()
-                && facts.mayWaitForLimits(opensMillis, now);
+                && LimitWait.isAllowed(
+                        opensMillis,
+                        now - facts.arrivedMillis(),
+                        facts.route().targetLatencyMillis(),
+                        limits.waiting(),
+                        chooser.closed(facts.service()).size());
     }
 
     /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/FleetLimitPeersTest.java
@@ -0,0 +1,135 @@
+package org.apricotstack.serving.news;
+
+import java.util.List;
+
+import org.apricotstack.core.engine.EngineBoard;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.peer.RequestRate;
+import org.apricotstack.core.ratelimit.KeeperChoice;
+import org.apricotstack.core.upstream.UpstreamJudge;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.publication.PublishedState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Which router keeps the limit of an upstream, as heartbeats tell of the others. */
+class FleetLimitPeersTest {
+
+    private static final Address ANY = new Address("127.0.0.1", 0);
+    private static final HostId OWN = new HostId("own");
+    private static final HostId PEER = new HostId("peer");
+    private static final UpstreamId UPSTREAM = new UpstreamId("upstream");
+
+    private long nowMillis;
+    private boolean ready = true;
+    private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
+    private final DecisionLog log = new DecisionLog("own", () -> 0);
+    private final HeartbeatPort port = new HeartbeatPort(loop, ANY);
+    private final PeerTable peers = new PeerTable();
+    private final PublishedState state =
+            new PublishedState(null, new UpstreamTable(), new UpstreamJudge(), new EngineBoard(), log);
+    private final StartPhase start = new StartPhase(0);
+    private int knownRouters = 1;
+    private final FleetLimitPeers fleet =
+            new FleetLimitPeers(loop, OWN, peers, state, start, () -> ready, () -> knownRouters);
+
+    @BeforeEach
+    void connect() {
+        RouterIdentity identity = new RouterIdentity(
+                new ProcessId(OWN, 1), new DataCentreId("east"), port.address(), port.address(), 100);
+        OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, () -> ready, new RequestRate(0), () -> true);
+        NewsLinks links = new NewsLinks(loop, peers, () -> null);
+        HeartbeatSender sender =
+                new HeartbeatSender(null, own, peers, links, port, start, port.address(), () -> 500, () -> false);
+        fleet.tellThrough(sender, port);
+        sender.beat(0);
+    }
+
+    @AfterEach
+    void stop() {
+        port.close();
+        loop.close();
+        log.close();
+    }
+
+    private void hear(HostId host, boolean isReady, boolean takesCallers) {
+        Address address = new Address("127.0.0.1", 1_000 + host.value().length());
+        peers.heartbeat(
+                new Peer(
+                        new ProcessId(host, 1),
+                        new DataCentreId("east"),
+                        address,
+                        address,
+                        isReady,
+                        1,
+                        1,
+                        100,
+                        0,
+                        takesCallers,
+                        500),
+                nowMillis);
+    }
+
+    /** Returns an upstream of which a host would be the keeper if both were in touch. */
+    private UpstreamId keptBy(HostId host) {
+        for (int i = 0; ; i++) {
+            UpstreamId upstream = new UpstreamId("upstream-" + i);
+            if (KeeperChoice.of(upstream, List.of(OWN, PEER), 0).host().equals(host)) {
+                return upstream;
+            }
+        }
+    }
+
+    @Test
+    void isThisRouterIfItIsAlone() {
+        assertThat(fleet.keeperOf(UPSTREAM)).isEqualTo(new KeeperChoice(OWN, 1));
+    }
+
+    @Test
+    void isNobodyWhileThisRouterHasNotHeardTheOthersThatItKnowsOf() {
+        knownRouters = 2;
+        assertThat(fleet.keeperOf(UPSTREAM).host()).isNull();
+        start.toldBy(PEER);
+        assertThat(fleet.keeperOf(UPSTREAM).host()).isEqualTo(OWN);
+    }
+
+    @Test
+    void isTheOtherRouterThatAllChoose() {
+        hear(PEER, true, true);
+        knownRouters = 2;
+        start.toldBy(PEER);
+        assertThat(fleet.keeperOf(keptBy(PEER))).isEqualTo(new KeeperChoice(PEER, 1));
+        assertThat(fleet.keeperOf(keptBy(OWN))).isEqualTo(new KeeperChoice(OWN, 1));
+    }
+
+    @Test
+    void isNoRouterThatStandsByOrStops() {
+        knownRouters = 2;
+        start.toldBy(PEER);
+        hear(PEER, true, false);
+        assertThat(fleet.keeperOf(keptBy(PEER)).host()).isEqualTo(OWN);
+        hear(PEER, false, true);
+        assertThat(fleet.keeperOf(keptBy(PEER)).host()).isEqualTo(OWN);
+        hear(PEER, true, true);
+        ready = false;
+        assertThat(fleet.keeperOf(keptBy(OWN)).host()).isEqualTo(PEER);
+    }
+
+    @Test
+    void speaksForHalfOfTheRoutersIfTheOtherHalfIsSilent() {
+        hear(PEER, true, true);
+        nowMillis = 10_000;
+        assertThat(fleet.keeperOf(keptBy(PEER))).isEqualTo(new KeeperChoice(OWN, 0.5));
+    }
+}
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -0,0 +1,117 @@
+package org.apricotstack.serving.run;
+
+import java.util.List;
+
+import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.RateLimit;
+import org.apricotstack.core.ratelimit.StatedLimit;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReservedHelpersTest {
+
+    private static final UpstreamEntry LEAD = engine("lead", 1);
+    private static final UpstreamEntry HELPER = engine("helper", 2);
+
+    private int orders;
+    private final ServingLoop loop = new ServingLoop(() -> 0);
+    private final DecisionLog log = new DecisionLog("host", () -> 0);
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final LimitTable limits = new LimitTable();
+    private final DenyingLimitNews news = new DenyingLimitNews();
+    private final RunContext context = new RunContext(
+            null,
+            null,
+            loop,
+            null,
+            upstreams,
+            null,
+            null,
+            null,
+            null,
+            new Engines(),
+            null,
+            null,
+            null,
+            limits,
+            news,
+            null,
+            null,
+            log,
+            null);
+
+    @AfterEach
+    void stop() {
+        loop.close();
+        log.close();
+    }
+
+    private static UpstreamEntry engine(String name, int port) {
+        return new UpstreamEntry(
+                new UpstreamId(name, 1),
+                new ServiceId("service"),
+                new Address("127.0.0.1", port),
+                new DataCentreId("east"),
+                8,
+                false,
+                1);
+    }
+
+    /** Takes all orders. */
+    private final class Engines implements EngineCalls {
+        @Override
+        public Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis) {
+            return Mono.fromSupplier(this::taken);
+        }
+
+        @Override
+        public Mono<OrderAnswer> release(UpstreamEntry engine, String reservation) {
+            return Mono.fromSupplier(this::taken);
+        }
+
+        private OrderAnswer taken() {
+            orders++;
+            return new OrderAnswer(true, new StatedLimit(StatedLimit.Kind.STATED, 2));
+        }
+
+        @Override
+        public Mono<Report> report(UpstreamEntry engine) {
+            return Mono.error(new IllegalStateException("No report is expected."));
+        }
+    }
+
+    @Test
+    void sendsOrdersToALimitedEngineAndCountsThem() {
+        upstreams.put(HELPER);
+        limits.heard(HELPER.id(), new RateLimit(2, 0));
+        EnginePlacement placement = new EnginePlacement(
+                new PlacementId(new ProcessId(new HostId("host"), 1), 1),
+                List.of(new EnginePart(LEAD.id(), 10, 300_000), new EnginePart(HELPER.id(), 10, 100_000)),
+                400_000,
+                3_000,
+                500);
+        UpstreamChoice choice = new UpstreamChoice(LEAD, List.of(HELPER), placement, 100, true, false, false);
+        ReservedHelpers helpers = new ReservedHelpers(context, new LimitGate(context), choice);
+        assertThat(helpers.reserve().block()).isTrue();
+        helpers.release();
+        assertThat(orders).isEqualTo(2);
+        assertThat(news.charged).isEqualTo(2);
+        assertThat(news.asked).isZero();
+    }
+}
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -15,6 +15,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.ratelimit.StatedLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ServingLoop;
@@ -60,6 +61,8 @@
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
     private final EngineBoard board = new EngineBoard();
     private final DecisionLog log = new DecisionLog("host", () -> 0);
+    private final LimitTable limits = new LimitTable();
+    private final DenyingLimitNews limitNews = new DenyingLimitNews();
     private final RunContext context = new RunContext(
             null,
             null,
@@ -74,8 +77,8 @@
             null,
             null,
             null,
-            new LimitTable(),
-            null,
+            limits,
+            limitNews,
             null,
             null,
             log,
@@ -201,4 +204,12 @@
         check.reason(ALONE, true).block();
         assertThat(asked).isEqualTo(2);
     }
+
+    @Test
+    void takesAnEngineForBusyThatMayNotBeAskedAsItsLimitIsUsedUp() {
+        limits.heard(ENGINE.id(), new RateLimit(1, 0));
+        assertThat(check.reason(ALONE, false).block()).isEqualTo(Silence.BUSY);
+        assertThat(limitNews.asked).isEqualTo(1);
+        assertThat(asked).isZero();
+    }
 }
