Let the test of engines that may not help be able to fail

With the guard switched off the test passed: long prompts take the last engines of the common order anyway, and those were the ones that might help. Now the first ones may: without the guard it fails.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/engine/EnginePlacerTest.java
@@ -108,12 +108,12 @@
                         candidate.load(),
                         0,
                         true,
-                        candidate.engine().compareTo(engine(4)) >= 0))
+                        candidate.engine().compareTo(engine(4)) < 0))
                 .toList();
         PlacementChoice choice = placer.choose(request(154_000), some, 0);
-        assertThat(choice.parts().size()).isGreaterThan(2);
+        assertThat(choice.parts()).hasSizeGreaterThan(1);
         assertThat(choice.parts().subList(1, choice.parts().size()))
-                .allSatisfy(part -> assertThat(part.engine()).isGreaterThanOrEqualTo(engine(4)));
+                .allSatisfy(part -> assertThat(part.engine()).isLessThan(engine(4)));
     }
 
     @Test
