--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -20,6 +20,7 @@
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.ServingMetrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,7 +83,7 @@
             null,
             null,
             log,
-            null);
+            new ServingMetrics());
     private final SilenceCheck check = new SilenceCheck(context, new LimitGate(context));
 
     @AfterEach
@@ -212,4 +213,11 @@
         assertThat(limitNews.asked).isEqualTo(1);
         assertThat(asked).isZero();
     }
+
+    @Test
+    void readsALimitInAReport() {
+        report = Mono.just(new EngineCalls.Report(1, 0, 1, new StatedLimit(StatedLimit.Kind.STATED, 3)));
+        check.reason(ALONE, false).block();
+        assertThat(limits.find(ENGINE.id()).perSecond()).isEqualTo(3);
+    }
 }
