--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitChannel.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitChannel.java
@@ -63,7 +63,7 @@
     private final TokenBucket told;
     private final TokenBucket permits;
     private final Map<Long, Question> open = new HashMap<>();
-    private final Map<UpstreamId, Long> changeToldMillis = new HashMap<>();
+    private final Map<UpstreamId, Long> toldMillis = new HashMap<>();
     private long questions;
     private long unanswered;
     private long dropped;
@@ -124,14 +124,15 @@
     public void told(UpstreamId upstream, LimitChange change, RateLimit limit) {
         long now = loop.nowMillis();
         boolean ended = change == LimitChange.ENDED;
-        if (change == LimitChange.CHANGED && now - changeToldMillis.getOrDefault(upstream, 0L) < CHANGE_MILLIS) {
+        Long lastMillis = toldMillis.get(upstream);
+        if (change == LimitChange.CHANGED && lastMillis != null && now - lastMillis < CHANGE_MILLIS) {
             return;
         }
         NamedLimit message = ended
                 ? LimitMessages.ended(upstream, limit.namedMillis(), now)
                 : LimitMessages.named(upstream, limit, now);
         if (mayTell(message)) {
-            changeToldMillis.put(upstream, now);
+            toldMillis.put(upstream, now);
             peers.openStreams();
             news.get().addLimits(message);
             if (change != LimitChange.CHANGED) {
@@ -295,8 +296,8 @@
     /** Forgets upstreams that are not limited any more. */
     public void expire() {
         keeping.expire();
-        if (!changeToldMillis.isEmpty()) {
-            changeToldMillis.keySet().removeIf(upstream -> table.find(upstream) == null);
+        if (!toldMillis.isEmpty()) {
+            toldMillis.keySet().removeIf(upstream -> table.find(upstream) == null);
         }
     }
 
