Write down which answers announce that their upstream leaves, read in one place

The timeline of the incident could not tell whether an answer said that its upstream leaves, nor when a router read it. All that an answer says of its upstream (rate limit, drain) is now read at its head by NoticeHeaders and taken in by NoticeIntake: of requests of any status, late ones, reports (also refused ones) and orders; formerly three hooks read the limit, one of them not for refused reports, and one of them also from another instance at the address. drain_announced and drain_ended lines, drains_announced, drains_unreadable and a gauge. No decision uses it yet.

--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/notice/UpstreamNotice.java
@@ -0,0 +1,15 @@
+package org.apricotstack.core.notice;
+
+import org.apricotstack.core.ratelimit.StatedLimit;
+
+/**
+ * All that the head of one answer says of the upstream that gave it.
+ *
+ * @param limit its rate limit
+ * @param drain whether it leaves
+ */
+public record UpstreamNotice(StatedLimit limit, StatedDrain drain) {
+
+    /** An answer that says nothing of its upstream. */
+    public static final UpstreamNotice NONE = new UpstreamNotice(StatedLimit.ABSENT, StatedDrain.ABSENT);
+}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -33,6 +33,7 @@
     private final Map<UpstreamId, UpstreamEntry> entries = new HashMap<>();
     private final Map<UpstreamId, Long> lapsedUntilMillis = new HashMap<>();
     private final Map<UpstreamId, Long> removedRevisions = new HashMap<>();
+    private final DrainTable drains = new DrainTable();
     private List<UpstreamEntry> ended = new ArrayList<>();
     private Map<ServiceId, List<UpstreamEntry>> usable;
     private long revision;
@@ -248,6 +249,15 @@
         return entry != null && entry.id().isLaterStartOf(id);
     }
 
+    /**
+     * Returns the drains that upstreams announced in their answers.
+     *
+     * @return the drains
+     */
+    public DrainTable drains() {
+        return drains;
+    }
+
     /**
      * Returns all entries, also of leaving upstreams.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -134,7 +134,7 @@
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.mostSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, options.stopMillis(), callers, runs, hub, log);
-        addGauges(board);
+        addGauges(board, upstreams);
     }
 
     /** Creates random numbers of this process; the library's factory would load all of its generators first. */
@@ -144,7 +144,7 @@
     }
 
     /** Adds what is read when somebody asks. */
-    private void addGauges(EngineBoard board) {
+    private void addGauges(EngineBoard board, UpstreamTable upstreams) {
         metrics.gauge("requests.open", runs::open);
         metrics.gauge("requests.not_proper", callers::refusedRequests);
         metrics.gauge("engines.placements", board::size);
@@ -164,6 +164,7 @@
         metrics.gauge("suspects.dropped", suspects::dropped);
         metrics.gauge("suspects.ends_heard", hub.suspects()::heard);
         metrics.gauge("suspects.news_dropped", hub.suspects()::dropped);
+        metrics.gauge("drains.in_force", () -> upstreams.drains().all().size());
         metrics.gauge("limits.in_force", () -> limits.all().size());
         metrics.gauge("limits.kept", hub.limits()::kept);
         metrics.gauge("limits.questions_unanswered", hub.limits()::unanswered);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/AnswerHead.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/AnswerHead.java
@@ -1,6 +1,6 @@
 package org.apricotstack.serving.http;
 
-import org.apricotstack.core.ratelimit.StatedLimit;
+import org.apricotstack.core.notice.UpstreamNotice;
 
 /**
  * What the beginning of an upstream's answer says.
@@ -14,7 +14,7 @@
  * @param eventStream whether the body is a series of events
  * @param faultyAddress address of the helper at fault, as {@code IP:PORT}, or {@code null}
  * @param closes whether the connection cannot be used again
- * @param statedLimit what it says of the upstream's rate limit
+ * @param notice what it says of the upstream itself
  * @param idleMillis time for which the upstream keeps the connection, in milliseconds; 0 if it does not say
  */
 public record AnswerHead(
@@ -27,7 +27,7 @@
         boolean eventStream,
         String faultyAddress,
         boolean closes,
-        StatedLimit statedLimit,
+        UpstreamNotice notice,
         long idleMillis) {
 
     private static final int FIRST_SUCCESS = 200;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.http;
 
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -55,8 +56,29 @@
      * @return the answer, or an {@link ApricotException}
      */
     public Mono<Answer> call(Address address, HttpRequest request, byte[] body, long timeoutMillis, boolean fresh) {
+        return call(address, request, body, timeoutMillis, fresh, head -> {});
+    }
+
+    /**
+     * Makes a call when subscribed to.
+     *
+     * @param address where to
+     * @param request line and headers
+     * @param body the body
+     * @param timeoutMillis time for the whole answer, in milliseconds
+     * @param fresh whether a new connection is asked for
+     * @param whenBegun takes status and headers of the answer, whatever becomes of the rest
+     * @return the answer, or an {@link ApricotException}
+     */
+    public Mono<Answer> call(
+            Address address,
+            HttpRequest request,
+            byte[] body,
+            long timeoutMillis,
+            boolean fresh,
+            Consumer<HttpResponse> whenBegun) {
         return Mono.create(sink -> {
-            Taker taker = new Taker(sink, address);
+            Taker taker = new Taker(sink, address, whenBegun);
             UpstreamCall call =
                     connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), fresh, taker);
             ScheduledFuture<?> timeout = loop.schedule(timeoutMillis, () -> {
@@ -80,21 +102,24 @@
     private static final class Taker implements UpstreamListener {
         private final MonoSink<Answer> sink;
         private final Address address;
+        private final Consumer<HttpResponse> whenBegun;
         private final ByteBuf body = Unpooled.buffer();
         private int status;
         private HttpHeaders headers;
         private ScheduledFuture<?> timeout;
 
         /** Creates a taker. */
-        private Taker(MonoSink<Answer> sink, Address address) {
+        private Taker(MonoSink<Answer> sink, Address address, Consumer<HttpResponse> whenBegun) {
             this.sink = sink;
             this.address = address;
+            this.whenBegun = whenBegun;
         }
 
         @Override
         public void head(AnswerHead head, HttpResponse raw) {
             status = head.status();
             headers = raw.headers();
+            whenBegun.accept(raw);
         }
 
         @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -6,7 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import org.apricotstack.core.ratelimit.StatedLimit;
+import org.apricotstack.core.notice.UpstreamNotice;
 
 /** Reads of an answer what HTTP itself says. */
 public final class PlainProtocol implements UpstreamProtocol {
@@ -31,7 +31,7 @@
                 false,
                 null,
                 !HttpUtil.isKeepAlive(head),
-                StatedLimit.ABSENT,
+                UpstreamNotice.NONE,
                 keepAliveMillis(head.headers()));
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -37,6 +37,8 @@
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
     private final Counter passedOver = registry.counter("limits.passed_over");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
+    private final Counter drainsAnnounced = registry.counter("drains.announced");
+    private final Counter drainsUnreadable = registry.counter("drains.unreadable");
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
     private final Histogram longestPause = histogram("streams.longest_pause_millis");
@@ -155,6 +157,16 @@
         limitsUnreadable.inc();
     }
 
+    /** Counts an upstream that began to announce in its answers that it leaves. */
+    public void drainAnnounced() {
+        drainsAnnounced.inc();
+    }
+
+    /** Counts an answer whose announcement of a drain cannot be read. */
+    public void drainUnreadable() {
+        drainsUnreadable.inc();
+    }
+
     /**
      * Notes the time to the answer, or to the first event of a stream.
      *
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/DrainGate.java
@@ -0,0 +1,57 @@
+package org.apricotstack.serving.run;
+
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedDrain;
+import org.apricotstack.core.upstream.AnnouncedDrain;
+import org.apricotstack.core.upstream.DrainChange;
+import org.apricotstack.core.upstream.DrainTable;
+import org.apricotstack.serving.observe.DecisionLog;
+
+/** Notes which upstreams announce in their answers that they leave. */
+final class DrainGate {
+
+    private final RunContext context;
+
+    /** Creates a gate. */
+    DrainGate(RunContext context) {
+        this.context = context;
+    }
+
+    /** Returns what is known. */
+    private DrainTable table() {
+        return context.upstreams().drains();
+    }
+
+    /** Takes in what an answer says; the request is {@code null} if it is no caller's. */
+    void answered(UpstreamId upstream, StatedDrain stated, long sentMillis, String requestId) {
+        if (stated == StatedDrain.UNREADABLE) {
+            context.metrics().drainUnreadable();
+        }
+        if (stated != StatedDrain.DRAINING && table().isEmpty()) {
+            return;
+        }
+        AnnouncedDrain before = table().find(upstream);
+        DrainChange change = table().answered(upstream, stated, sentMillis, context.nowMillis());
+        if (change == DrainChange.BEGAN) {
+            context.metrics().drainAnnounced();
+            line("drain_announced", upstream, requestId).put("source", "answer").write();
+        } else if (change == DrainChange.ENDED) {
+            ended(upstream, before, "answer", requestId);
+        }
+    }
+
+    /** Writes down that an upstream takes requests again. */
+    private void ended(UpstreamId upstream, AnnouncedDrain before, String source, String requestId) {
+        line("drain_ended", upstream, requestId)
+                .put("source", source)
+                .put("age_millis", context.nowMillis() - before.sinceMillis())
+                .write();
+    }
+
+    /** Begins a line, on a request if one is known. */
+    private DecisionLog.Line line(String event, UpstreamId upstream, String requestId) {
+        DecisionLog.Line line =
+                requestId == null ? context.log().line(event) : context.log().request(event, requestId);
+        return line.put("upstream", upstream.value()).put("incarnation", upstream.incarnation());
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
@@ -1,7 +1,9 @@
 package org.apricotstack.serving.run;
 
+import java.util.function.Consumer;
+
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.ratelimit.StatedLimit;
+import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import reactor.core.publisher.Mono;
 
@@ -14,17 +16,8 @@
      * @param pace how slow it is: 1 for the published figures, more for a slow engine
      * @param queued requests that wait there for a slot or for memory
      * @param incarnation which of its starts answered, see {@link UpstreamId}
-     * @param statedLimit what the answer says of the engine's rate limit
-     */
-    record Report(double pace, int queued, long incarnation, StatedLimit statedLimit) {}
-
-    /**
-     * What an engine answers to an order.
-     *
-     * @param done whether it took the order
-     * @param statedLimit what the answer says of the engine's rate limit
      */
-    record OrderAnswer(boolean done, StatedLimit statedLimit) {}
+    record Report(double pace, int queued, long incarnation) {}
 
     /**
      * Reserves memory, or renews a reservation.
@@ -33,24 +26,28 @@
      * @param reservation names the reservation
      * @param tokens how much
      * @param holdMillis time after which the engine frees it by itself, in milliseconds
+     * @param heard takes what the answer says of the engine, as soon as its head has come
      * @return whether it was reserved; an error if nobody knows
      */
-    Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis);
+    Mono<Boolean> reserve(
+            UpstreamEntry engine, String reservation, long tokens, long holdMillis, Consumer<UpstreamNotice> heard);
 
     /**
      * Ends a reservation.
      *
      * @param engine the engine
      * @param reservation names the reservation
+     * @param heard takes what the answer says of the engine, as soon as its head has come
      * @return whether the engine took it; an error if nobody knows
      */
-    Mono<OrderAnswer> release(UpstreamEntry engine, String reservation);
+    Mono<Boolean> release(UpstreamEntry engine, String reservation, Consumer<UpstreamNotice> heard);
 
     /**
      * Asks an engine for its state. It is priced, so it is asked only when its silence has to be explained.
      *
      * @param engine the engine
+     * @param heard takes what the answer says of the engine, as soon as its head has come
      * @return the state; an error if it does not answer
      */
-    Mono<Report> report(UpstreamEntry engine);
+    Mono<Report> report(UpstreamEntry engine, Consumer<UpstreamNotice> heard);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -30,7 +30,7 @@
     private final AttemptCount attempts;
     private final StreamProgress progress;
     private final SuspectGate gate;
-    private final LimitGate limits;
+    private final NoticeIntake notices;
     private final RunSuspicion suspicion;
     private final RunLog log;
     private final Consumer<RequestRun> onEnd;
@@ -46,6 +46,7 @@
             UpstreamChooser chooser,
             SuspectGate gate,
             LimitGate limits,
+            NoticeIntake notices,
             CallerExchange exchange,
             RequestFacts facts,
             Consumer<RequestRun> onEnd) {
@@ -57,10 +58,10 @@
         this.attempts = new AttemptCount(facts.route());
         this.progress = new StreamProgress(facts.request().lastEventId());
         this.gate = gate;
-        this.limits = limits;
+        this.notices = notices;
         this.suspicion = new RunSuspicion(gate, facts);
         this.log = new RunLog(context, facts, attempts, progress);
-        this.sender = new RequestSender(this, chooser, limits, facts, attempts, progress, suspicion, log);
+        this.sender = new RequestSender(this, chooser, limits, notices, facts, attempts, progress, suspicion, log);
         this.timeLimit = context.loop().schedule(facts.leftMillis(context.nowMillis()), this::timeOver);
         log.arrived();
     }
@@ -189,17 +190,19 @@
         stated(attempt, answer, attempt.startMillis());
     }
 
-    /** Takes the beginning of an answer to an earlier request; it may begin or lower a limit, but end none. */
+    /** Takes the beginning of an answer to an earlier request; it may begin what it says, but end nothing. */
     void lateAnswer(Attempt attempt, AnswerHead answer) {
         stated(attempt, answer, Long.MIN_VALUE);
     }
 
-    /** Takes in what an upstream says of its limit; what another one at its address says concerns the other one. */
+    /** Takes in what an upstream says of itself; what another one at its address says concerns the other one. */
     private void stated(Attempt attempt, AnswerHead answer, long sentMillis) {
         if (!answer.otherInstance()) {
-            UpstreamId upstream = attempt.upstream().id();
-            limits.answered(
-                    upstream, answer.statedLimit(), sentMillis, facts.request().id());
+            notices.answered(
+                    attempt.upstream().id(),
+                    answer.notice(),
+                    sentMillis,
+                    facts.request().id());
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -41,6 +41,7 @@
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
     private final LimitGate limits;
+    private final NoticeIntake notices;
     private final Set<RequestRun> open = new HashSet<>();
     private boolean refusing;
 
@@ -53,7 +54,8 @@
         this.context = context;
         this.gate = new SuspectGate(context, this::suspected);
         this.limits = new LimitGate(context);
-        this.chooser = new UpstreamChooser(context, limits);
+        this.notices = new NoticeIntake(limits, new DrainGate(context));
+        this.chooser = new UpstreamChooser(context, limits, notices);
     }
 
     @Override
@@ -74,7 +76,7 @@
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, context.nowMillis());
-        RequestRun run = new RequestRun(context, chooser, gate, limits, exchange, facts, open::remove);
+        RequestRun run = new RequestRun(context, chooser, gate, limits, notices, exchange, facts, open::remove);
         open.add(run);
         return run;
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -20,6 +20,7 @@
     private final RunContext context;
     private final UpstreamChooser chooser;
     private final LimitGate limits;
+    private final NoticeIntake notices;
     private final RequestFacts facts;
     private final AttemptCount attempts;
     private final StreamProgress progress;
@@ -37,6 +38,7 @@
             RequestRun run,
             UpstreamChooser chooser,
             LimitGate limits,
+            NoticeIntake notices,
             RequestFacts facts,
             AttemptCount attempts,
             StreamProgress progress,
@@ -46,6 +48,7 @@
         this.context = run.context();
         this.chooser = chooser;
         this.limits = limits;
+        this.notices = notices;
         this.facts = facts;
         this.attempts = attempts;
         this.progress = progress;
@@ -100,7 +103,7 @@
     /** Gives the request to the upstreams that were chosen. */
     private void begin(UpstreamChoice choice, long now) {
         chooser.begin(choice, facts.leftMillis(now));
-        reserved = new ReservedHelpers(context, limits, choice);
+        reserved = new ReservedHelpers(context, limits, notices, choice);
         Attempt attempt = newAttempt(choice, now);
         current = attempt;
         if (choice.reserves()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.Forwarding;
 import reactor.core.publisher.Flux;
@@ -38,6 +41,7 @@
 
     private final RunContext context;
     private final LimitGate limits;
+    private final NoticeIntake notices;
     private final UpstreamChoice choice;
     private final List<Forwarding.Helper> helpers = new ArrayList<>();
     private ScheduledFuture<?> renewal;
@@ -45,9 +49,10 @@
     private boolean ended;
 
     /** Creates the helpers of a send; nothing is reserved yet. */
-    ReservedHelpers(RunContext context, LimitGate limits, UpstreamChoice choice) {
+    ReservedHelpers(RunContext context, LimitGate limits, NoticeIntake notices, UpstreamChoice choice) {
         this.context = context;
         this.limits = limits;
+        this.notices = notices;
         this.choice = choice;
         for (int i = 0; i < choice.helpers().size(); i++) {
             EnginePart part = choice.placement().parts().get(i + 1);
@@ -85,17 +90,13 @@
                 .filter(i -> helpers.get(i).reservation() != null)
                 .filter(i -> !context.upstreams()
                         .startedAgain(helpers.get(i).upstream().id()))
-                .flatMap(i -> order(
-                                helpers.get(i).upstream(),
-                                context.engines()
-                                        .reserve(
-                                                helpers.get(i).upstream(),
-                                                helpers.get(i).reservation(),
-                                                choice.placement()
-                                                        .parts()
-                                                        .get(i + 1)
-                                                        .memoryTokens(),
-                                                HOLD_MILLIS))
+                .flatMap(i -> order(helpers.get(i).upstream(), heard -> context.engines()
+                                .reserve(
+                                        helpers.get(i).upstream(),
+                                        helpers.get(i).reservation(),
+                                        choice.placement().parts().get(i + 1).memoryTokens(),
+                                        HOLD_MILLIS,
+                                        heard))
                         .doOnError(e -> unanswered(helpers.get(i).upstream()))
                         .onErrorReturn(false))
                 .all(reserved -> reserved);
@@ -105,14 +106,11 @@
      * Gives one order. It counts towards the engine's limit, but is not held back: without it the request would be cut
      * off, or memory would stay taken.
      */
-    private Mono<Boolean> order(UpstreamEntry engine, Mono<EngineCalls.OrderAnswer> order) {
+    private Mono<Boolean> order(UpstreamEntry engine, Function<Consumer<UpstreamNotice>, Mono<Boolean>> order) {
         return Mono.defer(() -> {
             long sentMillis = context.nowMillis();
             limits.charge(engine.id());
-            return order.map(answer -> {
-                limits.answered(engine.id(), answer.statedLimit(), sentMillis, null);
-                return answer.done();
-            });
+            return order.apply(notice -> notices.answered(engine.id(), notice, sentMillis, null));
         });
     }
 
@@ -143,7 +141,7 @@
         if (context.upstreams().find(engine.id()) == null) {
             return;
         }
-        order(engine, context.engines().release(engine, reservation))
+        order(engine, heard -> context.engines().release(engine, reservation, heard))
                 .subscribe(done -> releaseLater(engine, reservation, LATE_RELEASE_MILLIS), error -> {
                     unanswered(engine);
                     releaseLater(engine, reservation, RELEASE_MILLIS);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -26,6 +26,7 @@
 
     private final RunContext context;
     private final LimitGate limits;
+    private final NoticeIntake notices;
     private final Map<UpstreamId, Long> progressMillis = new HashMap<>();
     private final Map<UpstreamId, Asked> asked = new HashMap<>();
 
@@ -38,9 +39,10 @@
     private record Asked(long atMillis, Mono<Silence> answer) {}
 
     /** Creates a check. */
-    SilenceCheck(RunContext context, LimitGate limits) {
+    SilenceCheck(RunContext context, LimitGate limits, NoticeIntake notices) {
         this.context = context;
         this.limits = limits;
+        this.notices = notices;
     }
 
     /** Notes an event of an engine. */
@@ -105,9 +107,8 @@
     private Mono<Silence> report(UpstreamEntry engine) {
         long sentMillis = context.nowMillis();
         return context.engines()
-                .report(engine)
+                .report(engine, notice -> notices.answered(engine.id(), notice, sentMillis, null))
                 .map(report -> {
-                    limits.answered(engine.id(), report.statedLimit(), sentMillis, null);
                     UpstreamId answering = new UpstreamId(engine.id().value(), report.incarnation());
                     if (answering.isLaterStartOf(engine.id())) {
                         return Silence.GONE;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -38,10 +38,10 @@
     private long placements;
 
     /** Creates a chooser. */
-    UpstreamChooser(RunContext context, LimitGate limits) {
+    UpstreamChooser(RunContext context, LimitGate limits, NoticeIntake notices) {
         this.context = context;
         this.limits = limits;
-        this.silence = new SilenceCheck(context, limits);
+        this.silence = new SilenceCheck(context, limits, notices);
     }
 
     /** Returns what finds out why an engine is silent. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.run;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.apricotstack.core.engine.EnginePart;
 import org.apricotstack.core.engine.EnginePlacement;
@@ -11,6 +12,8 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedDrain;
+import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.ratelimit.StatedLimit;
@@ -76,22 +79,28 @@
     /** Takes all orders. */
     private final class Engines implements EngineCalls {
         @Override
-        public Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis) {
-            return Mono.fromSupplier(this::taken);
+        public Mono<Boolean> reserve(
+                UpstreamEntry engine,
+                String reservation,
+                long tokens,
+                long holdMillis,
+                Consumer<UpstreamNotice> heard) {
+            return Mono.fromSupplier(() -> taken(heard));
         }
 
         @Override
-        public Mono<OrderAnswer> release(UpstreamEntry engine, String reservation) {
-            return Mono.fromSupplier(this::taken);
+        public Mono<Boolean> release(UpstreamEntry engine, String reservation, Consumer<UpstreamNotice> heard) {
+            return Mono.fromSupplier(() -> taken(heard));
         }
 
-        private OrderAnswer taken() {
+        private boolean taken(Consumer<UpstreamNotice> heard) {
             orders++;
-            return new OrderAnswer(true, new StatedLimit(StatedLimit.Kind.STATED, 2));
+            heard.accept(new UpstreamNotice(new StatedLimit(StatedLimit.Kind.STATED, 2), StatedDrain.ABSENT));
+            return true;
         }
 
         @Override
-        public Mono<Report> report(UpstreamEntry engine) {
+        public Mono<Report> report(UpstreamEntry engine, Consumer<UpstreamNotice> heard) {
             return Mono.error(new IllegalStateException("No report is expected."));
         }
     }
@@ -107,7 +116,9 @@
                 3_000,
                 500);
         UpstreamChoice choice = new UpstreamChoice(LEAD, List.of(HELPER), placement, 100, true, false, false);
-        ReservedHelpers helpers = new ReservedHelpers(context, new LimitGate(context), choice);
+        LimitGate limitGate = new LimitGate(context);
+        ReservedHelpers helpers =
+                new ReservedHelpers(context, limitGate, new NoticeIntake(limitGate, new DrainGate(context)), choice);
         assertThat(helpers.reserve().block()).isTrue();
         helpers.release();
         assertThat(orders).isEqualTo(2);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.apricotstack.core.engine.EngineBoard;
 import org.apricotstack.core.engine.EnginePart;
@@ -14,10 +15,13 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedDrain;
+import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.ratelimit.StatedLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.ServingMetrics;
@@ -58,7 +62,8 @@
 
     private long nowMillis;
     private int asked;
-    private Mono<EngineCalls.Report> report = Mono.just(new EngineCalls.Report(5, 3, 1, StatedLimit.ABSENT));
+    private Mono<EngineCalls.Report> report = Mono.just(new EngineCalls.Report(5, 3, 1));
+    private UpstreamNotice notice = UpstreamNotice.NONE;
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
     private final EngineBoard board = new EngineBoard();
     private final DecisionLog log = new DecisionLog("host", () -> 0);
@@ -69,7 +74,7 @@
             null,
             loop,
             null,
-            null,
+            new UpstreamTable(),
             null,
             board,
             null,
@@ -84,7 +89,9 @@
             null,
             log,
             new ServingMetrics());
-    private final SilenceCheck check = new SilenceCheck(context, new LimitGate(context));
+    private final LimitGate limitGate = new LimitGate(context);
+    private final SilenceCheck check =
+            new SilenceCheck(context, limitGate, new NoticeIntake(limitGate, new DrainGate(context)));
 
     @AfterEach
     void stop() {
@@ -95,19 +102,25 @@
     /** Counts the questions. */
     private final class Engines implements EngineCalls {
         @Override
-        public Mono<OrderAnswer> reserve(UpstreamEntry engine, String reservation, long tokens, long holdMillis) {
+        public Mono<Boolean> reserve(
+                UpstreamEntry engine,
+                String reservation,
+                long tokens,
+                long holdMillis,
+                Consumer<UpstreamNotice> heard) {
             return Mono.error(new IllegalStateException("No order is expected."));
         }
 
         @Override
-        public Mono<OrderAnswer> release(UpstreamEntry engine, String reservation) {
+        public Mono<Boolean> release(UpstreamEntry engine, String reservation, Consumer<UpstreamNotice> heard) {
             return Mono.error(new IllegalStateException("No order is expected."));
         }
 
         @Override
-        public Mono<Report> report(UpstreamEntry engine) {
+        public Mono<Report> report(UpstreamEntry engine, Consumer<UpstreamNotice> heard) {
             return Mono.defer(() -> {
                 asked++;
+                heard.accept(notice);
                 return report;
             });
         }
@@ -132,7 +145,7 @@
 
     @Test
     void movesStreamsFromAnEngineThatStartedAgain() {
-        report = Mono.just(new EngineCalls.Report(1, 0, ENGINE.id().incarnation() + 1, StatedLimit.ABSENT));
+        report = Mono.just(new EngineCalls.Report(1, 0, ENGINE.id().incarnation() + 1));
         assertThat(check.gone(ENGINE).block()).isTrue();
     }
 
@@ -152,7 +165,7 @@
     @ParameterizedTest
     @CsvSource({"4, BUSY", "0, PASSED_OVER"})
     void tellsAQueueFromALossWhileOtherStreamsGoOn(int queued, Silence expected) {
-        report = Mono.just(new EngineCalls.Report(1, queued, 1, StatedLimit.ABSENT));
+        report = Mono.just(new EngineCalls.Report(1, queued, 1));
         check.progress(ENGINE.id());
         assertThat(check.reason(ALONE, false).block()).isEqualTo(expected);
     }
@@ -170,7 +183,7 @@
         EnginePlacement older = place(1, ENGINE, HELPER);
         place(2, HELPER);
         UpstreamChoice choice = new UpstreamChoice(ENGINE, List.of(HELPER), older, 1_000, false, false, false);
-        report = Mono.just(new EngineCalls.Report(1, 0, 1, StatedLimit.ABSENT));
+        report = Mono.just(new EngineCalls.Report(1, 0, 1));
         nowMillis = afterMillis;
         check.progress(ENGINE.id());
 
@@ -191,7 +204,7 @@
 
     @Test
     void leavesARequestAtAnEngineThatIsSilentOnAllButAnswers() {
-        report = Mono.just(new EngineCalls.Report(1, 0, 1, StatedLimit.ABSENT));
+        report = Mono.just(new EngineCalls.Report(1, 0, 1));
         assertThat(check.reason(ALONE, false).block()).isEqualTo(Silence.BUSY);
     }
 
@@ -216,7 +229,8 @@
 
     @Test
     void readsALimitInAReport() {
-        report = Mono.just(new EngineCalls.Report(1, 0, 1, new StatedLimit(StatedLimit.Kind.STATED, 3)));
+        report = Mono.just(new EngineCalls.Report(1, 0, 1));
+        notice = new UpstreamNotice(new StatedLimit(StatedLimit.Kind.STATED, 3), StatedDrain.ABSENT);
         check.reason(ALONE, false).block();
         assertThat(limits.find(ENGINE.id()).perSecond()).isEqualTo(3);
     }
