Send nothing to an upstream that announced in its answers that it leaves

Cause: no router read the field; only the platform's list took an upstream out. Class: what an upstream says is read by nobody.

Now the head of each answer is read: an upstream whose answers announce a drain is not usable from that moment, at the router that read it and, by news, at all others (over streams, which begin with all that is known; stand-by routers by datagrams that are repeated twice). What was chosen before and not yet sent is chosen anew: after a reservation, a permit, or once a connection is open (withheld). A leaving upstream is no failure: what it turns away or loses counts for no attempt, no retry allowance, no suspicion and no avoidance. If all leave, the caller is refused at once (upstreams_draining). It ends when the upstream starts again, is listed as serving after it was listed as leaving, answers a later request without the word, or when the platform's list has contradicted it for a minute.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/NewsRouter.java
@@ -13,6 +13,7 @@
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedDrain;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.LimitTable;
@@ -20,6 +21,7 @@
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.suspect.SeenEnd;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -55,13 +57,16 @@
     private final RouterIdentity identity;
     private final SuspectTable suspects;
     private final LimitTable limits = new LimitTable();
+    private final DrainTable drains;
     private long placements;
 
     /** Starts a router that knows some others. */
     NewsRouter(int number, List<Address> seeds, int capacityPercent) {
         log = new DecisionLog("host-" + number, System::currentTimeMillis);
         UpstreamJudge judge = new UpstreamJudge();
-        PublishedState state = new PublishedState(null, new UpstreamTable(), judge, board, log);
+        UpstreamTable upstreams = new UpstreamTable();
+        drains = upstreams.drains();
+        PublishedState state = new PublishedState(null, upstreams, judge, board, log);
         ProcessId process = new ProcessId(new HostId("host-" + number), 1);
         suspects = new SuspectTable(process, found -> {});
         hub = new NewsHub(
@@ -71,6 +76,7 @@
                 judge,
                 suspects,
                 limits,
+                drains,
                 process.host(),
                 state,
                 log,
@@ -155,6 +161,25 @@
         });
     }
 
+    /** Does something once this router knows that an upstream leaves; looks every millisecond. */
+    void whenDraining(UpstreamId upstream, Runnable then) {
+        loop.execute(() -> {
+            if (drains.isDraining(upstream)) {
+                then.run();
+            } else {
+                loop.schedule(1, () -> whenDraining(upstream, then));
+            }
+        });
+    }
+
+    /** Tells that an upstream announced that it leaves. */
+    void tellDrain(UpstreamId upstream) {
+        loop.execute(() -> {
+            drains.answered(upstream, StatedDrain.DRAINING, loop.nowMillis(), loop.nowMillis());
+            hub.drainChanged(upstream);
+        });
+    }
+
     @Override
     public void close() {
         hub.close();
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/DrainTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/DrainTable.java
@@ -183,6 +183,16 @@
         return Collections.unmodifiableMap(drains);
     }
 
+    /**
+     * Returns when an upstream was known to take requests again.
+     *
+     * @param upstream the start
+     * @return the time; {@code null} if it leaves, or is not known to have announced it
+     */
+    public Long endMillis(UpstreamId upstream) {
+        return endsMillis.get(upstream);
+    }
+
     /**
      * Counts the changes of which upstreams leave.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -22,6 +22,10 @@
     ERROR(true, true, false),
     /** The upstream is full and did not run the request. */
     FULL(false, false, false),
+    /** The upstream leaves, said so, and did not run the request; that is no failure. */
+    DRAINING(false, false, false),
+    /** Nothing was sent, as the upstream said in the meantime that it wants no requests. */
+    WITHHELD(false, false, false),
     /** The memory that the request needs could not be reserved; nothing was sent. */
     NOT_RESERVED(false, false, false),
     /** Another upstream has the address now; it did not run the request. */
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -35,7 +35,9 @@
     private final Map<UpstreamId, Long> removedRevisions = new HashMap<>();
     private final DrainTable drains = new DrainTable();
     private List<UpstreamEntry> ended = new ArrayList<>();
+    private List<UpstreamId> servingAgain = new ArrayList<>();
     private Map<ServiceId, List<UpstreamEntry>> usable;
+    private long usableDrains;
     private long revision;
     private long holdMissingUntilMillis = Long.MIN_VALUE;
 
@@ -108,8 +110,8 @@
         if (known != null && known.id().isLaterStartOf(entry.id())) {
             return false;
         }
-        if (known != null && !known.id().equals(entry.id())) {
-            ended.add(known);
+        if (known != null) {
+            noteReplaced(known, entry);
         }
         entries.put(name, entry);
         lapsedUntilMillis.remove(name);
@@ -118,6 +120,15 @@
         return true;
     }
 
+    /** Notes what a newer entry of an upstream says beside its own contents. */
+    private void noteReplaced(UpstreamEntry known, UpstreamEntry newer) {
+        if (!known.id().equals(newer.id())) {
+            ended.add(known);
+        } else if (known.draining() && !newer.draining()) {
+            servingAgain.add(newer.id());
+        }
+    }
+
     /**
      * Takes a removal in.
      *
@@ -191,11 +202,22 @@
         return taken;
     }
 
+    /**
+     * Hands over the starts that were listed as leaving and are listed as taking requests again.
+     *
+     * @return the starts, each once
+     */
+    public List<UpstreamId> takeServingAgain() {
+        List<UpstreamId> taken = servingAgain;
+        servingAgain = new ArrayList<>();
+        return taken;
+    }
+
     /** Lists the usable upstreams by service, each list in the order of ids, which all routers share. */
     private Map<ServiceId, List<UpstreamEntry>> listUsable() {
         Map<ServiceId, List<UpstreamEntry>> lists = new TreeMap<>();
         for (UpstreamEntry entry : entries.values()) {
-            if (!entry.draining()) {
+            if (!entry.draining() && !drains.isDraining(entry.id())) {
                 lists.computeIfAbsent(entry.service(), service -> new ArrayList<>())
                         .add(entry);
             }
@@ -211,8 +233,9 @@
      * @return the entries, in an order that all routers share
      */
     public List<UpstreamEntry> usable(ServiceId service) {
-        if (usable == null) {
+        if (usable == null || usableDrains != drains.changes()) {
             usable = listUsable();
+            usableDrains = drains.changes();
         }
         return usable.getOrDefault(service, List.of());
     }
@@ -249,6 +272,29 @@
         return entry != null && entry.id().isLaterStartOf(id);
     }
 
+    /**
+     * Tells whether a start of an upstream leaves, as the platform lists it or as it announced in its answers.
+     *
+     * @param id the start
+     * @return whether it wants no new requests
+     */
+    public boolean isDraining(UpstreamId id) {
+        UpstreamEntry entry = find(id);
+        return entry != null && entry.draining() || drains.isDraining(id);
+    }
+
+    /**
+     * Lists the upstreams of a service that leave.
+     *
+     * @param service the service
+     * @return the entries, in no order
+     */
+    public List<UpstreamEntry> draining(ServiceId service) {
+        return entries.values().stream()
+                .filter(entry -> entry.service().equals(service) && isDraining(entry.id()))
+                .toList();
+    }
+
     /**
      * Returns the drains that upstreams announced in their answers.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -102,6 +102,7 @@
                 judge,
                 suspects,
                 limits,
+                upstreams.drains(),
                 options.identity().process().host(),
                 state,
                 log,
@@ -131,6 +132,7 @@
                 metrics);
         runs = new RequestRuns(context);
         hub.suspects().whenHeard(runs::heardOfEnd);
+        state.whenServingAgain(runs::servingAgain);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.mostSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, options.stopMillis(), callers, runs, hub, log);
@@ -240,7 +242,7 @@
         follower.look();
         state.dropLapsed(now);
         suspects.expire(now);
-        runs.expireLimits();
+        runs.expire(!follower.away());
         hub.limits().expire();
         hub.tellNewReadings();
         callers.checkTimes();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -146,6 +146,9 @@
                 call.fail(FailureKind.NO_CONNECTION);
             } else if (call.over()) {
                 connecting.channel().close();
+            } else if (!call.listener().mayBeSent()) {
+                connecting.channel().close();
+                call.fail(FailureKind.WITHHELD);
             } else {
                 connection.start(call);
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
@@ -7,6 +7,15 @@
 /** Takes what an upstream answers to one request; called on the event loop. Nothing comes after an end or a failure. */
 public interface UpstreamListener {
 
+    /**
+     * Tells whether the request may still be sent, now that a new connection is open; opening it can take a while.
+     *
+     * @return {@code false} to give it back unsent, as withheld
+     */
+    default boolean mayBeSent() {
+        return true;
+    }
+
     /**
      * Takes the beginning of the answer.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitPeers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/LimitPeers.java
@@ -7,7 +7,7 @@
 import org.apricotstack.wire.news.NewsFrame;
 
 /** What the news of rate limits need of the other routers. */
-interface LimitPeers {
+interface LimitPeers extends NewsPeers {
 
     /** Returns this router's host. */
     HostId own();
@@ -18,18 +18,6 @@
     /** Returns where a router takes datagrams, or {@code null} if it was not heard. */
     Address addressOf(HostId host);
 
-    /** Returns how many other routers there are. */
-    int others();
-
-    /** Tells whether a start of an upstream is known to be over. */
-    boolean isOver(UpstreamId upstream);
-
-    /** Opens streams to all routers that decide on requests. */
-    void openStreams();
-
-    /** Sends something to all routers to which no streams are kept. */
-    void tellStandBy(NewsFrame frame);
-
     /** Sends a datagram. */
     void send(Address address, NewsFrame frame);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsHub.java
@@ -16,6 +16,7 @@
 import org.apricotstack.core.peer.RequestRate;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -40,9 +41,8 @@
     private final PeerDocuments documents;
     private final NewsLinks links;
     private final PeerLog heardLog;
-    private final SuspectChannel suspects;
     private final FleetLimitPeers limitPeers;
-    private final LimitChannel limits;
+    private final UpstreamNews upstreams;
     private final RequestRate requests;
     private final OpenPlacements open = new OpenPlacements();
     private final StartPhase start;
@@ -64,6 +64,7 @@
      * @param judge takes failures that others saw
      * @param suspects takes requests under which upstreams ended at others
      * @param limits takes the rate limits that upstreams named to others
+     * @param drains takes the drains that upstreams announced to others
      * @param own this router's host
      * @param state takes documents that others know
      * @param log takes changes of what is believed
@@ -78,6 +79,7 @@
             UpstreamJudge judge,
             SuspectTable suspects,
             LimitTable limits,
+            DrainTable drains,
             HostId own,
             PublishedState state,
             DecisionLog log,
@@ -93,12 +95,14 @@
         this.readsPlatform = readsPlatform;
         this.documents = new PeerDocuments(loop, state, log, whenBehind);
         this.links = new NewsLinks(loop, peers, this::allNews);
-        this.suspects = new SuspectChannel(loop, suspects, log, this::news, this::decidingPeers);
         this.heardLog = new PeerLog(log);
         this.start = new StartPhase(loop.nowMillis());
         this.placements = new PlacementIntake(board, judge, state, start);
         this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready, this::knownRouters);
-        this.limits = new LimitChannel(loop, limits, limitPeers, log, this::news);
+        this.upstreams = new UpstreamNews(
+                new SuspectChannel(loop, suspects, log, this::news, this::decidingPeers),
+                new LimitChannel(loop, limits, limitPeers, log, this::news),
+                new DrainChannel(loop, drains, limitPeers, log, this::news));
         this.spanMillis = loop.nowMillis();
         this.requests = new RequestRate(spanMillis);
     }
@@ -114,16 +118,8 @@
         OwnHeartbeat own = new OwnHeartbeat(loop, identity, peers, state, ready, requests, readsPlatform);
         peers.mention(identity.peerAddress());
         heartbeats = new HeartbeatSender(
-                this,
-                own,
-                peers,
-                links,
-                port,
-                start,
-                identity.peerAddress(),
-                this::intervalMillis,
-                () -> suspects.any() || limits.any());
-        suspects.tellThrough(heartbeats);
+                this, own, peers, links, port, start, identity.peerAddress(), this::intervalMillis, upstreams::any);
+        upstreams.suspects().tellThrough(heartbeats);
         limitPeers.tellThrough(heartbeats, port);
         readings = new PlatformNews(loop, this, state, documents, links, heartbeats, readsPlatform, this::knownRouters);
         beat();
@@ -172,7 +168,7 @@
     /** Forgets what a router was doing that is gone. */
     private void removeProcess(ProcessId gone, long nowMillis) {
         board.removeProcess(gone, nowMillis);
-        suspects.removeProcess(gone);
+        upstreams.suspects().removeProcess(gone);
     }
 
     /** Returns the time between two heartbeats. */
@@ -220,8 +216,7 @@
             if (stream.sender() != null) {
                 placements.take(frame, stream.sender(), loop.nowMillis());
             }
-            suspects.take(frame, stream.sender());
-            limits.take(frame, sender);
+            upstreams.take(frame, stream.sender(), sender);
             placements.takeAvoided(frame, loop.nowMillis());
         } catch (ApricotException e) {
             log.line("news_rejected").put("problem", e.getMessage()).write();
@@ -285,6 +280,11 @@
         news().addAvoided(NewsMessages.avoided(upstream, avoidMillis));
     }
 
+    @Override
+    public void drainChanged(UpstreamId upstream) {
+        upstreams.drains().tell(upstream);
+    }
+
     @Override
     public boolean heardOthers() {
         return start.heardOthers(knownRouters(), loop.nowMillis());
@@ -299,8 +299,7 @@
                 frame.addWriting(one.placement().id().number());
             }
         }
-        suspects.addAll(frame);
-        limits.addAll(frame);
+        upstreams.addAll(frame);
         return frame.build();
     }
 
@@ -310,7 +309,7 @@
      * @return the channel
      */
     public SuspectChannel suspects() {
-        return suspects;
+        return upstreams.suspects();
     }
 
     /**
@@ -319,7 +318,7 @@
      * @return the channel
      */
     public LimitChannel limits() {
-        return limits;
+        return upstreams.limits();
     }
 
     /** Returns the frame that is sent at the end of this turn of the loop. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -14,6 +14,8 @@
     BODY_MEMORY,
     /** No upstream of the service is listed. */
     NO_UPSTREAM,
+    /** All upstreams of the service that are listed are about to leave. */
+    UPSTREAMS_DRAINING,
     /** No upstream can answer before the caller leaves. */
     NO_ROOM,
     /** All upstreams that could answer have got as many requests as they said that they take. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -35,7 +35,8 @@
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
     private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
-    private final Counter passedOver = registry.counter("limits.passed_over");
+    private final Map<PassedOverCause, Counter> passedOver =
+            counters(PassedOverCause.class, cause -> "passed_over." + cause.code());
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
@@ -147,9 +148,13 @@
         });
     }
 
-    /** Counts a request that was not sent to an upstream, as its limit let it not pass. */
-    public void passedOver() {
-        passedOver.inc();
+    /**
+     * Counts a send for which upstreams were passed over.
+     *
+     * @param cause why
+     */
+    public void passedOver(PassedOverCause cause) {
+        passedOver.get(cause).inc();
     }
 
     /** Counts an answer that names something as a rate limit that is none. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -40,6 +40,7 @@
     private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
     private final Set<UpstreamId> rejectedUpstreams = new HashSet<>();
     private Consumer<UpstreamEntry> whenEnded = ended -> {};
+    private Consumer<UpstreamId> whenServingAgain = upstream -> {};
     private ServingConfiguration configuration;
     private Publication configurationDocument;
     private boolean upstreamsKnown;
@@ -76,6 +77,15 @@
         whenEnded = action;
     }
 
+    /**
+     * Sets what is done when an upstream that was listed as leaving is listed as taking requests.
+     *
+     * @param action takes the start
+     */
+    public void whenServingAgain(Consumer<UpstreamId> action) {
+        whenServingAgain = action;
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -221,6 +231,7 @@
 
     /** Forgets what is kept of upstreams that are gone or have started again. */
     private void forgetEnded(String source) {
+        upstreams.takeServingAgain().forEach(whenServingAgain);
         List<UpstreamEntry> ended = upstreams.takeEnded();
         for (UpstreamEntry entry : ended) {
             boolean startedAgain = upstreams.lists(entry.id());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedDrain;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.AnswerHead;
@@ -178,6 +179,11 @@
         }
     }
 
+    @Override
+    public boolean mayBeSent() {
+        return run.mayBeSent(this);
+    }
+
     @Override
     public void head(AnswerHead answer, HttpResponse response) {
         head = answer;
@@ -224,7 +230,7 @@
             return FailureKind.OTHER_INSTANCE;
         }
         if (answer.notRun()) {
-            return answer.faultyAddress() == null ? FailureKind.FULL : FailureKind.HELPER_GONE;
+            return turnedAway(answer);
         }
         if (answer.success()) {
             return answer.sealed() && !answer.encoded() ? null : FailureKind.SPOILED;
@@ -233,6 +239,14 @@
         return serverError ? FailureKind.ERROR : null;
     }
 
+    /** Says why an upstream did not run a request. */
+    private static FailureKind turnedAway(AnswerHead answer) {
+        if (answer.faultyAddress() != null) {
+            return FailureKind.HELPER_GONE;
+        }
+        return answer.notice().drain() == StatedDrain.DRAINING ? FailureKind.DRAINING : FailureKind.FULL;
+    }
+
     /** Returns the helper that the answer names as the one at fault, or the upstream if it names none. */
     final UpstreamId faultyHelper() {
         return choice.helpers().stream()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -1,25 +1,40 @@
 package org.apricotstack.serving.run;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.observe.RefusalCause;
 
-/** Counts the sends of one request and says whether another may follow. */
+/**
+ * Counts the sends of one request and says whether another may follow.
+ *
+ * <p>Sends that reach no upstream, and those that an upstream loses or turns away as it leaves, count for no attempt.
+ */
 final class AttemptCount {
 
     /** Less time than this is not worth a send, in milliseconds. */
     static final long LEAST_LEFT_MILLIS = 5;
 
     /**
-     * Sends that reach no upstream at all and count for no attempt, at most. Each costs a few milliseconds and goes to
-     * another upstream; engines that are lost together are also tried again together, and a prompt that meets them all
-     * still has the time for the next one.
+     * Sends that count for no attempt, at most. Each costs a few milliseconds and goes to another upstream; engines
+     * that are lost together are also tried again together, and a prompt that meets them all still has the time for
+     * the next one.
      */
-    private static final int MOST_UNCONNECTED = 12;
+    private static final int MOST_FREE = 12;
+
+    /** Failures of sends that no upstream got, or that were turned away. */
+    private static final Set<FailureKind> ALWAYS_FREE =
+            EnumSet.of(FailureKind.NO_CONNECTION, FailureKind.WITHHELD, FailureKind.DRAINING);
+
+    /** Failures by which an upstream that leaves ends, or does not run the request. */
+    private static final Set<FailureKind> FREE_AS_IT_LEAVES = EnumSet.of(
+            FailureKind.RESET, FailureKind.CUT, FailureKind.FULL, FailureKind.OTHER_INSTANCE, FailureKind.HELPER_GONE);
 
     private final Route route;
     private int sent;
-    private int unconnected;
+    private int free;
     private boolean mayHaveRun;
 
     /** Creates a count of no sends. */
@@ -32,12 +47,17 @@
         sent++;
     }
 
-    /** Notes how a send failed. */
-    void failed(FailureKind kind) {
+    /** Tells whether a failure counts for no attempt, given whether the upstream that caused it is leaving. */
+    static boolean isFree(FailureKind kind, boolean leaving) {
+        return ALWAYS_FREE.contains(kind) || leaving && FREE_AS_IT_LEAVES.contains(kind);
+    }
+
+    /** Notes how a send failed, and whether it counts for no attempt. */
+    void failed(FailureKind kind, boolean isFree) {
         mayHaveRun |= kind.mayHaveRun();
-        if (kind == FailureKind.NO_CONNECTION) {
+        if (isFree) {
             sent--;
-            unconnected++;
+            free++;
         }
     }
 
@@ -57,12 +77,11 @@
     }
 
     /** Says why no send may follow a failure; {@code null} if one may, leaving the retry budget aside. */
-    RefusalCause whyNotAgain(FailureKind kind, long leftMillis) {
+    RefusalCause whyNotAgain(FailureKind kind, boolean isFree, long leftMillis) {
         if (kind.mayHaveRun() && !route.idempotent()) {
             return RefusalCause.MAY_HAVE_RUN;
         }
-        boolean used =
-                kind == FailureKind.NO_CONNECTION ? unconnected >= MOST_UNCONNECTED : sent >= route.maxAttempts();
+        boolean used = isFree ? free >= MOST_FREE : sent >= route.maxAttempts();
         if (used) {
             return RefusalCause.ATTEMPTS_USED;
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CallerPatience.java
@@ -70,8 +70,14 @@
     static long retryAfterMillis(RefusalCause cause, long leftMillis) {
         long useful = Math.max(0, leftMillis / RETURN_SHARE);
         return switch (cause) {
-            case NO_ROOM, TOO_DEAR, NO_UPSTREAM, ATTEMPTS_USED, RETRY_BUDGET, BODY_MEMORY, REPEAT_IN_TRIAL -> Math.min(
-                    useful, ROOM_MILLIS);
+            case NO_ROOM,
+                    TOO_DEAR,
+                    NO_UPSTREAM,
+                    UPSTREAMS_DRAINING,
+                    ATTEMPTS_USED,
+                    RETRY_BUDGET,
+                    BODY_MEMORY,
+                    REPEAT_IN_TRIAL -> Math.min(useful, ROOM_MILLIS);
             default -> 0;
         };
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/DrainGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/DrainGate.java
@@ -5,9 +5,10 @@
 import org.apricotstack.core.upstream.AnnouncedDrain;
 import org.apricotstack.core.upstream.DrainChange;
 import org.apricotstack.core.upstream.DrainTable;
+import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.DecisionLog;
 
-/** Notes which upstreams announce in their answers that they leave. */
+/** Notes which upstreams announce in their answers that they leave, and lets the other routers know. */
 final class DrainGate {
 
     private final RunContext context;
@@ -35,11 +36,37 @@
         if (change == DrainChange.BEGAN) {
             context.metrics().drainAnnounced();
             line("drain_announced", upstream, requestId).put("source", "answer").write();
+            context.news().drainChanged(upstream);
         } else if (change == DrainChange.ENDED) {
             ended(upstream, before, "answer", requestId);
+            context.news().drainChanged(upstream);
         }
     }
 
+    /** Takes in that the platform lists an upstream as taking requests that it listed as leaving before. */
+    void servingAgain(UpstreamId upstream) {
+        AnnouncedDrain before = table().find(upstream);
+        if (table().ended(upstream, context.nowMillis()) == DrainChange.ENDED) {
+            ended(upstream, before, "platform", null);
+            context.news().drainChanged(upstream);
+        }
+    }
+
+    /** Ends drains that the platform has contradicted for long, and forgets those of upstreams that are gone. */
+    void expire(boolean platformAnswers) {
+        table().expire(upstream -> listing(upstream, platformAnswers), context.nowMillis())
+                .forEach((upstream, drain) -> ended(upstream, drain, "contradicted", null));
+    }
+
+    /** Returns what the platform says of an upstream. */
+    private DrainTable.Listing listing(UpstreamId upstream, boolean platformAnswers) {
+        UpstreamEntry entry = context.upstreams().find(upstream);
+        if (!platformAnswers || entry != null && entry.draining()) {
+            return DrainTable.Listing.DRAINING_OR_UNKNOWN;
+        }
+        return entry == null ? DrainTable.Listing.ABSENT : DrainTable.Listing.SERVING;
+    }
+
     /** Writes down that an upstream takes requests again. */
     private void ended(UpstreamId upstream, AnnouncedDrain before, String source, String requestId) {
         line("drain_ended", upstream, requestId)
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EndCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EndCheck.java
@@ -63,8 +63,7 @@
 
     /** Tells whether a start of an upstream is listed and not about to leave. */
     boolean isListedToStay(UpstreamId start) {
-        UpstreamEntry listed = context.upstreams().find(start);
-        return listed != null && !listed.draining();
+        return context.upstreams().find(start) != null && !context.upstreams().isDraining(start);
     }
 
     /** Tells whether an upstream at which a request just broke off has ended; it may take some milliseconds. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/PlacementNews.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/PlacementNews.java
@@ -42,4 +42,11 @@
      * @param avoidMillis time for which it is avoided, in milliseconds
      */
     void avoided(UpstreamId upstream, long avoidMillis);
+
+    /**
+     * Tells that an answer showed that an upstream leaves, or no longer does.
+     *
+     * @param upstream the upstream
+     */
+    void drainChanged(UpstreamId upstream);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -106,7 +106,12 @@
 
     /** Tells whether another send may follow a failure of the current one. */
     boolean mayTryAgain(FailureKind kind) {
-        return attempts.whyNotAgain(kind, facts.leftMillis(context.nowMillis())) == null;
+        return attempts.whyNotAgain(kind, false, facts.leftMillis(context.nowMillis())) == null;
+    }
+
+    /** Tells whether an attempt may still be given to the upstreams that were chosen for it. */
+    boolean mayBeSent(Attempt attempt) {
+        return sender.mayBeSent(attempt.choice());
     }
 
     /** Takes the failure of an attempt: sends again or ends. */
@@ -115,32 +120,34 @@
             return;
         }
         sender.end(attempt);
-        attempts.failed(kind);
         UpstreamId blamed = kind == FailureKind.HELPER_GONE
                 ? attempt.faultyHelper()
                 : attempt.upstream().id();
-        sender.exclude(blamed);
+        boolean isFree = AttemptCount.isFree(kind, context.upstreams().isDraining(blamed));
+        attempts.failed(kind, isFree);
+        if (kind != FailureKind.WITHHELD) {
+            sender.exclude(blamed);
+        }
         chooser.failed(blamed, kind);
         if (gate.mayHaveEnded(attempt.upstream(), kind)) {
             RequestDigest digest = suspicion.digest();
             gate.brokeOff(attempt.upstream(), digest, attempt.begun(), ended -> {
                 log.brokeOff(attempt, digest, ended);
-                goOn(attempt, kind);
+                goOn(attempt, kind, isFree);
             });
         } else {
-            goOn(attempt, kind);
+            goOn(attempt, kind, isFree);
         }
     }
 
     /** Sends again after a failure, or ends. */
-    private void goOn(Attempt attempt, FailureKind kind) {
+    private void goOn(Attempt attempt, FailureKind kind, boolean isFree) {
         if (over) {
             return;
         }
         long now = context.nowMillis();
-        RefusalCause cause = attempts.whyNotAgain(kind, facts.leftMillis(now));
-        boolean repeats = kind != FailureKind.NO_CONNECTION;
-        if (cause == null && repeats && !context.budgets().of(facts.service()).trySpend(now)) {
+        RefusalCause cause = attempts.whyNotAgain(kind, isFree, facts.leftMillis(now));
+        if (cause == null && !isFree && !context.budgets().of(facts.service()).trySpend(now)) {
             cause = RefusalCause.RETRY_BUDGET;
         }
         log.failed(attempt, kind, cause, now);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
@@ -41,6 +42,7 @@
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
     private final LimitGate limits;
+    private final DrainGate drains;
     private final NoticeIntake notices;
     private final Set<RequestRun> open = new HashSet<>();
     private boolean refusing;
@@ -54,7 +56,8 @@
         this.context = context;
         this.gate = new SuspectGate(context, this::suspected);
         this.limits = new LimitGate(context);
-        this.notices = new NoticeIntake(limits, new DrainGate(context));
+        this.drains = new DrainGate(context);
+        this.notices = new NoticeIntake(limits, drains);
         this.chooser = new UpstreamChooser(context, limits, notices);
     }
 
@@ -130,7 +133,7 @@
      * @param ended the start that ended by a new one, as it was last listed
      */
     public void startedAgain(UpstreamEntry ended) {
-        if (ended.draining()) {
+        if (ended.draining() || context.upstreams().isDraining(ended.id())) {
             gate.leftAsPlanned(ended.id());
         }
         limits.forget(ended.id());
@@ -151,9 +154,23 @@
         List.copyOf(open).forEach(run -> run.suspected(request));
     }
 
-    /** Forgets what is known of rate limits that hold no more. */
-    public void expireLimits() {
+    /**
+     * Takes in that the platform lists an upstream as taking requests that it listed as leaving before.
+     *
+     * @param upstream the start
+     */
+    public void servingAgain(UpstreamId upstream) {
+        drains.servingAgain(upstream);
+    }
+
+    /**
+     * Forgets what upstreams said of themselves and holds no more.
+     *
+     * @param platformAnswers whether the platform's list of upstreams can be relied upon
+     */
+    public void expire(boolean platformAnswers) {
         limits.expire();
+        drains.expire(platformAnswers);
     }
 
     /** Refuses requests from now on, as the process is about to stop. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -148,8 +148,17 @@
             waitForRoom();
             return;
         }
-        boolean listed = !context.upstreams().usable(facts.service()).isEmpty();
-        run.endWithout(listed ? RefusalCause.NO_ROOM : RefusalCause.NO_UPSTREAM);
+        run.endWithout(whyNone());
+    }
+
+    /** Says why no upstream is left for the request. */
+    private RefusalCause whyNone() {
+        if (!context.upstreams().usable(facts.service()).isEmpty()) {
+            return RefusalCause.NO_ROOM;
+        }
+        return context.upstreams().draining(facts.service()).isEmpty()
+                ? RefusalCause.NO_UPSTREAM
+                : RefusalCause.UPSTREAMS_DRAINING;
     }
 
     /**
@@ -238,8 +247,9 @@
         if (attempt != current || attempt.over()) {
             return;
         }
-        if (!granted) {
-            log.passedOver(attempt, limits.opensMillis(attempt.upstream().id()));
+        if (!granted || !mayBeSent(attempt.choice())) {
+            log.passedOver(
+                    attempt, granted, limits.opensMillis(attempt.upstream().id()));
             cancel();
             send();
             return;
@@ -253,6 +263,13 @@
         }
     }
 
+    /** Tells whether upstreams that were chosen still take requests, as far as their answers say. */
+    boolean mayBeSent(UpstreamChoice choice) {
+        return !context.upstreams().isDraining(choice.upstream().id())
+                && choice.helpers().stream()
+                        .noneMatch(helper -> context.upstreams().isDraining(helper.id()));
+    }
+
     /** Makes an attempt of the route's kind. */
     private Attempt newAttempt(UpstreamChoice choice, long now) {
         return facts.route().kind() == RequestKind.STREAMING
@@ -271,7 +288,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, chooser.closed(facts.service()), now);
+        log.sent(choice, chooser.closed(facts.service()), chooser.draining(facts.service()), now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -9,6 +9,7 @@
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.PassedOverCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
 /** Writes down and counts what happens to one request, with the figures that decided. */
@@ -65,12 +66,16 @@
     }
 
     /** Notes a send. */
-    void sent(UpstreamChoice choice, List<UpstreamEntry> closed, long nowMillis) {
+    void sent(UpstreamChoice choice, List<UpstreamEntry> closed, List<UpstreamEntry> draining, long nowMillis) {
+        if (!draining.isEmpty()) {
+            context.metrics().passedOver(PassedOverCause.DRAINING);
+        }
         line("sent")
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
                 .put("limits_used_up", names(closed))
+                .put("draining", names(draining))
                 .put(
                         "part_millis",
                         choice.placement() == null
@@ -83,12 +88,14 @@
                 .write();
     }
 
-    /** Notes that an upstream was passed over, as its limit lets no request pass now. */
-    void passedOver(Attempt attempt, long opensMillis) {
+    /** Notes that a choice is dropped: its limit lets no request pass now, or the upstream or a helper leaves. */
+    void passedOver(Attempt attempt, boolean granted, long opensMillis) {
         UpstreamId upstream = attempt.upstream().id();
         RateLimit limit = context.limits().find(upstream);
-        context.metrics().passedOver();
+        PassedOverCause cause = granted ? PassedOverCause.DRAINING : PassedOverCause.LIMIT;
+        context.metrics().passedOver(cause);
         line("passed_over")
+                .put("cause", cause.code())
                 .put("upstream", upstream.value())
                 .put("per_second", limit == null ? null : Double.toString(limit.perSecond()))
                 .put("keeper", context.limitNews().keeperOf(upstream))
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -144,6 +144,13 @@
                         .toList();
     }
 
+    /** Lists the upstreams that get no request, as they announced in their answers that they leave. */
+    List<UpstreamEntry> draining(ServiceId service) {
+        return context.upstreams().drains().isEmpty()
+                ? List.of()
+                : context.upstreams().draining(service);
+    }
+
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
     boolean fasterElsewhere(RequestFacts facts, UpstreamChoice used, boolean begun, Set<UpstreamId> excluded) {
         UpstreamId engine = used.upstream().id();
@@ -188,8 +195,11 @@
         }
     }
 
-    /** Lets a failure count against the upstream that caused it, here and at the other routers. */
+    /** Lets a failure count against the upstream that caused it, here and at the other routers, unless it leaves. */
     void failed(UpstreamId blamed, FailureKind kind) {
+        if (context.upstreams().isDraining(blamed)) {
+            return;
+        }
         long now = context.nowMillis();
         long avoid = 0;
         if (kind == FailureKind.FULL) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsHubTest.java
@@ -16,6 +16,7 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -49,6 +50,7 @@
             judge,
             new SuspectTable(PEER, found -> {}),
             new LimitTable(),
+            new DrainTable(),
             new HostId("own"),
             state,
             log,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/AttemptCountTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/AttemptCountTest.java
@@ -7,6 +7,8 @@
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.observe.RefusalCause;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,9 +32,14 @@
             1_000));
 
     private RefusalCause fail(FailureKind kind) {
+        return fail(kind, false);
+    }
+
+    private RefusalCause fail(FailureKind kind, boolean leaving) {
+        boolean isFree = AttemptCount.isFree(kind, leaving);
         attempts.send();
-        attempts.failed(kind);
-        return attempts.whyNotAgain(kind, LEFT_MILLIS);
+        attempts.failed(kind, isFree);
+        return attempts.whyNotAgain(kind, isFree, LEFT_MILLIS);
     }
 
     /**
@@ -58,6 +65,22 @@
         assertThat(cause).isEqualTo(RefusalCause.ATTEMPTS_USED);
     }
 
+    @ParameterizedTest
+    @EnumSource(names = {"RESET", "CUT", "FULL", "HELPER_GONE", "DRAINING", "WITHHELD"})
+    void countsNoSendThatAnUpstreamLosesOrTurnsAwayAsItLeaves(FailureKind kind) {
+        for (int i = 0; i < 6; i++) {
+            assertThat(fail(kind, true)).isNull();
+        }
+        assertThat(attempts.sent()).isZero();
+        assertThat(attempts.mayHaveRun()).isEqualTo(kind.mayHaveRun());
+    }
+
+    @Test
+    void countsSendsThatALeavingUpstreamMayStillRun() {
+        assertThat(fail(FailureKind.SILENT, true)).isNull();
+        assertThat(fail(FailureKind.SILENT, true)).isEqualTo(RefusalCause.ATTEMPTS_USED);
+    }
+
     @Test
     void countsSendsThatReachedAnUpstream() {
         assertThat(fail(FailureKind.NO_CONNECTION)).isNull();
