Write down which answers ask this router for a back-off

The timeline of the incident could not tell whether an upstream that turned a request away only was full, or named a time in which it wants nothing. One class, UpstreamGates, holds the three gates and takes the place of two parameters in six classes. No decision uses the back-off yet.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/notice/UpstreamNotice.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/notice/UpstreamNotice.java
@@ -7,9 +7,11 @@
  *
  * @param limit its rate limit
  * @param drain whether it leaves
+ * @param backOff how long it wants nothing from this router
  */
-public record UpstreamNotice(StatedLimit limit, StatedDrain drain) {
+public record UpstreamNotice(StatedLimit limit, StatedDrain drain, StatedBackOff backOff) {
 
     /** An answer that says nothing of its upstream. */
-    public static final UpstreamNotice NONE = new UpstreamNotice(StatedLimit.ABSENT, StatedDrain.ABSENT);
+    public static final UpstreamNotice NONE =
+            new UpstreamNotice(StatedLimit.ABSENT, StatedDrain.ABSENT, StatedBackOff.ABSENT);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -15,6 +15,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedBackOff;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.route.RequestKind;
@@ -40,12 +41,16 @@
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
+    private final Map<StatedBackOff.Kind, Counter> backOffs =
+            counters(StatedBackOff.Kind.class, kind -> "back_offs." + lower(kind));
+    private volatile int backOffsInForce;
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
     private final Histogram longestPause = histogram("streams.longest_pause_millis");
 
     /** Creates the metrics. */
     public ServingMetrics() {
+        gauge("back_offs.in_force", () -> backOffsInForce);
         for (RequestKind kind : RequestKind.values()) {
             firstByte.put(kind, histogram("first_answer_millis." + lower(kind)));
         }
@@ -172,6 +177,24 @@
         drainsUnreadable.inc();
     }
 
+    /**
+     * Counts an answer that turned a request away and asked, or seemed to ask, for a back-off.
+     *
+     * @param kind whether it could be read
+     */
+    public void backOff(StatedBackOff.Kind kind) {
+        backOffs.get(kind).inc();
+    }
+
+    /**
+     * Shows how many upstreams asked for a back-off that is not over.
+     *
+     * @param upstreams how many
+     */
+    public void backOffsInForce(int upstreams) {
+        backOffsInForce = upstreams;
+    }
+
     /**
      * Notes the time to the answer, or to the first event of a stream.
      *
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/BackOffGate.java
@@ -0,0 +1,55 @@
+package org.apricotstack.serving.run;
+
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedBackOff;
+import org.apricotstack.core.upstream.BackOffTable;
+import org.apricotstack.serving.observe.DecisionLog;
+
+/** Notes which upstreams turned this router away and asked it to send them nothing for a while. */
+final class BackOffGate {
+
+    private final RunContext context;
+    private final BackOffTable table = new BackOffTable();
+
+    /** Creates a gate. */
+    BackOffGate(RunContext context) {
+        this.context = context;
+    }
+
+    /** Takes in what an answer says; the request is {@code null} if it is no caller's. */
+    void answered(UpstreamId upstream, StatedBackOff stated, String requestId) {
+        if (stated.kind() == StatedBackOff.Kind.ABSENT) {
+            return;
+        }
+        context.metrics().backOff(stated.kind());
+        if (stated.kind() == StatedBackOff.Kind.STATED && table.asked(upstream, stated.millis(), context.nowMillis())) {
+            DecisionLog.Line line = requestId == null
+                    ? context.log().line("back_off_began")
+                    : context.log().request("back_off_began", requestId);
+            line.put("upstream", upstream.value())
+                    .put("incarnation", upstream.incarnation())
+                    .put("millis", stated.millis())
+                    .write();
+        }
+        context.metrics().backOffsInForce(table.size());
+    }
+
+    /** Forgets a start of an upstream that is over. */
+    void forget(UpstreamId upstream) {
+        table.forget(upstream);
+    }
+
+    /** Writes down which back-offs are over. */
+    void expire() {
+        if (table.isEmpty()) {
+            return;
+        }
+        table.expire(context.nowMillis()).forEach((upstream, backOff) -> context.log()
+                .line("back_off_ended")
+                .put("upstream", upstream.value())
+                .put("incarnation", upstream.incarnation())
+                .put("millis", backOff.untilMillis() - backOff.sinceMillis())
+                .write());
+        context.metrics().backOffsInForce(table.size());
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -30,7 +30,7 @@
     private final AttemptCount attempts;
     private final StreamProgress progress;
     private final SuspectGate gate;
-    private final NoticeIntake notices;
+    private final UpstreamGates gates;
     private final RunSuspicion suspicion;
     private final RunLog log;
     private final Consumer<RequestRun> onEnd;
@@ -45,8 +45,7 @@
             RunContext context,
             UpstreamChooser chooser,
             SuspectGate gate,
-            LimitGate limits,
-            NoticeIntake notices,
+            UpstreamGates gates,
             CallerExchange exchange,
             RequestFacts facts,
             Consumer<RequestRun> onEnd) {
@@ -58,10 +57,10 @@
         this.attempts = new AttemptCount(facts.route());
         this.progress = new StreamProgress(facts.request().lastEventId());
         this.gate = gate;
-        this.notices = notices;
+        this.gates = gates;
         this.suspicion = new RunSuspicion(gate, facts);
         this.log = new RunLog(context, facts, attempts, progress);
-        this.sender = new RequestSender(this, chooser, limits, notices, facts, attempts, progress, suspicion, log);
+        this.sender = new RequestSender(this, chooser, gates, facts, attempts, progress, suspicion, log);
         this.timeLimit = context.loop().schedule(facts.leftMillis(context.nowMillis()), this::timeOver);
         log.arrived();
     }
@@ -205,7 +204,7 @@
     /** Takes in what an upstream says of itself; what another one at its address says concerns the other one. */
     private void stated(Attempt attempt, AnswerHead answer, long sentMillis) {
         if (!answer.otherInstance()) {
-            notices.answered(
+            gates.answered(
                     attempt.upstream().id(),
                     answer.notice(),
                     sentMillis,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRuns.java
@@ -41,9 +41,7 @@
     private final RunContext context;
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
-    private final LimitGate limits;
-    private final DrainGate drains;
-    private final NoticeIntake notices;
+    private final UpstreamGates gates;
     private final Set<RequestRun> open = new HashSet<>();
     private boolean refusing;
 
@@ -55,10 +53,8 @@
     public RequestRuns(RunContext context) {
         this.context = context;
         this.gate = new SuspectGate(context, this::suspected);
-        this.limits = new LimitGate(context);
-        this.drains = new DrainGate(context);
-        this.notices = new NoticeIntake(limits, drains);
-        this.chooser = new UpstreamChooser(context, limits, notices);
+        this.gates = new UpstreamGates(context);
+        this.chooser = new UpstreamChooser(context, gates);
     }
 
     @Override
@@ -79,7 +75,7 @@
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, context.nowMillis());
-        RequestRun run = new RequestRun(context, chooser, gate, limits, notices, exchange, facts, open::remove);
+        RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, open::remove);
         open.add(run);
         return run;
     }
@@ -136,7 +132,7 @@
         if (ended.draining() || context.upstreams().isDraining(ended.id())) {
             gate.leftAsPlanned(ended.id());
         }
-        limits.forget(ended.id());
+        gates.forget(ended.id());
         List.copyOf(open).forEach(run -> run.lostWith(ended.id()));
     }
 
@@ -160,7 +156,7 @@
      * @param upstream the start
      */
     public void servingAgain(UpstreamId upstream) {
-        drains.servingAgain(upstream);
+        gates.drains().servingAgain(upstream);
     }
 
     /**
@@ -169,8 +165,7 @@
      * @param platformAnswers whether the platform's list of upstreams can be relied upon
      */
     public void expire(boolean platformAnswers) {
-        limits.expire();
-        drains.expire(platformAnswers);
+        gates.expire(platformAnswers);
     }
 
     /** Refuses requests from now on, as the process is about to stop. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -19,8 +19,7 @@
     private final RequestRun run;
     private final RunContext context;
     private final UpstreamChooser chooser;
-    private final LimitGate limits;
-    private final NoticeIntake notices;
+    private final UpstreamGates gates;
     private final RequestFacts facts;
     private final AttemptCount attempts;
     private final StreamProgress progress;
@@ -37,8 +36,7 @@
     RequestSender(
             RequestRun run,
             UpstreamChooser chooser,
-            LimitGate limits,
-            NoticeIntake notices,
+            UpstreamGates gates,
             RequestFacts facts,
             AttemptCount attempts,
             StreamProgress progress,
@@ -47,8 +45,7 @@
         this.run = run;
         this.context = run.context();
         this.chooser = chooser;
-        this.limits = limits;
-        this.notices = notices;
+        this.gates = gates;
         this.facts = facts;
         this.attempts = attempts;
         this.progress = progress;
@@ -103,7 +100,7 @@
     /** Gives the request to the upstreams that were chosen. */
     private void begin(UpstreamChoice choice, long now) {
         chooser.begin(choice, facts.leftMillis(now));
-        reserved = new ReservedHelpers(context, limits, notices, choice);
+        reserved = new ReservedHelpers(context, gates, choice);
         Attempt attempt = newAttempt(choice, now);
         current = attempt;
         if (choice.reserves()) {
@@ -167,10 +164,10 @@
      */
     private void waitForLimits(long opensMillis, long now) {
         if (mayWaitForLimits(opensMillis, now)) {
-            limits.waits(1);
+            gates.limits().waits(1);
             log.waits(now);
             context.loop().schedule(opensMillis, () -> {
-                limits.waits(-1);
+                gates.limits().waits(-1);
                 sendAgain();
             });
         } else {
@@ -187,7 +184,7 @@
                 opensMillis,
                 now - facts.arrivedMillis(),
                 facts.route().targetLatencyMillis(),
-                limits.waiting(),
+                gates.limits().waiting(),
                 chooser.closed(facts.service()).size());
     }
 
@@ -239,7 +236,7 @@
 
     /** Goes on once the upstream's limit lets the request pass. */
     private void acquire(Attempt attempt) {
-        limits.acquire(attempt.upstream().id(), granted -> afterAcquiring(attempt, granted));
+        gates.limits().acquire(attempt.upstream().id(), granted -> afterAcquiring(attempt, granted));
     }
 
     /** Sends the request if it may be sent, and otherwise tries another upstream. */
@@ -249,7 +246,9 @@
         }
         if (!granted || !mayBeSent(attempt.choice())) {
             log.passedOver(
-                    attempt, granted, limits.opensMillis(attempt.upstream().id()));
+                    attempt,
+                    granted,
+                    gates.limits().opensMillis(attempt.upstream().id()));
             cancel();
             send();
             return;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -40,8 +40,7 @@
     private static final long LATE_MILLIS = 13_000;
 
     private final RunContext context;
-    private final LimitGate limits;
-    private final NoticeIntake notices;
+    private final UpstreamGates gates;
     private final UpstreamChoice choice;
     private final List<Forwarding.Helper> helpers = new ArrayList<>();
     private ScheduledFuture<?> renewal;
@@ -49,10 +48,9 @@
     private boolean ended;
 
     /** Creates the helpers of a send; nothing is reserved yet. */
-    ReservedHelpers(RunContext context, LimitGate limits, NoticeIntake notices, UpstreamChoice choice) {
+    ReservedHelpers(RunContext context, UpstreamGates gates, UpstreamChoice choice) {
         this.context = context;
-        this.limits = limits;
-        this.notices = notices;
+        this.gates = gates;
         this.choice = choice;
         for (int i = 0; i < choice.helpers().size(); i++) {
             EnginePart part = choice.placement().parts().get(i + 1);
@@ -109,8 +107,8 @@
     private Mono<Boolean> order(UpstreamEntry engine, Function<Consumer<UpstreamNotice>, Mono<Boolean>> order) {
         return Mono.defer(() -> {
             long sentMillis = context.nowMillis();
-            limits.charge(engine.id());
-            return order.apply(notice -> notices.answered(engine.id(), notice, sentMillis, null));
+            gates.limits().charge(engine.id());
+            return order.apply(notice -> gates.answered(engine.id(), notice, sentMillis, null));
         });
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -25,8 +25,7 @@
     private static final long SHARED_MILLIS = 500;
 
     private final RunContext context;
-    private final LimitGate limits;
-    private final NoticeIntake notices;
+    private final UpstreamGates gates;
     private final Map<UpstreamId, Long> progressMillis = new HashMap<>();
     private final Map<UpstreamId, Asked> asked = new HashMap<>();
 
@@ -39,10 +38,9 @@
     private record Asked(long atMillis, Mono<Silence> answer) {}
 
     /** Creates a check. */
-    SilenceCheck(RunContext context, LimitGate limits, NoticeIntake notices) {
+    SilenceCheck(RunContext context, UpstreamGates gates) {
         this.context = context;
-        this.limits = limits;
-        this.notices = notices;
+        this.gates = gates;
     }
 
     /** Notes an event of an engine. */
@@ -98,7 +96,7 @@
 
     /** Asks an engine if its limit lets a request pass; one that named a limit and is silent counts as overloaded. */
     private Mono<Silence> ask(UpstreamEntry engine) {
-        return Mono.<Boolean>create(sink -> limits.acquire(engine.id(), sink::success))
+        return Mono.<Boolean>create(sink -> gates.limits().acquire(engine.id(), sink::success))
                 .flatMap(granted -> granted ? report(engine) : Mono.just(Silence.BUSY))
                 .cache();
     }
@@ -107,7 +105,7 @@
     private Mono<Silence> report(UpstreamEntry engine) {
         long sentMillis = context.nowMillis();
         return context.engines()
-                .report(engine, notice -> notices.answered(engine.id(), notice, sentMillis, null))
+                .report(engine, notice -> gates.answered(engine.id(), notice, sentMillis, null))
                 .map(report -> {
                     UpstreamId answering = new UpstreamId(engine.id().value(), report.incarnation());
                     if (answering.isLaterStartOf(engine.id())) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -32,16 +32,16 @@
     private static final double DISTANCE_WEIGHT = 0.6;
 
     private final RunContext context;
+    private final UpstreamGates gates;
     private final Map<UpstreamId, Integer> inFlight = new HashMap<>();
     private final SilenceCheck silence;
-    private final LimitGate limits;
     private long placements;
 
     /** Creates a chooser. */
-    UpstreamChooser(RunContext context, LimitGate limits, NoticeIntake notices) {
+    UpstreamChooser(RunContext context, UpstreamGates gates) {
         this.context = context;
-        this.limits = limits;
-        this.silence = new SilenceCheck(context, limits, notices);
+        this.gates = gates;
+        this.silence = new SilenceCheck(context, gates);
     }
 
     /** Returns what finds out why an engine is silent. */
@@ -68,7 +68,9 @@
             double cost = inFlight.getOrDefault(entry.id(), 0)
                     + FAILURE_WEIGHT * context.judge().failureProbability(entry.id(), context.nowMillis())
                     + (entry.dataCentre().equals(context.dataCentre()) ? 0 : DISTANCE_WEIGHT);
-            if (!excluded.contains(entry.id()) && cost < bestCost && limits.opensMillis(entry.id()) == 0) {
+            if (!excluded.contains(entry.id())
+                    && cost < bestCost
+                    && gates.limits().opensMillis(entry.id()) == 0) {
                 best = entry;
                 bestCost = cost;
             }
@@ -83,14 +85,14 @@
         context.board().expire(now);
         List<EngineCandidate> candidates = new ArrayList<>();
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
-            if (!excluded.contains(entry.id()) && limits.opensMillis(entry.id()) == 0) {
+            if (!excluded.contains(entry.id()) && gates.limits().opensMillis(entry.id()) == 0) {
                 context.board().load(entry.id()).profile(profile);
                 candidates.add(new EngineCandidate(
                         entry.id(),
                         context.board().load(entry.id()),
                         context.judge().failureProbability(entry.id(), now),
                         context.judge().takesOrders(entry.id(), now),
-                        !limits.isLimited(entry.id())));
+                        !gates.limits().isLimited(entry.id())));
             }
         }
         List<EngineCandidate> ordered =
@@ -123,13 +125,13 @@
      * @return 0 if not all upstreams that may be used are closed by their limits
      */
     long opensMillis(ServiceId service, Set<UpstreamId> excluded) {
-        if (limits.isIdle()) {
+        if (gates.limits().isIdle()) {
             return 0;
         }
         long least = Long.MAX_VALUE;
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
             if (!excluded.contains(entry.id())) {
-                least = Math.min(least, limits.opensMillis(entry.id()));
+                least = Math.min(least, gates.limits().opensMillis(entry.id()));
             }
         }
         return least == Long.MAX_VALUE ? 0 : least;
@@ -137,10 +139,10 @@
 
     /** Lists the upstreams that get no request now, as their limits are used up. */
     List<UpstreamEntry> closed(ServiceId service) {
-        return limits.isIdle()
+        return gates.limits().isIdle()
                 ? List.of()
                 : context.upstreams().usable(service).stream()
-                        .filter(entry -> limits.opensMillis(entry.id()) > 0)
+                        .filter(entry -> gates.limits().opensMillis(entry.id()) > 0)
                         .toList();
     }
 
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -0,0 +1,59 @@
+package org.apricotstack.serving.run;
+
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.UpstreamNotice;
+
+/**
+ * The one place that takes in all that answers of upstreams say of the upstreams themselves: answers to requests,
+ * reports and orders, of any status, also late ones. What another upstream at the address says does not come here.
+ */
+final class UpstreamGates {
+
+    private final LimitGate limits;
+    private final DrainGate drains;
+    private final BackOffGate backOffs;
+
+    /** Creates gates that let everything pass. */
+    UpstreamGates(RunContext context) {
+        this.limits = new LimitGate(context);
+        this.drains = new DrainGate(context);
+        this.backOffs = new BackOffGate(context);
+    }
+
+    /** Returns what keeps rate limits. */
+    LimitGate limits() {
+        return limits;
+    }
+
+    /** Returns what knows of announced drains. */
+    DrainGate drains() {
+        return drains;
+    }
+
+    /**
+     * Takes in what an answer says.
+     *
+     * @param upstream the upstream that answered
+     * @param notice what the answer says of it
+     * @param sentMillis when the request was sent, or before; {@link Long#MIN_VALUE} if it is not known
+     * @param requestId the request, or {@code null} if it is no caller's
+     */
+    void answered(UpstreamId upstream, UpstreamNotice notice, long sentMillis, String requestId) {
+        limits.answered(upstream, notice.limit(), sentMillis, requestId);
+        drains.answered(upstream, notice.drain(), sentMillis, requestId);
+        backOffs.answered(upstream, notice.backOff(), requestId);
+    }
+
+    /** Forgets a start of an upstream that is over. */
+    void forget(UpstreamId upstream) {
+        limits.forget(upstream);
+        backOffs.forget(upstream);
+    }
+
+    /** Forgets what holds no more; tells whether the platform's list of upstreams can be relied upon. */
+    void expire(boolean platformAnswers) {
+        limits.expire();
+        drains.expire(platformAnswers);
+        backOffs.expire();
+    }
+}
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -12,6 +12,7 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedBackOff;
 import org.apricotstack.core.notice.StatedDrain;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.LimitTable;
@@ -95,7 +96,8 @@
 
         private boolean taken(Consumer<UpstreamNotice> heard) {
             orders++;
-            heard.accept(new UpstreamNotice(new StatedLimit(StatedLimit.Kind.STATED, 2), StatedDrain.ABSENT));
+            heard.accept(new UpstreamNotice(
+                    new StatedLimit(StatedLimit.Kind.STATED, 2), StatedDrain.ABSENT, StatedBackOff.ABSENT));
             return true;
         }
 
@@ -116,9 +118,7 @@
                 3_000,
                 500);
         UpstreamChoice choice = new UpstreamChoice(LEAD, List.of(HELPER), placement, 100, true, false, false);
-        LimitGate limitGate = new LimitGate(context);
-        ReservedHelpers helpers =
-                new ReservedHelpers(context, limitGate, new NoticeIntake(limitGate, new DrainGate(context)), choice);
+        ReservedHelpers helpers = new ReservedHelpers(context, new UpstreamGates(context), choice);
         assertThat(helpers.reserve().block()).isTrue();
         helpers.release();
         assertThat(orders).isEqualTo(2);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -15,6 +15,7 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedBackOff;
 import org.apricotstack.core.notice.StatedDrain;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.LimitTable;
@@ -89,9 +90,7 @@
             null,
             log,
             new ServingMetrics());
-    private final LimitGate limitGate = new LimitGate(context);
-    private final SilenceCheck check =
-            new SilenceCheck(context, limitGate, new NoticeIntake(limitGate, new DrainGate(context)));
+    private final SilenceCheck check = new SilenceCheck(context, new UpstreamGates(context));
 
     @AfterEach
     void stop() {
@@ -230,7 +229,8 @@
     @Test
     void readsALimitInAReport() {
         report = Mono.just(new EngineCalls.Report(1, 0, 1));
-        notice = new UpstreamNotice(new StatedLimit(StatedLimit.Kind.STATED, 3), StatedDrain.ABSENT);
+        notice = new UpstreamNotice(
+                new StatedLimit(StatedLimit.Kind.STATED, 3), StatedDrain.ABSENT, StatedBackOff.ABSENT);
         check.reason(ALONE, false).block();
         assertThat(limits.find(ENGINE.id()).perSecond()).isEqualTo(3);
     }
