Send nothing to an upstream in the time for which it asked this router for a back-off

Callers and upstreams saw: an upstream turned requests away with 503 and asked for three seconds of rest, and got three and more requests from that router in that time; callers met two such upstreams and were refused. Cause: Retry-After in an upstream's answer was read by nobody; an upstream that turned a request away counted as full and was avoided for 400 ms. Class: as with the drain.

What was chosen before is chosen anew, also once a connection is open. If all upstreams are closed, the caller is refused at once (upstreams_back_off) with the end of the first back-off, spread over a quarter of it and 200 ms; a stream that has begun waits. The times overlap: the one that ends last counts; at most an hour; service begins again in the millisecond after it, as the avoidance of full upstreams is not put on top. Other routers are not told, since the upstream asks each by itself.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -24,6 +24,8 @@
     FULL(false, false, false),
     /** The upstream leaves, said so, and did not run the request; that is no failure. */
     DRAINING(false, false, false),
+    /** The upstream did not run the request, and asked this router to send nothing for a while. */
+    BACK_OFF(false, false, false),
     /** Nothing was sent, as the upstream said in the meantime that it wants no requests. */
     WITHHELD(false, false, false),
     /** The memory that the request needs could not be reserved; nothing was sent. */
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ReturnSpreadTest.java
@@ -0,0 +1,31 @@
+package org.apricotstack.core.upstream;
+
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReturnSpreadTest {
+
+    private static final int CALLERS = 1_000;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 300, 3_000, 3_600_000})
+    void spreadsCallersThatWereRefusedUntilTheSameMoment(long opensMillis) {
+        long spread = ReturnSpread.LEAST_MILLIS + opensMillis / 4;
+        long[] returns = LongStream.range(0, CALLERS)
+                .map(caller -> ReturnSpread.millis(
+                        opensMillis, Long.toString(caller, 36).hashCode()))
+                .toArray();
+        assertThat(LongStream.of(returns)).allMatch(millis -> millis >= opensMillis && millis <= opensMillis + spread);
+        for (int quarter = 0; quarter < 4; quarter++) {
+            long from = opensMillis + spread * quarter / 4;
+            long until = opensMillis + spread * (quarter + 1) / 4;
+            assertThat(LongStream.of(returns).filter(millis -> millis >= from && millis < until))
+                    .as("callers that return in quarter %d", quarter)
+                    .hasSizeBetween(CALLERS / 8, CALLERS * 3 / 8);
+        }
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
@@ -7,7 +7,9 @@
     /** It has got as many requests as it said that it takes. */
     LIMIT,
     /** It announced in its answers that it leaves. */
-    DRAINING;
+    DRAINING,
+    /** It asked this router to send it nothing for a while. */
+    BACK_OFF;
 
     /**
      * Returns the name for logs and counters.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -20,6 +20,8 @@
     NO_ROOM,
     /** All upstreams that could answer have got as many requests as they said that they take. */
     UPSTREAM_LIMITS,
+    /** All upstreams that could answer asked this router to send them nothing for a while. */
+    UPSTREAMS_BACK_OFF,
     /** Engines could answer, but late, and others would lose several times what that answer is worth. */
     TOO_DEAR,
     /** The process is about to stop. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.notice.StatedBackOff;
 import org.apricotstack.core.notice.StatedDrain;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -244,7 +245,11 @@
         if (answer.faultyAddress() != null) {
             return FailureKind.HELPER_GONE;
         }
-        return answer.notice().drain() == StatedDrain.DRAINING ? FailureKind.DRAINING : FailureKind.FULL;
+        if (answer.notice().drain() == StatedDrain.DRAINING) {
+            return FailureKind.DRAINING;
+        }
+        boolean asks = answer.notice().backOff().kind() == StatedBackOff.Kind.STATED;
+        return asks ? FailureKind.BACK_OFF : FailureKind.FULL;
     }
 
     /** Returns the helper that the answer names as the one at fault, or the upstream if it names none. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/BackOffGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/BackOffGate.java
@@ -34,6 +34,16 @@
         context.metrics().backOffsInForce(table.size());
     }
 
+    /** Returns the time until an upstream may be sent requests, in milliseconds; 0 if it may be sent some now. */
+    long opensMillis(UpstreamId upstream) {
+        return table.isEmpty() ? 0 : table.opensMillis(upstream, context.nowMillis());
+    }
+
+    /** Tells whether no upstream asked for a back-off. */
+    boolean isIdle() {
+        return table.isEmpty();
+    }
+
     /** Forgets a start of an upstream that is over. */
     void forget(UpstreamId upstream) {
         table.forget(upstream);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -110,7 +110,7 @@
 
     /** Tells whether an attempt may still be given to the upstreams that were chosen for it. */
     boolean mayBeSent(Attempt attempt) {
-        return sender.mayBeSent(attempt.choice());
+        return gates.whyNotSent(attempt.choice()) == null;
     }
 
     /** Takes the failure of an attempt: sends again or ends. */
@@ -124,7 +124,7 @@
                 : attempt.upstream().id();
         boolean isFree = AttemptCount.isFree(kind, context.upstreams().isDraining(blamed));
         attempts.failed(kind, isFree);
-        if (kind != FailureKind.WITHHELD) {
+        if (kind != FailureKind.WITHHELD && kind != FailureKind.BACK_OFF) {
             sender.exclude(blamed);
         }
         chooser.failed(blamed, kind);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -11,6 +11,8 @@
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.suspect.SuspectDecision;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.ReturnSpread;
+import org.apricotstack.serving.observe.PassedOverCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
 /** Sends one request to one upstream at a time: waits until it may be sent, chooses, reserves and forwards. */
@@ -136,9 +138,9 @@
 
     /** Waits for room if some may still be found, and ends otherwise. */
     private void waitOrRefuse(long now) {
-        long opensMillis = chooser.opensMillis(facts.service(), excluded);
-        if (opensMillis > 0) {
-            waitForLimits(opensMillis, now);
+        Opening opening = chooser.opening(facts.service(), excluded);
+        if (opening.millis() > 0) {
+            waitForOpening(opening, now);
             return;
         }
         if (waitsForRoom(now)) {
@@ -159,33 +161,37 @@
     }
 
     /**
-     * Waits until an upstream's limit lets a request pass if that is in time, and ends otherwise. One request waits for
-     * each closed upstream: more than that would wait for permits that others get.
+     * Waits until an upstream opens if that is in time, and ends otherwise. One request waits for each upstream that is
+     * closed by its limit: more than that would wait for permits that others get.
      */
-    private void waitForLimits(long opensMillis, long now) {
-        if (mayWaitForLimits(opensMillis, now)) {
+    private void waitForOpening(Opening opening, long now) {
+        if (mayWaitFor(opening, now)) {
             gates.limits().waits(1);
             log.waits(now);
-            context.loop().schedule(opensMillis, () -> {
+            context.loop().schedule(opening.millis(), () -> {
                 gates.limits().waits(-1);
                 sendAgain();
             });
+        } else if (opening.cause() == PassedOverCause.LIMIT) {
+            run.endWithout(RefusalCause.UPSTREAM_LIMITS, opening.millis());
         } else {
-            run.endWithout(RefusalCause.UPSTREAM_LIMITS, opensMillis);
+            long caller = facts.request().id().hashCode();
+            run.endWithout(RefusalCause.UPSTREAMS_BACK_OFF, ReturnSpread.millis(opening.millis(), caller));
         }
     }
 
     /** Tells whether it is of use to wait; a stream whose answer has begun waits as long as its caller may. */
-    private boolean mayWaitForLimits(long opensMillis, long now) {
+    private boolean mayWaitFor(Opening opening, long now) {
         if (progress.begun()) {
-            return now + opensMillis < progress.lastMillis() + CallerPatience.millis(facts.route());
+            return now + opening.millis() < progress.lastMillis() + CallerPatience.millis(facts.route());
         }
-        return LimitWait.isAllowed(
-                opensMillis,
-                now - facts.arrivedMillis(),
-                facts.route().targetLatencyMillis(),
-                gates.limits().waiting(),
-                chooser.closed(facts.service()).size());
+        return opening.cause() == PassedOverCause.LIMIT
+                && LimitWait.isAllowed(
+                        opening.millis(),
+                        now - facts.arrivedMillis(),
+                        facts.route().targetLatencyMillis(),
+                        gates.limits().waiting(),
+                        chooser.passedOver(facts.service()).limited().size());
     }
 
     /** Tells whether room may still be found before the caller loses patience, as no event was passed on yet. */
@@ -244,11 +250,9 @@
         if (attempt != current || attempt.over()) {
             return;
         }
-        if (!granted || !mayBeSent(attempt.choice())) {
-            log.passedOver(
-                    attempt,
-                    granted,
-                    gates.limits().opensMillis(attempt.upstream().id()));
+        PassedOverCause cause = granted ? gates.whyNotSent(attempt.choice()) : PassedOverCause.LIMIT;
+        if (cause != null) {
+            log.passedOver(attempt, cause, gates.opensMillis(attempt.upstream().id()));
             cancel();
             send();
             return;
@@ -262,13 +266,6 @@
         }
     }
 
-    /** Tells whether upstreams that were chosen still take requests, as far as their answers say. */
-    boolean mayBeSent(UpstreamChoice choice) {
-        return !context.upstreams().isDraining(choice.upstream().id())
-                && choice.helpers().stream()
-                        .noneMatch(helper -> context.upstreams().isDraining(helper.id()));
-    }
-
     /** Makes an attempt of the route's kind. */
     private Attempt newAttempt(UpstreamChoice choice, long now) {
         return facts.route().kind() == RequestKind.STREAMING
@@ -287,7 +284,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, chooser.closed(facts.service()), chooser.draining(facts.service()), now);
+        log.sent(choice, chooser.passedOver(facts.service()), now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RunLog.java
@@ -65,17 +65,18 @@
                 .write();
     }
 
-    /** Notes a send. */
-    void sent(UpstreamChoice choice, List<UpstreamEntry> closed, List<UpstreamEntry> draining, long nowMillis) {
-        if (!draining.isEmpty()) {
-            context.metrics().passedOver(PassedOverCause.DRAINING);
-        }
+    /** Notes a send, and which upstreams were passed over for it. */
+    void sent(UpstreamChoice choice, PassedOver others, long nowMillis) {
+        count(PassedOverCause.LIMIT, others.limited());
+        count(PassedOverCause.DRAINING, others.draining());
+        count(PassedOverCause.BACK_OFF, others.backingOff());
         line("sent")
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
-                .put("limits_used_up", names(closed))
-                .put("draining", names(draining))
+                .put("limits_used_up", names(others.limited()))
+                .put("draining", names(others.draining()))
+                .put("back_off", names(others.backingOff()))
                 .put(
                         "part_millis",
                         choice.placement() == null
@@ -88,11 +89,17 @@
                 .write();
     }
 
-    /** Notes that a choice is dropped: its limit lets no request pass now, or the upstream or a helper leaves. */
-    void passedOver(Attempt attempt, boolean granted, long opensMillis) {
+    /** Counts a send for which upstreams were passed over. */
+    private void count(PassedOverCause cause, List<UpstreamEntry> upstreams) {
+        if (!upstreams.isEmpty()) {
+            context.metrics().passedOver(cause);
+        }
+    }
+
+    /** Notes that a choice is dropped before it was sent. */
+    void passedOver(Attempt attempt, PassedOverCause cause, long opensMillis) {
         UpstreamId upstream = attempt.upstream().id();
         RateLimit limit = context.limits().find(upstream);
-        PassedOverCause cause = granted ? PassedOverCause.DRAINING : PassedOverCause.LIMIT;
         context.metrics().passedOver(cause);
         line("passed_over")
                 .put("cause", cause.code())
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SilenceCheck.java
@@ -94,8 +94,14 @@
         return before.answer();
     }
 
-    /** Asks an engine if its limit lets a request pass; one that named a limit and is silent counts as overloaded. */
+    /**
+     * Asks an engine if it may be asked now. One whose limit lets no request pass, or that asked for a back-off, counts
+     * as overloaded.
+     */
     private Mono<Silence> ask(UpstreamEntry engine) {
+        if (gates.backOffs().opensMillis(engine.id()) > 0) {
+            return Mono.just(Silence.BUSY);
+        }
         return Mono.<Boolean>create(sink -> gates.limits().acquire(engine.id(), sink::success))
                 .flatMap(granted -> granted ? report(engine) : Mono.just(Silence.BUSY))
                 .cache();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -21,6 +21,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.observe.PassedOverCause;
 
 /** Chooses upstreams: engines by the placer, plain upstreams by what this router has in flight there. */
 final class UpstreamChooser {
@@ -68,9 +69,7 @@
             double cost = inFlight.getOrDefault(entry.id(), 0)
                     + FAILURE_WEIGHT * context.judge().failureProbability(entry.id(), context.nowMillis())
                     + (entry.dataCentre().equals(context.dataCentre()) ? 0 : DISTANCE_WEIGHT);
-            if (!excluded.contains(entry.id())
-                    && cost < bestCost
-                    && gates.limits().opensMillis(entry.id()) == 0) {
+            if (!excluded.contains(entry.id()) && cost < bestCost && gates.opensMillis(entry.id()) == 0) {
                 best = entry;
                 bestCost = cost;
             }
@@ -85,7 +84,7 @@
         context.board().expire(now);
         List<EngineCandidate> candidates = new ArrayList<>();
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
-            if (!excluded.contains(entry.id()) && gates.limits().opensMillis(entry.id()) == 0) {
+            if (!excluded.contains(entry.id()) && gates.opensMillis(entry.id()) == 0) {
                 context.board().load(entry.id()).profile(profile);
                 candidates.add(new EngineCandidate(
                         entry.id(),
@@ -119,38 +118,38 @@
                 RoomWait.isRefused(choice, request.promptTokens()));
     }
 
-    /**
-     * Returns the time until a limit lets a request pass, in milliseconds.
-     *
-     * @return 0 if not all upstreams that may be used are closed by their limits
-     */
-    long opensMillis(ServiceId service, Set<UpstreamId> excluded) {
-        if (gates.limits().isIdle()) {
-            return 0;
+    /** Returns when the first upstream of a service opens, if all that may be used are closed now. */
+    Opening opening(ServiceId service, Set<UpstreamId> excluded) {
+        if (gates.isIdle()) {
+            return Opening.NOW;
         }
-        long least = Long.MAX_VALUE;
+        Opening first = null;
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
             if (!excluded.contains(entry.id())) {
-                least = Math.min(least, gates.limits().opensMillis(entry.id()));
+                long millis = gates.opensMillis(entry.id());
+                if (first == null || millis < first.millis()) {
+                    boolean limited = millis > gates.backOffs().opensMillis(entry.id());
+                    first = new Opening(millis, limited ? PassedOverCause.LIMIT : PassedOverCause.BACK_OFF);
+                }
             }
         }
-        return least == Long.MAX_VALUE ? 0 : least;
+        return first == null || first.millis() == 0 ? Opening.NOW : first;
     }
 
-    /** Lists the upstreams that get no request now, as their limits are used up. */
-    List<UpstreamEntry> closed(ServiceId service) {
-        return gates.limits().isIdle()
-                ? List.of()
-                : context.upstreams().usable(service).stream()
+    /** Lists the upstreams of a service that get no requests now, by what their answers said. */
+    PassedOver passedOver(ServiceId service) {
+        if (gates.isIdle() && context.upstreams().drains().isEmpty()) {
+            return PassedOver.NONE;
+        }
+        List<UpstreamEntry> usable = context.upstreams().usable(service);
+        return new PassedOver(
+                usable.stream()
                         .filter(entry -> gates.limits().opensMillis(entry.id()) > 0)
-                        .toList();
-    }
-
-    /** Lists the upstreams that get no request, as they announced in their answers that they leave. */
-    List<UpstreamEntry> draining(ServiceId service) {
-        return context.upstreams().drains().isEmpty()
-                ? List.of()
-                : context.upstreams().draining(service);
+                        .toList(),
+                context.upstreams().draining(service),
+                usable.stream()
+                        .filter(entry -> gates.backOffs().opensMillis(entry.id()) > 0)
+                        .toList());
     }
 
     /** Tells whether a stream that waits for a busy engine would go on sooner at another one. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -2,6 +2,8 @@
 
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.UpstreamNotice;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.observe.PassedOverCause;
 
 /**
  * The one place that takes in all that answers of upstreams say of the upstreams themselves: answers to requests,
@@ -9,12 +11,14 @@
  */
 final class UpstreamGates {
 
+    private final RunContext context;
     private final LimitGate limits;
     private final DrainGate drains;
     private final BackOffGate backOffs;
 
     /** Creates gates that let everything pass. */
     UpstreamGates(RunContext context) {
+        this.context = context;
         this.limits = new LimitGate(context);
         this.drains = new DrainGate(context);
         this.backOffs = new BackOffGate(context);
@@ -30,6 +34,38 @@
         return drains;
     }
 
+    /** Returns what keeps back-offs that upstreams asked for. */
+    BackOffGate backOffs() {
+        return backOffs;
+    }
+
+    /** Tells whether nothing that upstreams said of their limits or back-offs holds any request up. */
+    boolean isIdle() {
+        return limits.isIdle() && backOffs.isIdle();
+    }
+
+    /** Returns the time until a request to an upstream may pass, in milliseconds; 0 if it may pass or be asked for. */
+    long opensMillis(UpstreamId upstream) {
+        return Math.max(limits.opensMillis(upstream), backOffs.opensMillis(upstream));
+    }
+
+    /** Says why a choice that was made is not sent now; {@code null} if it is, as far as answers say. */
+    PassedOverCause whyNotSent(UpstreamChoice choice) {
+        PassedOverCause cause = whyNotUsed(choice.upstream().id());
+        for (UpstreamEntry helper : choice.helpers()) {
+            cause = cause == null ? whyNotUsed(helper.id()) : cause;
+        }
+        return cause;
+    }
+
+    /** Says why an upstream is to be given nothing now, leaving limits aside. */
+    private PassedOverCause whyNotUsed(UpstreamId upstream) {
+        if (context.upstreams().isDraining(upstream)) {
+            return PassedOverCause.DRAINING;
+        }
+        return backOffs.opensMillis(upstream) > 0 ? PassedOverCause.BACK_OFF : null;
+    }
+
     /**
      * Takes in what an answer says.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -234,4 +234,17 @@
         check.reason(ALONE, false).block();
         assertThat(limits.find(ENGINE.id()).perSecond()).isEqualTo(3);
     }
+
+    @Test
+    void takesAnEngineForBusyThatAskedForABackOffAndDoesNotAskIt() {
+        UpstreamGates gates = new UpstreamGates(context);
+        SilenceCheck gated = new SilenceCheck(context, gates);
+        StatedBackOff backOff = new StatedBackOff(StatedBackOff.Kind.STATED, 3_000);
+        gates.answered(ENGINE.id(), new UpstreamNotice(StatedLimit.ABSENT, StatedDrain.ABSENT, backOff), 0, null);
+        assertThat(gated.gone(ENGINE).block()).isFalse();
+        assertThat(asked).isZero();
+        nowMillis += 3_000;
+        gated.gone(ENGINE).block();
+        assertThat(asked).isEqualTo(1);
+    }
 }
