--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/Measurements.java
@@ -45,7 +45,12 @@
 
     /** Measures how soon all routers know of a rate limit that one of them read. */
     public void limits() {
-        print(files.write("limits", new LimitNewsMeasurement().run()));
+        print(files.write("limits", UpstreamNewsMeasurement.ofLimits().run()));
+    }
+
+    /** Measures how soon all routers know of a drain that one of them read. */
+    public void drains() {
+        print(files.write("drains", UpstreamNewsMeasurement.ofDrains().run()));
     }
 
     /**
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/MeasureCommand.java
@@ -15,7 +15,7 @@
 
     @Parameter(
             names = "--only",
-            description = "state, control, news, suspects, limits or starts; the first three if left out.")
+            description = "state, control, news, suspects, limits, drains or starts; the first three if left out.")
     private String only = "";
 
     @Parameter(names = "--program", description = "Folder of the sources whose built program is started.")
@@ -42,6 +42,9 @@
         if (only.equals("limits")) {
             measurements.limits();
         }
+        if (only.equals("drains")) {
+            measurements.drains();
+        }
         if (only.equals("starts")) {
             DeployedProgram program = new DeployedProgram(Path.of(folder).toAbsolutePath());
             measurements.starts(program::fleet, mostRouters);
