Write down which history of the platform was read, and which configuration is not taken

The timeline of the incident could not tell that the store has another history, nor which documents were read and left. The header that counts the store's returns from a copy is read in each of its answers: platform_history_changed (from, to, revisions before and after) and a gauge; configuration_not_taken with both revisions, once for each; a gauge of the operators' version in force. No decision uses it yet.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -153,9 +153,11 @@
         metrics.gauge("upstreams.connections_opened", connections::opened);
         metrics.gauge("platform.calls", follower::calls);
         metrics.gauge("platform.faults", follower::faults);
+        metrics.gauge("platform.history", follower::history);
         metrics.gauge("platform.followed", () -> follower.reads() ? 1 : 0);
         metrics.gauge("upstreams.listed", state::upstreamsListed);
         metrics.gauge("configuration.revision", state::configurationRevision);
+        metrics.gauge("configuration.version", state::configurationVersion);
         metrics.gauge("upstreams.revision", state::upstreamsRevision);
         metrics.gauge("documents.rejected", state::rejected);
         metrics.gauge("routers.known", hub::knownRouters);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -56,6 +56,7 @@
     private final BooleanSupplier mustRead;
     private final Disposable.Swap call = Disposables.swap();
     private long known;
+    private long history;
     private boolean readAll = true;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long lastAnswerMillis;
@@ -127,6 +128,7 @@
             return;
         }
         answered();
+        noteHistory(all.history(), all.revision());
         readAll = false;
         known = all.revision();
         long now = loop.nowMillis();
@@ -146,6 +148,7 @@
             return;
         }
         answered();
+        noteHistory(changes.history(), changes.revision());
         long told =
                 changes.documents().stream().mapToLong(Publication::revision).reduce(known, Math::max);
         if (changes.historyGone()) {
@@ -171,6 +174,19 @@
         }
     }
 
+    /** Writes down that the platform began another history. */
+    private void noteHistory(long read, long revision) {
+        if (read != history) {
+            log.line("platform_history_changed")
+                    .put("from", history)
+                    .put("to", read)
+                    .put("revision_before", known)
+                    .put("revision", revision)
+                    .write();
+            history = read;
+        }
+    }
+
     /** Notes an answer of the platform. */
     private void answered() {
         long now = loop.nowMillis();
@@ -265,6 +281,15 @@
         return calls;
     }
 
+    /**
+     * Returns which history of the platform was read last.
+     *
+     * @return its number; 0 if the platform does not say
+     */
+    public long history() {
+        return history;
+    }
+
     /**
      * Returns how many calls failed.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -43,6 +43,7 @@
     private Consumer<UpstreamId> whenServingAgain = upstream -> {};
     private ServingConfiguration configuration;
     private Publication configurationDocument;
+    private long notTakenRevision;
     private boolean upstreamsKnown;
     private long rejected;
 
@@ -113,6 +114,15 @@
         return configurationDocument == null ? 0 : configurationDocument.revision();
     }
 
+    /**
+     * Returns the operators' version of the configuration in force.
+     *
+     * @return the version; 0 before the first
+     */
+    public long configurationVersion() {
+        return configuration == null ? 0 : configuration.version();
+    }
+
     /**
      * Returns the revision up to which upstreams are known.
      *
@@ -199,6 +209,7 @@
     /** Takes a configuration in if it is newer. */
     private void takeConfiguration(Publication document, String source) {
         if (document.removed() || document.revision() <= configurationRevision()) {
+            noteNotTaken(document, source);
             return;
         }
         ServingConfiguration decoded = reader.configuration(document);
@@ -211,6 +222,18 @@
                 .write();
     }
 
+    /** Writes down once that a configuration was read that is not taken, as it counts as older. */
+    private void noteNotTaken(Publication document, String source) {
+        if (document.revision() != configurationRevision() && document.revision() != notTakenRevision) {
+            notTakenRevision = document.revision();
+            log.line("configuration_not_taken")
+                    .put("revision", document.revision())
+                    .put("in_force_revision", configurationRevision())
+                    .put("source", source)
+                    .write();
+        }
+    }
+
     /** Takes an upstream in if it is newer. */
     private void takeUpstream(Publication document, String source) {
         UpstreamEntry entry = reader.upstream(document);
