Compare configurations by their versions and revisions within the platform's histories

Class: what the platform says of itself (its history) was read by nobody.

Now each answer of the platform is read for its history, in one place; a revision of a later history is greater than each one of an earlier history, as one number, so that all that compares revisions, here and between routers, stays as it is. An answer of another history than the reading it belongs to is not used, and everything is read again: pages, single keys, waits with and without a 410. A configuration is taken by the operators' version, whatever its revision, and one that was in force never goes back; routers tell each other versions, so that one that starts with the copy alone learns the newer one.

Ruled out: routers did not miss the return (they read lists after it), and no router had the new versions. Splits ConfigurationInForce off PublishedState, and CopyDoubts off UpstreamTable.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/CatchUp.java
@@ -24,17 +24,17 @@
      * Takes in what a peer knows.
      *
      * @param peer the peer's heartbeat
-     * @param configurationRevision revision of the configuration that this router has; 0 if none
+     * @param configurationVersion version of the configuration that this router has; 0 if none
      * @param upstreamsRevision revision up to which this router knows the upstreams; 0 if it knows none
      * @param behindMillis time for which the platform itself may tell what a peer knows already, in milliseconds
      * @param nowMillis the time
      * @return whether to ask this peer now
      */
     public boolean shouldAsk(
-            Peer peer, long configurationRevision, long upstreamsRevision, long behindMillis, long nowMillis) {
-        newestConfiguration = Math.max(newestConfiguration, peer.configurationRevision());
+            Peer peer, long configurationVersion, long upstreamsRevision, long behindMillis, long nowMillis) {
+        newestConfiguration = Math.max(newestConfiguration, peer.configurationVersion());
         newestUpstreams = Math.max(newestUpstreams, peer.upstreamsRevision());
-        if (configurationRevision >= newestConfiguration && upstreamsRevision >= newestUpstreams) {
+        if (configurationVersion >= newestConfiguration && upstreamsRevision >= newestUpstreams) {
             behindSinceMillis = -1;
             return false;
         }
@@ -42,8 +42,8 @@
             behindSinceMillis = nowMillis;
         }
         boolean knowsMore =
-                peer.configurationRevision() > configurationRevision || peer.upstreamsRevision() > upstreamsRevision;
-        boolean knowsNothing = configurationRevision == 0 || upstreamsRevision == 0;
+                peer.configurationVersion() > configurationVersion || peer.upstreamsRevision() > upstreamsRevision;
+        boolean knowsNothing = configurationVersion == 0 || upstreamsRevision == 0;
         boolean waited = knowsNothing || nowMillis - behindSinceMillis >= behindMillis;
         return knowsMore && waited && mayAsk(nowMillis);
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
@@ -12,7 +12,7 @@
  * @param callerAddress where it takes callers
  * @param peerAddress where it takes other routers
  * @param ready whether it can serve callers
- * @param configurationRevision the platform's revision of the configuration that it uses; 0 if it has none
+ * @param configurationVersion the operators' version of the configuration that it uses; 0 if it has none
  * @param upstreamsRevision the platform's revision up to which it knows the upstreams; 0 if it knows none
  * @param capacityPercent its processor, in percent of a core
  * @param requestsPerSecond requests that it places on engines lately, a second
@@ -25,7 +25,7 @@
         Address callerAddress,
         Address peerAddress,
         boolean ready,
-        long configurationRevision,
+        long configurationVersion,
         long upstreamsRevision,
         int capacityPercent,
         double requestsPerSecond,
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamEntry.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamEntry.java
@@ -14,7 +14,7 @@
  * @param dataCentre where it stands
  * @param slots requests that it runs at once
  * @param draining whether it is leaving and takes no new requests
- * @param revision the platform's revision of the entry; grows with each change
+ * @param revision the platform's revision of the entry, see {@link Revisions}; grows with each change
  */
 public record UpstreamEntry(
         UpstreamId id,
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -22,6 +22,10 @@
  * list read right after an outage is held for {@link #LAPSE_MILLIS}. One that is missing at any other time, or whose
  * removal is told, is gone: an upstream may leave in those two seconds too.
  *
+ * <p>When the platform comes back from an older copy, entries that the copy does not have are held as after an outage
+ * until they are written again. Upstreams that had left and stand in the copy again get no requests until they have
+ * written their entries anew, or have stayed listed for {@link CopyDoubts#DOUBT_MILLIS}.
+ *
  * <p>Of the starts of one upstream only the latest is listed. A word of an earlier start that arrives late, as when its
  * last heartbeat was held up, changes nothing.
  */
@@ -32,7 +36,8 @@
 
     private final Map<UpstreamId, UpstreamEntry> entries = new HashMap<>();
     private final Map<UpstreamId, Long> lapsedUntilMillis = new HashMap<>();
-    private final Map<UpstreamId, Long> removedRevisions = new HashMap<>();
+    private final Map<UpstreamId, Removal> removals = new HashMap<>();
+    private final CopyDoubts doubts = new CopyDoubts();
     private final DrainTable drains = new DrainTable();
     private List<UpstreamEntry> ended = new ArrayList<>();
     private List<UpstreamId> servingAgain = new ArrayList<>();
@@ -41,6 +46,14 @@
     private long revision;
     private long holdMissingUntilMillis = Long.MIN_VALUE;
 
+    /**
+     * The removal of an entry.
+     *
+     * @param start the start that was listed
+     * @param revision the platform's revision of the removal
+     */
+    private record Removal(UpstreamId start, long revision) {}
+
     /**
      * Notes that the platform answers again after an outage.
      *
@@ -50,6 +63,19 @@
         holdMissingUntilMillis = nowMillis + LAPSE_MILLIS;
     }
 
+    /**
+     * Notes of which history of the platform a list is that is about to be taken in. The first list of a later history
+     * may be some seconds old, so entries that it does not have are held.
+     *
+     * @param listRevision the platform's revision when the list was begun
+     * @param nowMillis the time
+     */
+    public void noteHistory(long listRevision, long nowMillis) {
+        if (revision > 0 && Revisions.history(listRevision) > Revisions.history(revision)) {
+            platformReturned(nowMillis);
+        }
+    }
+
     /**
      * Takes the whole list in.
      *
@@ -62,6 +88,7 @@
         if (listRevision < revision) {
             return false;
         }
+        noteHistory(listRevision, nowMillis);
         Set<UpstreamId> present = new HashSet<>();
         boolean changed = false;
         for (UpstreamEntry entry : listed) {
@@ -99,8 +126,8 @@
     public boolean put(UpstreamEntry entry) {
         UpstreamId name = entry.id().anyStart();
         UpstreamEntry known = entries.get(name);
-        Long removed = removedRevisions.get(name);
-        if (known != null && known.revision() >= entry.revision() || removed != null && removed >= entry.revision()) {
+        Removal removal = removals.get(name);
+        if (isOutdated(entry, known, removal)) {
             if (known != null && known.revision() == entry.revision()) {
                 lapsedUntilMillis.remove(name);
             }
@@ -110,23 +137,54 @@
         if (known != null && known.id().isLaterStartOf(entry.id())) {
             return false;
         }
-        if (known != null) {
-            noteReplaced(known, entry);
-        }
+        noteReplaced(known, removal, entry);
         entries.put(name, entry);
         lapsedUntilMillis.remove(name);
-        removedRevisions.remove(name);
+        removals.remove(name);
         usable = null;
         return true;
     }
 
+    /** Tells whether an entry is not newer than what is known of its upstream. */
+    private static boolean isOutdated(UpstreamEntry entry, UpstreamEntry known, Removal removal) {
+        return known != null && known.revision() >= entry.revision()
+                || removal != null && removal.revision() >= entry.revision();
+    }
+
     /** Notes what a newer entry of an upstream says beside its own contents. */
-    private void noteReplaced(UpstreamEntry known, UpstreamEntry newer) {
-        if (!known.id().equals(newer.id())) {
+    private void noteReplaced(UpstreamEntry known, Removal removal, UpstreamEntry newer) {
+        UpstreamId start = newer.id();
+        if (known != null && !known.id().equals(start)) {
             ended.add(known);
-        } else if (known.draining() && !newer.draining()) {
-            servingAgain.add(newer.id());
+            doubts.believe(known.id());
+            return;
+        }
+        boolean removed = known == null && removal != null && removal.start().equals(start);
+        boolean left = removed || known != null && isDrainingOrDoubted(known);
+        doubts.believe(start);
+        if (!left || newer.draining()) {
+            return;
         }
+        long leftRevision = removed ? removal.revision() : known.revision();
+        if (Revisions.history(newer.revision()) > Revisions.history(leftRevision)) {
+            doubts.doubt(start);
+        } else if (!removed) {
+            servingAgain.add(start);
+        }
+    }
+
+    /** Tells whether an upstream leaves by what is listed of it, or had left before the platform went back. */
+    private boolean isDrainingOrDoubted(UpstreamEntry entry) {
+        return entry.draining() || doubts.isDoubted(entry.id());
+    }
+
+    /**
+     * Hands over the starts whose entries came back with an older copy of the platform though they had left.
+     *
+     * @return the starts, each once
+     */
+    public List<UpstreamId> takeDoubted() {
+        return doubts.takeBegun();
     }
 
     /**
@@ -145,7 +203,8 @@
         }
         ended.add(entries.remove(name));
         lapsedUntilMillis.remove(name);
-        removedRevisions.put(name, removalRevision);
+        doubts.believe(known.id());
+        removals.put(name, new Removal(known.id(), removalRevision));
         usable = null;
         return true;
     }
@@ -167,6 +226,7 @@
                 dropped = true;
             }
         }
+        dropped |= doubts.drop(nowMillis);
         if (dropped) {
             usable = null;
         }
@@ -217,7 +277,7 @@
     private Map<ServiceId, List<UpstreamEntry>> listUsable() {
         Map<ServiceId, List<UpstreamEntry>> lists = new TreeMap<>();
         for (UpstreamEntry entry : entries.values()) {
-            if (!entry.draining() && !drains.isDraining(entry.id())) {
+            if (!isDrainingOrDoubted(entry) && !drains.isDraining(entry.id())) {
                 lists.computeIfAbsent(entry.service(), service -> new ArrayList<>())
                         .add(entry);
             }
@@ -280,7 +340,7 @@
      */
     public boolean isDraining(UpstreamId id) {
         UpstreamEntry entry = find(id);
-        return entry != null && entry.draining() || drains.isDraining(id);
+        return entry != null && entry.draining() || drains.isDraining(id) || doubts.isDoubted(id);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/NewsMessages.java
@@ -31,7 +31,7 @@
                 Address.parse(beat.getCallerAddress()),
                 Address.parse(beat.getPeerAddress()),
                 beat.getReady(),
-                beat.getConfigurationRevision(),
+                beat.getConfigurationVersion(),
                 beat.getUpstreamsRevision(),
                 beat.getCapacityPercent(),
                 beat.getRequestsPerSecond(),
@@ -48,7 +48,7 @@
                 .setCallerAddress(own.callerAddress().toString())
                 .setPeerAddress(own.peerAddress().toString())
                 .setReady(own.ready())
-                .setConfigurationRevision(own.configurationRevision())
+                .setConfigurationVersion(own.configurationVersion())
                 .setUpstreamsRevision(own.upstreamsRevision())
                 .setCapacityPercent(own.capacityPercent())
                 .setRequestsPerSecond((float) own.requestsPerSecond())
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/OwnHeartbeat.java
@@ -92,7 +92,7 @@
                 self.callerAddress(),
                 self.peerAddress(),
                 ready.getAsBoolean(),
-                state.configurationRevision(),
+                state.configurationVersion(),
                 state.upstreamsRevision(),
                 self.capacityPercent(),
                 requests.perSecond(),
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PeerDocuments.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PeerDocuments.java
@@ -5,6 +5,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.CatchUp;
 import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.Publication;
@@ -34,7 +35,7 @@
     /** Takes in what a peer knows, and tells whether to ask it now. */
     boolean isToAsk(Peer peer, long behindMillis) {
         return catchUp.shouldAsk(
-                peer, state.configurationRevision(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
+                peer, state.configurationVersion(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
     }
 
     /** Tells whether to ask a reader that lists other upstreams at the same revision: some did not come back there. */
@@ -50,7 +51,7 @@
         long known = Math.max(0, state.upstreamsRevision() - 1);
         NewsFrame request = NewsFrame.newBuilder()
                 .setDocuments(DocumentRequest.newBuilder()
-                        .setConfigurationRevision(state.configurationRevision())
+                        .setConfigurationVersion(state.configurationVersion())
                         .setUpstreamsRevision(needsWhole ? 0 : known)
                         .setNewerOnly(known > 0 && !needsWhole))
                 .build();
@@ -58,10 +59,10 @@
             catchUp.asked(loop.nowMillis());
             log.line("peer_asked")
                     .put("peer", peer.process().host().value())
-                    .put("peer_configuration", peer.configurationRevision())
-                    .put("peer_upstreams", peer.upstreamsRevision())
-                    .put("own_configuration", state.configurationRevision())
-                    .put("own_upstreams", state.upstreamsRevision())
+                    .put("peer_configuration", peer.configurationVersion())
+                    .put("peer_upstreams", Revisions.text(peer.upstreamsRevision()))
+                    .put("own_configuration", state.configurationVersion())
+                    .put("own_upstreams", Revisions.text(state.upstreamsRevision()))
                     .write();
         }
         whenBehind.run();
@@ -70,7 +71,7 @@
     /** Answers a peer with what it lacks. */
     NewsReply answer(DocumentRequest request) {
         NewsReply.Builder reply = NewsReply.newBuilder();
-        if (state.configurationRevision() > request.getConfigurationRevision()) {
+        if (state.configurationVersion() > request.getConfigurationVersion()) {
             reply.setConfiguration(NewsMessages.document(state.configurationDocument()));
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PlatformNews.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/news/PlatformNews.java
@@ -65,7 +65,7 @@
 
     /** Tells them at once if more is known than they were told of. */
     void tellChanges() {
-        if (told.update(state.configurationRevision(), state.upstreamsRevision(), state.upstreamsListed())) {
+        if (told.update(state.configurationVersion(), state.upstreamsRevision(), state.upstreamsListed())) {
             tell();
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/Publication.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/Publication.java
@@ -1,12 +1,13 @@
 package org.apricotstack.serving.publication;
 
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.upstream.Revisions;
 
 /**
  * A document as the platform published it.
  *
  * @param upstream the upstream that it describes, whichever start, or {@code null} for the configuration
- * @param revision the platform's revision of it; grows with each change
+ * @param revision the platform's revision of it, see {@link Revisions}; grows with each change
  * @param content its bytes; empty if it was removed
  * @param removed whether it was removed
  */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -5,6 +5,7 @@
 import java.util.function.IntSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublicationSource.Changes;
@@ -56,7 +57,6 @@
     private final BooleanSupplier mustRead;
     private final Disposable.Swap call = Disposables.swap();
     private long known;
-    private long history;
     private boolean readAll = true;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long lastAnswerMillis;
@@ -64,6 +64,7 @@
     private boolean idle;
     private long restartedMillis = Long.MIN_VALUE / 2;
     private long round;
+    private long histories;
     private long calls;
     private long faults;
 
@@ -128,7 +129,7 @@
             return;
         }
         answered();
-        noteHistory(all.history(), all.revision());
+        noteHistory(all.revision());
         readAll = false;
         known = all.revision();
         long now = loop.nowMillis();
@@ -148,11 +149,12 @@
             return;
         }
         answered();
-        noteHistory(changes.history(), changes.revision());
         long told =
                 changes.documents().stream().mapToLong(Publication::revision).reduce(known, Math::max);
         if (changes.historyGone()) {
-            log.line("platform_history_gone").put("known", known).write();
+            log.line("platform_history_gone")
+                    .put("known", Revisions.text(known))
+                    .write();
             readAll = true;
         } else {
             changes.documents().forEach(document -> state.take(document, "platform"));
@@ -160,8 +162,8 @@
                 // The platform counts a change that it did not tell, as a wait can be deaf for a while. Going on from
                 // its revision would lose that change for good.
                 log.line("platform_change_missed")
-                        .put("told", told)
-                        .put("revision", changes.revision())
+                        .put("told", Revisions.text(told))
+                        .put("revision", Revisions.text(changes.revision()))
                         .write();
                 readAll = true;
             }
@@ -174,16 +176,23 @@
         }
     }
 
-    /** Writes down that the platform began another history. */
-    private void noteHistory(long read, long revision) {
-        if (read != history) {
+    /** Writes down that the platform began another history; what it lists may be some seconds old. */
+    private void noteHistory(long revision) {
+        if (revision < known) {
+            log.line("platform_revision_fell")
+                    .put("revision_before", Revisions.text(known))
+                    .put("revision", Revisions.text(revision))
+                    .write();
+        }
+        if (known > 0 && Revisions.history(revision) != Revisions.history(known)) {
+            histories++;
             log.line("platform_history_changed")
-                    .put("from", history)
-                    .put("to", read)
-                    .put("revision_before", known)
-                    .put("revision", revision)
+                    .put("from", Revisions.history(known))
+                    .put("to", Revisions.history(revision))
+                    .put("revision_before", Revisions.inHistory(known))
+                    .put("revision", Revisions.inHistory(revision))
+                    .put("configuration", state.configurationVersion())
                     .write();
-            history = read;
         }
     }
 
@@ -252,7 +261,9 @@
         long now = loop.nowMillis();
         if (!idle && !away && now - restartedMillis > RESTART_MILLIS) {
             restartedMillis = now;
-            log.line("platform_wait_restarted").put("known", known).write();
+            log.line("platform_wait_restarted")
+                    .put("known", Revisions.text(known))
+                    .write();
             next();
         }
     }
@@ -281,13 +292,22 @@
         return calls;
     }
 
+    /**
+     * Returns how often the platform began another history.
+     *
+     * @return changes of history since the start
+     */
+    public long histories() {
+        return histories;
+    }
+
     /**
      * Returns which history of the platform was read last.
      *
      * @return its number; 0 if the platform does not say
      */
     public long history() {
-        return history;
+        return Revisions.history(known);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
@@ -4,27 +4,29 @@
 
 import reactor.core.publisher.Mono;
 
-/** Reads what the platform publishes; each call ends by itself with a result or an error. */
+/**
+ * Reads what the platform publishes; each call ends by itself with a result or an error. Revisions are those of
+ * {@link org.apricotstack.core.upstream.Revisions}.
+ */
 public interface PublicationSource {
 
     /**
      * Everything that is published.
      *
-     * @param history the platform's history that was read; it begins another one when it comes back from an older copy
      * @param revision the platform's revision before the reading began; later changes may be missing
      * @param documents the configuration, if there is one, and all upstreams
      */
-    record Snapshot(long history, long revision, List<Publication> documents) {}
+    record Snapshot(long revision, List<Publication> documents) {}
 
     /**
      * What was changed since a revision.
      *
-     * @param history the platform's history that was read
      * @param revision the platform's revision up to which the changes go
      * @param documents the changes in their order
-     * @param historyGone whether the platform no longer knows them, so that everything has to be read
+     * @param historyGone whether the platform no longer knows them, or began another history, so that everything has to
+     *     be read
      */
-    record Changes(long history, long revision, List<Publication> documents, boolean historyGone) {}
+    record Changes(long revision, List<Publication> documents, boolean historyGone) {}
 
     /**
      * Reads everything.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamJudge;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -34,6 +35,7 @@
 
     private final PublicationReader reader;
     private final DecisionLog log;
+    private final ConfigurationInForce configuration;
     private final UpstreamTable upstreams;
     private final UpstreamJudge judge;
     private final EngineBoard board;
@@ -41,9 +43,6 @@
     private final Set<UpstreamId> rejectedUpstreams = new HashSet<>();
     private Consumer<UpstreamEntry> whenEnded = ended -> {};
     private Consumer<UpstreamId> whenServingAgain = upstream -> {};
-    private ServingConfiguration configuration;
-    private Publication configurationDocument;
-    private long notTakenRevision;
     private boolean upstreamsKnown;
     private long rejected;
 
@@ -67,6 +66,7 @@
         this.judge = judge;
         this.board = board;
         this.log = log;
+        this.configuration = new ConfigurationInForce(reader, log);
     }
 
     /**
@@ -93,7 +93,7 @@
      * @return the configuration, or {@code null} before the first
      */
     public ServingConfiguration configuration() {
-        return configuration;
+        return configuration.decoded();
     }
 
     /**
@@ -102,7 +102,7 @@
      * @return the document, or {@code null} before the first
      */
     public Publication configurationDocument() {
-        return configurationDocument;
+        return configuration.document();
     }
 
     /**
@@ -111,7 +111,7 @@
      * @return the platform's revision; 0 before the first
      */
     public long configurationRevision() {
-        return configurationDocument == null ? 0 : configurationDocument.revision();
+        return configuration.revision();
     }
 
     /**
@@ -120,7 +120,7 @@
      * @return the version; 0 before the first
      */
     public long configurationVersion() {
-        return configuration == null ? 0 : configuration.version();
+        return configuration.version();
     }
 
     /**
@@ -147,7 +147,7 @@
      * @return whether a configuration and upstreams are known
      */
     public boolean complete() {
-        return configuration != null && upstreamsKnown;
+        return configuration.decoded() != null && upstreamsKnown;
     }
 
     /**
@@ -168,7 +168,7 @@
     public void take(Publication document, String source) {
         try {
             if (document.isConfiguration()) {
-                takeConfiguration(document, source);
+                configuration.take(document, source);
             } else if (document.removed()) {
                 upstreams.remove(document.upstream(), document.revision());
                 rejectedUpstreams.remove(document.upstream());
@@ -200,40 +200,12 @@
                         document.isConfiguration()
                                 ? "configuration"
                                 : document.upstream().value())
-                .put("revision", document.revision())
+                .put("revision", Revisions.text(document.revision()))
                 .put("source", source)
                 .put("problem", Ascii.truncate(problem.getMessage(), MOST_PROBLEM_LETTERS, "..."))
                 .write();
     }
 
-    /** Takes a configuration in if it is newer. */
-    private void takeConfiguration(Publication document, String source) {
-        if (document.removed() || document.revision() <= configurationRevision()) {
-            noteNotTaken(document, source);
-            return;
-        }
-        ServingConfiguration decoded = reader.configuration(document);
-        configuration = decoded;
-        configurationDocument = document;
-        log.line("configuration_in_force")
-                .put("version", decoded.version())
-                .put("revision", document.revision())
-                .put("source", source)
-                .write();
-    }
-
-    /** Writes down once that a configuration was read that is not taken, as it counts as older. */
-    private void noteNotTaken(Publication document, String source) {
-        if (document.revision() != configurationRevision() && document.revision() != notTakenRevision) {
-            notTakenRevision = document.revision();
-            log.line("configuration_not_taken")
-                    .put("revision", document.revision())
-                    .put("in_force_revision", configurationRevision())
-                    .put("source", source)
-                    .write();
-        }
-    }
-
     /** Takes an upstream in if it is newer. */
     private void takeUpstream(Publication document, String source) {
         UpstreamEntry entry = reader.upstream(document);
@@ -246,7 +218,7 @@
                     .put("service", entry.service().value())
                     .put("address", entry.address().toString())
                     .put("draining", entry.draining())
-                    .put("revision", entry.revision())
+                    .put("revision", Revisions.text(entry.revision()))
                     .put("source", source)
                     .write();
         }
@@ -255,6 +227,13 @@
     /** Forgets what is kept of upstreams that are gone or have started again. */
     private void forgetEnded(String source) {
         upstreams.takeServingAgain().forEach(whenServingAgain);
+        for (UpstreamId doubted : upstreams.takeDoubted()) {
+            log.line("upstream_doubted")
+                    .put("upstream", doubted.value())
+                    .put("incarnation", doubted.incarnation())
+                    .put("source", source)
+                    .write();
+        }
         List<UpstreamEntry> ended = upstreams.takeEnded();
         for (UpstreamEntry entry : ended) {
             boolean startedAgain = upstreams.lists(entry.id());
@@ -265,7 +244,7 @@
             log.line(startedAgain ? "upstream_started_again" : "upstream_gone")
                     .put("upstream", entry.id().value())
                     .put("incarnation", entry.id().incarnation())
-                    .put("revision", upstreams.revision())
+                    .put("revision", Revisions.text(upstreams.revision()))
                     .put("source", source)
                     .write();
         }
@@ -294,22 +273,29 @@
             try {
                 entries.add(reader.upstream(document));
                 rejectedUpstreams.remove(document.upstream());
-                upstreamDocuments.merge(
-                        document.upstream(), document, (old, read) -> read.revision() >= old.revision() ? read : old);
             } catch (ApricotException e) {
                 reject(document, source, e);
             }
         }
         upstreams.replaceAll(entries, revision, nowMillis);
+        documents.forEach(this::keepIfListed);
         upstreamsKnown = true;
         forgetEnded(source);
         log.line("upstreams_read")
                 .put("count", entries.size())
-                .put("revision", revision)
+                .put("revision", Revisions.text(revision))
                 .put("source", source)
                 .write();
     }
 
+    /** Keeps a document for other routers if the entry that is listed comes from it. */
+    private void keepIfListed(Publication document) {
+        UpstreamEntry listed = upstreams.listed(document.upstream());
+        if (listed != null && listed.revision() == document.revision()) {
+            upstreamDocuments.put(document.upstream(), document);
+        }
+    }
+
     /**
      * Takes in what changed of the list of upstreams; listed ones that are not named are gone.
      *
@@ -334,6 +320,7 @@
                 entries.add(listed);
             }
         }
+        upstreams.noteHistory(revision, nowMillis);
         changed.forEach(document -> take(document, source));
         for (UpstreamId name : brought) {
             UpstreamEntry listed = upstreams.listed(name);
