Let tests of news fail instead of hanging when an assertion fails on the loop

Found by switching off what DrainChannelTest checks: the assertion ended the task on the loop, nobody completed the future, and the test waited for ever.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/DrainChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/DrainChannelTest.java
@@ -75,12 +75,7 @@
     }
 
     private void onLoop(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            task.run();
-            done.complete(null);
-        });
-        done.join();
+        CompletableFuture.runAsync(task, loop::execute).join();
     }
 
     @Test
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/HeartbeatSenderTest.java
@@ -128,12 +128,7 @@
     }
 
     private void onLoop(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            task.run();
-            done.complete(null);
-        });
-        done.join();
+        CompletableFuture.runAsync(task, loop::execute).join();
     }
 
     /**
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/LimitChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/LimitChannelTest.java
@@ -111,12 +111,7 @@
     }
 
     private void onLoop(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            task.run();
-            done.complete(null);
-        });
-        done.join();
+        CompletableFuture.runAsync(task, loop::execute).join();
     }
 
     private RateLimit name(Router router, UpstreamId upstream, double perSecond) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsLinkTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/NewsLinkTest.java
@@ -67,12 +67,7 @@
     }
 
     private void onLoop(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            task.run();
-            done.complete(null);
-        });
-        done.join();
+        CompletableFuture.runAsync(task, loop::execute).join();
     }
 
     private void place(long number) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/news/SuspectChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/news/SuspectChannelTest.java
@@ -93,12 +93,7 @@
     }
 
     private void onLoop(Runnable task) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            task.run();
-            done.complete(null);
-        });
-        done.join();
+        CompletableFuture.runAsync(task, loop::execute).join();
     }
 
     private long takeTold() {
