--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -138,6 +138,8 @@
                 loop, ports.callers(), runs, this::limits, (int) (options.mostSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, options.stopMillis(), callers, runs, hub, log);
         addGauges(board, upstreams);
+        metrics.gauge("fields.unknown", ports.unknown()::size);
+        metrics.gauge("fields.unknown_met", ports.unknown()::met);
     }
 
     /** Creates random numbers of this process; the library's factory would load all of its generators first. */
