--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/BackOffTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/BackOffTable.java
@@ -67,15 +67,6 @@
         return over;
     }
 
-    /**
-     * Forgets a start of an upstream that is over.
-     *
-     * @param upstream the start
-     */
-    public void forget(UpstreamId upstream) {
-        backOffs.remove(upstream);
-    }
-
     /**
      * Tells whether no upstream asked for a back-off.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/BackOffGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/BackOffGate.java
@@ -44,11 +44,6 @@
         return table.isEmpty();
     }
 
-    /** Forgets a start of an upstream that is over. */
-    void forget(UpstreamId upstream) {
-        table.forget(upstream);
-    }
-
     /** Writes down which back-offs are over. */
     void expire() {
         if (table.isEmpty()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -83,7 +83,6 @@
     /** Forgets a start of an upstream that is over. */
     void forget(UpstreamId upstream) {
         limits.forget(upstream);
-        backOffs.forget(upstream);
     }
 
     /** Forgets what holds no more; tells whether the platform's list of upstreams can be relied upon. */
