Count what a leaving upstream loses as an attempt from the second time on

Since what a leaving upstream loses counted for no attempt, one request was given to thirteen of them in a row, and none of these ends is suspected: a request that makes upstreams leave would have ended more than before. Now only the first such loss of a request is free; what is turned away stays free, as it did not run.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -10,7 +10,9 @@
 /**
  * Counts the sends of one request and says whether another may follow.
  *
- * <p>Sends that reach no upstream, and those that an upstream loses or turns away as it leaves, count for no attempt.
+ * <p>Sends that reach no upstream, and those that an upstream turns away as it leaves, count for no attempt. Neither
+ * does the first one that an upstream loses as it leaves; a request that makes one upstream after the other leave is
+ * bounded by its attempts.
  */
 final class AttemptCount {
 
@@ -28,13 +30,17 @@
     private static final Set<FailureKind> ALWAYS_FREE =
             EnumSet.of(FailureKind.NO_CONNECTION, FailureKind.WITHHELD, FailureKind.DRAINING);
 
-    /** Failures by which an upstream that leaves ends, or does not run the request. */
-    private static final Set<FailureKind> FREE_AS_IT_LEAVES = EnumSet.of(
-            FailureKind.RESET, FailureKind.CUT, FailureKind.FULL, FailureKind.OTHER_INSTANCE, FailureKind.HELPER_GONE);
+    /** Failures by which an upstream that leaves does not run the request. */
+    private static final Set<FailureKind> TURNED_AWAY =
+            EnumSet.of(FailureKind.FULL, FailureKind.OTHER_INSTANCE, FailureKind.HELPER_GONE);
+
+    /** Failures by which an upstream that leaves ends under the request. */
+    private static final Set<FailureKind> LOST = EnumSet.of(FailureKind.RESET, FailureKind.CUT);
 
     private final Route route;
     private int sent;
     private int free;
+    private boolean lostOnce;
     private boolean mayHaveRun;
 
     /** Creates a count of no sends. */
@@ -48,14 +54,16 @@
     }
 
     /** Tells whether a failure counts for no attempt, given whether the upstream that caused it is leaving. */
-    static boolean isFree(FailureKind kind, boolean leaving) {
-        return ALWAYS_FREE.contains(kind) || leaving && FREE_AS_IT_LEAVES.contains(kind);
+    boolean isFree(FailureKind kind, boolean leaving) {
+        boolean freeAsItLeaves = TURNED_AWAY.contains(kind) || LOST.contains(kind) && !lostOnce;
+        return ALWAYS_FREE.contains(kind) || leaving && freeAsItLeaves;
     }
 
     /** Notes how a send failed, and whether it counts for no attempt. */
     void failed(FailureKind kind, boolean isFree) {
         mayHaveRun |= kind.mayHaveRun();
         if (isFree) {
+            lostOnce |= LOST.contains(kind);
             sent--;
             free++;
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -122,7 +122,7 @@
         UpstreamId blamed = kind == FailureKind.HELPER_GONE
                 ? attempt.faultyHelper()
                 : attempt.upstream().id();
-        boolean isFree = AttemptCount.isFree(kind, context.upstreams().isDraining(blamed));
+        boolean isFree = attempts.isFree(kind, context.upstreams().isDraining(blamed));
         attempts.failed(kind, isFree);
         if (kind != FailureKind.WITHHELD && kind != FailureKind.BACK_OFF) {
             sender.exclude(blamed);
