--- a/apricotstack-cli/src/test/java/org/apricotstack/cli/CapacityPageTest.java
+++ b/apricotstack-cli/src/test/java/org/apricotstack/cli/CapacityPageTest.java
@@ -55,7 +55,7 @@
     @Test
     void citesFiguresThatWereMeasured() throws IOException {
         List<CSVRecord> slopes = new ArrayList<>();
-        for (String file : List.of("state", "control", "news", "suspects", "limits")) {
+        for (String file : List.of("state", "control", "news", "suspects", "limits", "drains")) {
             Path path = DOCS.resolve("measurements").resolve(file + "-slopes.csv");
             try (Reader reader = Files.newBufferedReader(path)) {
                 slopes.addAll(CSVFormat.DEFAULT
