--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
@@ -0,0 +1,62 @@
+package org.apricotstack.core.stop;
+
+/** The time between the stop signal of a router and the end of its process. */
+public final class StopTimeline {
+
+    /** Time between the end of the process and the moment at which it would be killed, in milliseconds. */
+    private static final long MARGIN_MILLIS = 300;
+
+    private final long timeoutMillis;
+    private boolean stopping;
+    private long signalMillis;
+
+    /**
+     * Creates the timeline of a router that is not stopping.
+     *
+     * @param timeoutMillis time between the signal and the kill of the process, in milliseconds
+     */
+    public StopTimeline(long timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Records the signal; further signals have no effect.
+     *
+     * @param nowMillis the current time
+     */
+    public void begin(long nowMillis) {
+        if (!stopping) {
+            stopping = true;
+            signalMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Returns whether the router is stopping.
+     *
+     * @return whether a signal was recorded
+     */
+    public boolean stopping() {
+        return stopping;
+    }
+
+    /**
+     * Returns the time since the signal.
+     *
+     * @param nowMillis the current time
+     * @return milliseconds; 0 if the router is not stopping
+     */
+    public long elapsedMillis(long nowMillis) {
+        return stopping ? nowMillis - signalMillis : 0;
+    }
+
+    /**
+     * Returns the time until the process ends in any case.
+     *
+     * @param nowMillis the current time
+     * @return milliseconds, negative if it is over; {@link Long#MAX_VALUE} if the router is not stopping
+     */
+    public long leftMillis(long nowMillis) {
+        return stopping ? timeoutMillis - MARGIN_MILLIS - elapsedMillis(nowMillis) : Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/package-info.java
@@ -0,0 +1,2 @@
+/** How a router stops without losing requests. */
+package org.apricotstack.core.stop;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.suspect.SuspectedRequest;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -30,6 +31,7 @@
 import org.apricotstack.serving.http.UpstreamConnections;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.ServingMetrics;
+import org.apricotstack.serving.observe.UnknownFields;
 import org.apricotstack.serving.publication.PublicationFollower;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.run.RequestDispatcher;
@@ -113,6 +115,7 @@
                 this::ready,
                 follower::isFollowing,
                 follower::restartIfSilent);
+        StopTimeline stopTimeline = new StopTimeline(options.stopTimeoutMillis());
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -132,6 +135,7 @@
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
+                stopTimeline,
                 log,
                 metrics);
         runs = new RequestDispatcher(context);
@@ -139,10 +143,8 @@
         state.onDrainEnded(runs::drainEnded);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, options.stopTimeoutMillis(), callers, runs, hub, log);
-        addGauges(loadTable, upstreams);
-        metrics.gauge("fields.unknown", ports.unknown()::size);
-        metrics.gauge("fields.unknown_met", ports.unknown()::count);
+        stop = new StopSequence(loop, options.stopTimeoutMillis(), callers, runs, hub, stopTimeline, log);
+        addGauges(loadTable, upstreams, ports.unknown());
     }
 
     /**
@@ -155,7 +157,9 @@
     }
 
     /** Registers the gauges. */
-    private void addGauges(EngineLoadTable loadTable, UpstreamTable upstreams) {
+    private void addGauges(EngineLoadTable loadTable, UpstreamTable upstreams, UnknownFields unknown) {
+        metrics.gauge("fields.unknown", unknown::size);
+        metrics.gauge("fields.unknown_met", unknown::count);
         metrics.gauge("requests.open", runs::open);
         metrics.gauge("requests.not_proper", callers::malformedRequests);
         metrics.gauge("engines.placements", loadTable::size);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving;
 
+import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.serving.gossip.GossipHub;
 import org.apricotstack.serving.http.CallerServer;
 import org.apricotstack.serving.http.ServingLoop;
@@ -22,9 +23,6 @@
     /** Share of the stop timeout after which new requests are rejected. */
     private static final double REJECT_SHARE = 0.6;
 
-    /** Remainder of the stop timeout when the process ends in any case, in milliseconds. */
-    private static final long MARGIN_MILLIS = 300;
-
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
     private final ServingLoop loop;
@@ -33,9 +31,9 @@
     private final RequestDispatcher runs;
     private final GossipHub hub;
     private final DecisionLog log;
-    private boolean stopping;
+    private final StopTimeline timeline;
     private boolean idleClosed;
-    private long startMillis;
+    private boolean rejecting;
     private Runnable whenDone;
 
     /** Creates a sequence that has not started. */
@@ -45,29 +43,31 @@
             CallerServer callers,
             RequestDispatcher runs,
             GossipHub hub,
+            StopTimeline timeline,
             DecisionLog log) {
         this.loop = loop;
         this.stopTimeoutMillis = stopTimeoutMillis;
         this.callers = callers;
         this.runs = runs;
         this.hub = hub;
+        this.timeline = timeline;
         this.log = log;
     }
 
     /** Returns whether the router is stopping. */
     boolean stopping() {
-        return stopping;
+        return timeline.stopping();
     }
 
     /** Starts to stop the router. */
     void begin(Runnable done) {
-        if (stopping) {
+        if (timeline.stopping()) {
             return;
         }
-        stopping = true;
-        startMillis = loop.nowMillis();
+        long now = loop.nowMillis();
+        timeline.begin(now);
         whenDone = done;
-        log.line("stop_begun").put("open", runs.open()).write();
+        line("stop_begun").put("left_millis", timeline.leftMillis(now)).write();
         callers.beginStop();
         hub.heartbeat();
         runDueSteps();
@@ -75,24 +75,44 @@
 
     /** Runs the steps that are due, and schedules the next check. */
     private void runDueSteps() {
-        long elapsedMillis = loop.nowMillis() - startMillis;
+        long now = loop.nowMillis();
+        long elapsedMillis = timeline.elapsedMillis(now);
         if (elapsedMillis >= CALLER_GRACE_MILLIS && !idleClosed) {
             idleClosed = true;
+            phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
         if (elapsedMillis >= stopTimeoutMillis * REJECT_SHARE) {
+            if (!rejecting) {
+                rejecting = true;
+                phase("rejects", elapsedMillis);
+            }
             runs.refuseNew();
         }
         boolean finished = idleClosed && runs.open() == 0;
-        if (finished || elapsedMillis >= stopTimeoutMillis - MARGIN_MILLIS) {
-            log.line("stopped")
-                    .put("open", runs.open())
-                    .put("took_millis", elapsedMillis)
-                    .write();
+        if (finished || timeline.leftMillis(now) <= 0) {
+            runs.processEnds();
+            line("stopped").put("took_millis", elapsedMillis).write();
             callers.stopListening();
             whenDone.run();
             return;
         }
         loop.schedule(CHECK_INTERVAL_MILLIS, this::runDueSteps);
     }
+
+    /** Logs the begin of a phase. */
+    private void phase(String name, long elapsedMillis) {
+        line("stop_phase")
+                .put("phase", name)
+                .put("stopping_millis", elapsedMillis)
+                .write();
+    }
+
+    /** Starts a log line with the requests in flight, and those that arrived or were rejected since the signal. */
+    private DecisionLog.Line line(String event) {
+        return log.line(event)
+                .put("open", runs.open())
+                .put("arrived", runs.arrivedWhileStopping())
+                .put("rejected", runs.rejectedAsStopping());
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.http;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -305,6 +306,13 @@
         return closing || server.stopping();
     }
 
+    /** Returns the IP address of the caller, or an empty text once the connection is closed. */
+    String callerIp() {
+        return context.channel().remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
+    }
+
     /** Returns whether the write buffer is below its high-water mark. */
     boolean writable() {
         return context.channel().isWritable();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -127,6 +127,15 @@
         ended = true;
     }
 
+    /**
+     * Returns the IP address that the caller connects from.
+     *
+     * @return the address, or an empty text once the connection is closed
+     */
+    public String callerIp() {
+        return connection.callerIp();
+    }
+
     /**
      * Returns whether a response was started.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -46,6 +46,8 @@
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
     private final Map<AdvertisedBackOff.Kind, Counter> backOffs =
             counters(AdvertisedBackOff.Kind.class, kind -> "back_offs." + lower(kind));
+    private final Counter arrivedWhileStopping = registry.counter("stops.requests_arrived");
+    private final Counter cutByStop = registry.counter("stops.requests_cut");
     private volatile int backOffsInForce;
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
@@ -180,6 +182,16 @@
         drainsUnreadable.inc();
     }
 
+    /** Counts a request that arrived while this router was stopping. */
+    public void arrivedWhileStopping() {
+        arrivedWhileStopping.inc();
+    }
+
+    /** Counts a request that was still in flight when this process ended. */
+    public void cutByStop() {
+        cutByStop.inc();
+    }
+
     /**
      * Counts a response that rejected a request and contained a back-off, valid or not.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -21,6 +21,7 @@
 import org.apricotstack.serving.http.CallerRequest;
 import org.apricotstack.serving.http.CallerRequestListener;
 import org.apricotstack.serving.http.DiscardingRequestListener;
+import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.RefusalCause;
 
 /** Checks requests against the configuration and starts their runs. */
@@ -47,6 +48,8 @@
     private final UpstreamGates gates;
     private final Set<RequestRun> running = new HashSet<>();
     private boolean stopping;
+    private long arrivedWhileStopping;
+    private long rejectedAsStopping;
 
     /**
      * Creates a dispatcher.
@@ -62,7 +65,12 @@
 
     @Override
     public CallerRequestListener open(CallerRequest request, CallerExchange exchange) {
+        if (context.stop().stopping()) {
+            arrivedWhileStopping++;
+            context.metrics().arrivedWhileStopping();
+        }
         if (stopping) {
+            rejectedAsStopping++;
             return refuse(request, exchange, RefusalCause.STOPPING, OTHER_ROUTER_MILLIS);
         }
         ServingConfiguration configuration = context.configuration().get();
@@ -87,13 +95,17 @@
     private CallerRequestListener refuse(
             CallerRequest request, CallerExchange exchange, RefusalCause cause, long retryMillis) {
         context.metrics().refused(cause);
-        context.log()
+        DecisionLog.Line line = context.log()
                 .request("refused", request.id())
                 .put("cause", cause.code())
                 .put("host_name", request.host())
                 .put("target", request.target())
-                .put("retry_after_millis", retryMillis)
-                .write();
+                .put("retry_after_millis", retryMillis);
+        if (context.stop().stopping()) {
+            line.put("caller", exchange.callerIp())
+                    .put("stopping_millis", context.stop().elapsedMillis(context.nowMillis()));
+        }
+        line.write();
         answer(exchange, cause, false, retryMillis);
         return DiscardingRequestListener.INSTANCE;
     }
@@ -178,6 +190,29 @@
         stopping = true;
     }
 
+    /** Records the requests that are in flight when the process ends. */
+    public void processEnds() {
+        List.copyOf(running).forEach(RequestRun::processEnds);
+    }
+
+    /**
+     * Returns the number of requests that arrived while this router was stopping.
+     *
+     * @return number of requests, rejected ones included
+     */
+    public long arrivedWhileStopping() {
+        return arrivedWhileStopping;
+    }
+
+    /**
+     * Returns the number of requests that were rejected because this router was stopping.
+     *
+     * @return number of requests
+     */
+    public long rejectedAsStopping() {
+        return rejectedAsStopping;
+    }
+
     /**
      * Returns the number of requests in flight.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -5,6 +5,7 @@
 
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.RateLimit;
+import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -33,9 +34,10 @@
         return context.log().request(event, facts.request().id());
     }
 
-    /** Logs the arrival. */
-    void arrived() {
-        line("arrived")
+    /** Logs the arrival; while this router is stopping with the time that is left and the caller's IP address. */
+    void arrived(String callerIp) {
+        StopTimeline stop = context.stop();
+        DecisionLog.Line line = line("arrived")
                 .put("route", facts.route().name())
                 .put("service", facts.service().value())
                 .put(
@@ -46,7 +48,13 @@
                 .put("target_millis", facts.route().targetLatencyMillis())
                 .put("pause_target_millis", facts.route().tokenGapTargetMillis())
                 .put("prompt_tokens", facts.request().promptTokens())
-                .write();
+                .put("answer_tokens", facts.request().maxAnswerTokens());
+        if (stop.stopping()) {
+            line.put("caller", callerIp)
+                    .put("stopping_millis", stop.elapsedMillis(facts.arrivedMillis()))
+                    .put("stop_left_millis", stop.leftMillis(facts.arrivedMillis()));
+        }
+        line.write();
     }
 
     /** Logs that the request waits for capacity or for a rate limit. */
@@ -189,6 +197,21 @@
                 .write();
     }
 
+    /** Logs and counts that the request is still in flight when this process ends. */
+    void cutByStop(Attempt attempt, boolean answerStarted, long nowMillis) {
+        context.metrics().cutByStop();
+        line("cut_by_stop")
+                .put(
+                        "upstream",
+                        attempt == null ? null : attempt.upstream().id().value())
+                .put("answer_started", answerStarted)
+                .put("attempts", attempts.sent())
+                .put("last_event", progress.lastEventId())
+                .put("took_millis", nowMillis - facts.arrivedMillis())
+                .put("stopping_millis", context.stop().elapsedMillis(nowMillis))
+                .write();
+    }
+
     /** Logs that the caller disconnected. */
     void callerLeft(long nowMillis) {
         line("caller_left")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -62,7 +62,7 @@
         this.log = new RequestLog(context, facts, attempts, progress);
         this.sender = new RequestSender(this, chooser, gates, facts, attempts, progress, suspectTracker, log);
         this.timeLimit = context.loop().schedule(facts.remainingMillis(context.nowMillis()), this::timedOut);
-        log.arrived();
+        log.arrived(exchange.callerIp());
     }
 
     /** Returns the shared context. */
@@ -288,6 +288,11 @@
         close();
     }
 
+    /** Records that the process ends while the request is in flight. */
+    void processEnds() {
+        log.cutByStop(sender.current(), exchange.answerStarted(), context.nowMillis());
+    }
+
     /** Ends the run because its time limit has passed. */
     private void timedOut() {
         if (!finished) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -77,6 +77,8 @@
             "served.safe",
             "served.streaming",
             "served.unsafe",
+            "stops.requests_arrived",
+            "stops.requests_cut",
             "streams.longest_pause_millis");
 
     /**
