Move the decisions of a stop into a class without a network

StopPolicy decides the same from a time and a number of open requests, so that a test in virtual time can bring the fault about that callers saw: streams cut by a router that had taken them while it was stopping.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.suspect.SuspectedRequest;
@@ -116,6 +117,7 @@
                 follower::isFollowing,
                 follower::restartIfSilent);
         StopTimeline stopTimeline = new StopTimeline(options.stopTimeoutMillis());
+        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis(), stopTimeline);
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -138,12 +140,12 @@
                 stopTimeline,
                 log,
                 metrics);
-        runs = new RequestDispatcher(context);
+        runs = new RequestDispatcher(context, stopPolicy);
         hub.suspects().onCrashReported(runs::upstreamCrashReported);
         state.onDrainEnded(runs::drainEnded);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, options.stopTimeoutMillis(), callers, runs, hub, stopTimeline, log);
+        stop = new StopSequence(loop, callers, runs, hub, stopTimeline, stopPolicy, log);
         addGauges(loadTable, upstreams, ports.unknown());
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving;
 
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.serving.gossip.GossipHub;
 import org.apricotstack.serving.http.CallerServer;
@@ -17,21 +18,15 @@
  */
 final class StopSequence {
 
-    /** Time for which callers may still send requests, in milliseconds; longer than callers cache addresses. */
-    private static final long CALLER_GRACE_MILLIS = 2_600;
-
-    /** Share of the stop timeout after which new requests are rejected. */
-    private static final double REJECT_SHARE = 0.6;
-
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
     private final ServingLoop loop;
-    private final long stopTimeoutMillis;
     private final CallerServer callers;
     private final RequestDispatcher runs;
     private final GossipHub hub;
     private final DecisionLog log;
     private final StopTimeline timeline;
+    private final StopPolicy policy;
     private boolean idleClosed;
     private boolean rejecting;
     private Runnable whenDone;
@@ -39,18 +34,18 @@
     /** Creates a sequence that has not started. */
     StopSequence(
             ServingLoop loop,
-            long stopTimeoutMillis,
             CallerServer callers,
             RequestDispatcher runs,
             GossipHub hub,
             StopTimeline timeline,
+            StopPolicy policy,
             DecisionLog log) {
         this.loop = loop;
-        this.stopTimeoutMillis = stopTimeoutMillis;
         this.callers = callers;
         this.runs = runs;
         this.hub = hub;
         this.timeline = timeline;
+        this.policy = policy;
         this.log = log;
     }
 
@@ -77,20 +72,16 @@
     private void runDueSteps() {
         long now = loop.nowMillis();
         long elapsedMillis = timeline.elapsedMillis(now);
-        if (elapsedMillis >= CALLER_GRACE_MILLIS && !idleClosed) {
+        if (policy.closesIdle(now) && !idleClosed) {
             idleClosed = true;
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        if (elapsedMillis >= stopTimeoutMillis * REJECT_SHARE) {
-            if (!rejecting) {
-                rejecting = true;
-                phase("rejects", elapsedMillis);
-            }
-            runs.refuseNew();
+        if (!policy.takesRequests(now) && !rejecting) {
+            rejecting = true;
+            phase("rejects", elapsedMillis);
         }
-        boolean finished = idleClosed && runs.open() == 0;
-        if (finished || timeline.leftMillis(now) <= 0) {
+        if (policy.ends(runs.open(), now)) {
             runs.processEnds();
             line("stopped").put("took_millis", elapsedMillis).write();
             callers.stopListening();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerExchange;
@@ -46,8 +47,8 @@
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
     private final UpstreamGates gates;
+    private final StopPolicy stopPolicy;
     private final Set<RequestRun> running = new HashSet<>();
-    private boolean stopping;
     private long arrivedWhileStopping;
     private long rejectedAsStopping;
 
@@ -55,9 +56,11 @@
      * Creates a dispatcher.
      *
      * @param context what the runs share
+     * @param stopPolicy decides whether a stopping router takes requests
      */
-    public RequestDispatcher(ServingContext context) {
+    public RequestDispatcher(ServingContext context, StopPolicy stopPolicy) {
         this.context = context;
+        this.stopPolicy = stopPolicy;
         this.gate = new SuspectGate(context, this::recheckSuspicion);
         this.gates = new UpstreamGates(context);
         this.chooser = new UpstreamChooser(context, gates);
@@ -69,7 +72,7 @@
             arrivedWhileStopping++;
             context.metrics().arrivedWhileStopping();
         }
-        if (stopping) {
+        if (!stopPolicy.takesRequests(context.nowMillis())) {
             rejectedAsStopping++;
             return refuse(request, exchange, RefusalCause.STOPPING, OTHER_ROUTER_MILLIS);
         }
@@ -185,11 +188,6 @@
         gates.expire(platformAnswers);
     }
 
-    /** Refuses new requests from now on because the process stops. */
-    public void refuseNew() {
-        stopping = true;
-    }
-
     /** Records the requests that are in flight when the process ends. */
     public void processEnds() {
         List.copyOf(running).forEach(RequestRun::processEnds);
