--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -16,11 +16,19 @@
      * Creates the policy of a router.
      *
      * @param timeoutMillis time between the signal and the kill of the process, in milliseconds
-     * @param timeline the timeline of the router's stop
      */
-    public StopPolicy(long timeoutMillis, StopTimeline timeline) {
+    public StopPolicy(long timeoutMillis) {
         this.timeoutMillis = timeoutMillis;
-        this.timeline = timeline;
+        this.timeline = new StopTimeline(timeoutMillis);
+    }
+
+    /**
+     * Returns the timeline of the router's stop.
+     *
+     * @return the timeline
+     */
+    public StopTimeline timeline() {
+        return timeline;
     }
 
     /**
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -114,8 +114,8 @@
             up = true;
             open = 0;
             peers = new PeerTable();
-            timeline = new StopTimeline(scenario.timeoutMillis());
-            policy = new StopPolicy(scenario.timeoutMillis(), timeline);
+            policy = new StopPolicy(scenario.timeoutMillis());
+            timeline = policy.timeline();
             startedMillis = time.nowMillis();
             heartbeats(incarnation);
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -15,7 +15,6 @@
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.stop.StopPolicy;
-import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.suspect.SuspectedRequest;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -116,8 +115,7 @@
                 this::ready,
                 follower::isFollowing,
                 follower::restartIfSilent);
-        StopTimeline stopTimeline = new StopTimeline(options.stopTimeoutMillis());
-        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis(), stopTimeline);
+        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis());
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -137,15 +135,15 @@
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
-                stopTimeline,
+                stopPolicy,
                 log,
                 metrics);
-        runs = new RequestDispatcher(context, stopPolicy);
+        runs = new RequestDispatcher(context);
         hub.suspects().onCrashReported(runs::upstreamCrashReported);
         state.onDrainEnded(runs::drainEnded);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, callers, runs, hub, stopTimeline, stopPolicy, log);
+        stop = new StopSequence(loop, callers, runs, hub, stopPolicy, log);
         addGauges(loadTable, upstreams, ports.unknown());
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -37,14 +37,13 @@
             CallerServer callers,
             RequestDispatcher runs,
             GossipHub hub,
-            StopTimeline timeline,
             StopPolicy policy,
             DecisionLog log) {
         this.loop = loop;
         this.callers = callers;
         this.runs = runs;
         this.hub = hub;
-        this.timeline = timeline;
+        this.timeline = policy.timeline();
         this.policy = policy;
         this.log = log;
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -14,7 +14,6 @@
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerExchange;
@@ -47,7 +46,6 @@
     private final UpstreamChooser chooser;
     private final SuspectGate gate;
     private final UpstreamGates gates;
-    private final StopPolicy stopPolicy;
     private final Set<RequestRun> running = new HashSet<>();
     private long arrivedWhileStopping;
     private long rejectedAsStopping;
@@ -56,11 +54,9 @@
      * Creates a dispatcher.
      *
      * @param context what the runs share
-     * @param stopPolicy decides whether a stopping router takes requests
      */
-    public RequestDispatcher(ServingContext context, StopPolicy stopPolicy) {
+    public RequestDispatcher(ServingContext context) {
         this.context = context;
-        this.stopPolicy = stopPolicy;
         this.gate = new SuspectGate(context, this::recheckSuspicion);
         this.gates = new UpstreamGates(context);
         this.chooser = new UpstreamChooser(context, gates);
@@ -68,11 +64,11 @@
 
     @Override
     public CallerRequestListener open(CallerRequest request, CallerExchange exchange) {
-        if (context.stop().stopping()) {
+        if (context.stop().timeline().stopping()) {
             arrivedWhileStopping++;
             context.metrics().arrivedWhileStopping();
         }
-        if (!stopPolicy.takesRequests(context.nowMillis())) {
+        if (!context.stop().takesRequests(context.nowMillis())) {
             rejectedAsStopping++;
             return refuse(request, exchange, RefusalCause.STOPPING, OTHER_ROUTER_MILLIS);
         }
@@ -104,9 +100,9 @@
                 .put("host_name", request.host())
                 .put("target", request.target())
                 .put("retry_after_millis", retryMillis);
-        if (context.stop().stopping()) {
+        if (context.stop().timeline().stopping()) {
             line.put("caller", exchange.callerIp())
-                    .put("stopping_millis", context.stop().elapsedMillis(context.nowMillis()));
+                    .put("stopping_millis", context.stop().timeline().elapsedMillis(context.nowMillis()));
         }
         line.write();
         answer(exchange, cause, false, retryMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -36,7 +36,7 @@
 
     /** Logs the arrival; while this router is stopping with the time that is left and the caller's IP address. */
     void arrived(String callerIp) {
-        StopTimeline stop = context.stop();
+        StopTimeline stop = context.stop().timeline();
         DecisionLog.Line line = line("arrived")
                 .put("route", facts.route().name())
                 .put("service", facts.service().value())
@@ -208,7 +208,7 @@
                 .put("attempts", attempts.sent())
                 .put("last_event", progress.lastEventId())
                 .put("took_millis", nowMillis - facts.arrivedMillis())
-                .put("stopping_millis", context.stop().elapsedMillis(nowMillis))
+                .put("stopping_millis", context.stop().timeline().elapsedMillis(nowMillis))
                 .write();
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
@@ -8,7 +8,7 @@
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.stop.StopTimeline;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -38,7 +38,7 @@
  * @param limitGossip reports rate limits to the other routers
  * @param budgets retry budgets
  * @param bodies limits the bytes of buffered request bodies
- * @param stop the timeline of this router's stop
+ * @param stop decides what a stopping router does
  * @param log the decision log
  * @param metrics the metrics
  */
@@ -60,7 +60,7 @@
         LimitGossip limitGossip,
         RetryBudgets budgets,
         ByteBudget bodies,
-        StopTimeline stop,
+        StopPolicy stop,
         DecisionLog log,
         ServingMetrics metrics) {
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -18,7 +18,7 @@
 import org.apricotstack.core.ratelimit.AdvertisedLimit;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.ratelimit.RateLimit;
-import org.apricotstack.core.stop.StopTimeline;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -58,7 +58,7 @@
             limitGossip,
             null,
             null,
-            new StopTimeline(8_000),
+            new StopPolicy(8_000),
             log,
             null);
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
@@ -6,7 +6,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitTable;
-import org.apricotstack.core.stop.StopTimeline;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -53,7 +53,7 @@
             new DenyingLimitGossip(),
             null,
             null,
-            new StopTimeline(8_000),
+            new StopPolicy(8_000),
             log,
             new ServingMetrics());
 
