Let a stopping router take only requests that it can complete

What callers saw: a stream that a router had taken 3.5 s after its SIGTERM was cut 7.7 s after it, when that router ended.

Cause: a stopping router went by the time since the signal alone. It took every request until 0.6 of its time and ended whatever was open, so a request of more than 2.9 s that came late was cut.

Change: a request is taken only if its longest time fits into the time that is left: the predicted first event and the limit of its answer at the predicted pace of the chosen engine, or at that of the slowest recent answer; for a plain service its slowest recent answer. Its deadline bounds both. It is asked on arrival, and again before each send, so also after a wait for a body, for capacity, for a permit or for a trial, and before a retry. A rejected one is answered at once as not run, and told to come back after 0.1 s if another router is ready, and otherwise when this one is back.

Rejections are still too many, as callers come late because of the addresses that they keep; that is another fault.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -268,6 +268,21 @@
         return memoryTokens;
     }
 
+    /**
+     * Predicts the time of each token of a new request, if nothing is prefilled meanwhile.
+     *
+     * @param contextTokens tokens of its context
+     * @return milliseconds per token, with all requests that are known now
+     */
+    public double decodeMillisPerToken(long contextTokens) {
+        long context = contextTokens;
+        for (EnginePlacement placement : decoding.values()) {
+            context += placement.contextTokens();
+        }
+        int decodingRequests = prefills.leadCount() + decoding.size() + 1;
+        return profile.batchStepMillis(decodingRequests, context) * slowdown / profile.decodeStepsPerBatchStep();
+    }
+
     /** Predicts the duration of a batch step without prefill; 0 if no request decodes. */
     private double batchStepMillis() {
         if (profile == null) {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -165,6 +165,16 @@
         return alive;
     }
 
+    /**
+     * Returns whether another router can serve callers.
+     *
+     * @param nowMillis the current time
+     * @return whether one that is not suspected reported that it is ready
+     */
+    public boolean hasReadyPeer(long nowMillis) {
+        return alive(nowMillis).stream().anyMatch(Peer::ready);
+    }
+
     /**
      * Returns a router's address for other routers.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -6,10 +6,12 @@
     /** Time for which callers may still send requests, in milliseconds; longer than callers cache addresses. */
     private static final long CALLER_GRACE_MILLIS = 2_600;
 
-    /** Share of the stop timeout after which new requests are rejected. */
-    private static final double REJECT_SHARE = 0.6;
+    /** Retry-after for callers that can go to another router, in milliseconds. */
+    private static final long OTHER_ROUTER_MILLIS = 100;
+
+    /** Time from the end of a process until the next one on its host is ready, in milliseconds. */
+    private static final long RESTART_MILLIS = 1_000;
 
-    private final long timeoutMillis;
     private final StopTimeline timeline;
 
     /**
@@ -18,7 +20,6 @@
      * @param timeoutMillis time between the signal and the kill of the process, in milliseconds
      */
     public StopPolicy(long timeoutMillis) {
-        this.timeoutMillis = timeoutMillis;
         this.timeline = new StopTimeline(timeoutMillis);
     }
 
@@ -32,13 +33,25 @@
     }
 
     /**
-     * Returns whether a new request is taken.
+     * Returns whether a request is taken, because it is completed before the process ends.
      *
+     * @param longestMillis the longest time that it takes, in milliseconds
      * @param nowMillis the current time
      * @return {@code false} if it is rejected
      */
-    public boolean takesRequests(long nowMillis) {
-        return timeline.elapsedMillis(nowMillis) < timeoutMillis * REJECT_SHARE;
+    public boolean takes(long longestMillis, long nowMillis) {
+        return longestMillis <= timeline.leftMillis(nowMillis);
+    }
+
+    /**
+     * Returns when a rejected caller can be served.
+     *
+     * @param hasReadyPeer whether another router is ready
+     * @param nowMillis the current time
+     * @return time until the caller reaches a router that is not stopping, in milliseconds
+     */
+    public long retryAfterMillis(boolean hasReadyPeer, long nowMillis) {
+        return hasReadyPeer ? OTHER_ROUTER_MILLIS : Math.max(0, timeline.leftMillis(nowMillis)) + RESTART_MILLIS;
     }
 
     /**
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -0,0 +1,46 @@
+package org.apricotstack.core.stop;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StopPolicyTest {
+
+    private final StopPolicy policy = new StopPolicy(8_000);
+
+    @Test
+    void takesEveryRequestBeforeTheSignal() {
+        assertThat(policy.takes(Long.MAX_VALUE, 1_000_000)).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "0, 7700, true",
+        "0, 7701, false",
+        "3000, 4700, true",
+        "3000, 4701, false",
+        "7690, 10, true",
+        "7710, 1, false"
+    })
+    void takesOnlyRequestsThatAreCompletedBeforeTheEnd(long elapsedMillis, long longestMillis, boolean expected) {
+        policy.timeline().begin(500);
+        assertThat(policy.takes(longestMillis, 500 + elapsedMillis)).isEqualTo(expected);
+    }
+
+    @Test
+    void keepsTheTimeOfTheFirstSignal() {
+        policy.timeline().begin(1_000);
+        policy.timeline().begin(5_000);
+        assertThat(policy.timeline().elapsedMillis(6_000)).isEqualTo(5_000);
+        assertThat(policy.timeline().leftMillis(6_000)).isEqualTo(2_700);
+    }
+
+    @Test
+    void sendsRejectedCallersToAnotherRouterOrBackAfterTheRestart() {
+        policy.timeline().begin(0);
+        assertThat(policy.retryAfterMillis(true, 5_000)).isEqualTo(100);
+        assertThat(policy.retryAfterMillis(false, 5_000)).isEqualTo(3_700);
+    }
+}
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -84,6 +84,10 @@
         return (long) (-Math.log(1 - random.nextDouble()) * meanMillis);
     }
 
+    private long longestAnswerMillis() {
+        return (long) (LONGEST_ANSWER_MILLIS * scenario.slowdown());
+    }
+
     private long answerMillis() {
         return (long) (Math.min(LONGEST_ANSWER_MILLIS, 50 + exponential(MEAN_ANSWER_MILLIS)) * scenario.slowdown());
     }
@@ -190,7 +194,7 @@
             long now = time.nowMillis();
             boolean wasStopping = timeline.stopping();
             counts.arrived(timeline, now);
-            if (!policy.takesRequests(now)) {
+            if (timeline.stopping() && !policy.takes(longestAnswerMillis(), now)) {
                 counts.rejected++;
                 return false;
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -37,6 +37,7 @@
 import org.apricotstack.serving.run.RequestDispatcher;
 import org.apricotstack.serving.run.RetryBudgets;
 import org.apricotstack.serving.run.ServingContext;
+import org.apricotstack.serving.run.StopGate;
 
 /**
  * A router: serves callers, chooses upstreams, follows the platform, and exchanges state updates with the other
@@ -66,6 +67,7 @@
     private final PeerTable peers = new PeerTable();
     private final SuspectTable suspects;
     private final LimitTable limits = new LimitTable();
+    private final UpstreamTable upstreams = new UpstreamTable();
     private final PublishedState state;
     private final PublicationFollower follower;
     private final UpstreamConnections connections;
@@ -91,7 +93,6 @@
         this.options = options;
         this.log = log;
         UniformRandomProvider random = random(options.identity().process());
-        UpstreamTable upstreams = new UpstreamTable();
         OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
@@ -116,6 +117,7 @@
                 follower::isFollowing,
                 follower::restartIfSilent);
         StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis());
+        StopGate stopGate = new StopGate(stopPolicy, () -> peers.hasReadyPeer(loop.nowMillis()), loadTable);
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -135,7 +137,7 @@
                 new RetryBudgets(
                         options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
-                stopPolicy,
+                stopGate,
                 log,
                 metrics);
         runs = new RequestDispatcher(context);
@@ -143,8 +145,8 @@
         state.onDrainEnded(runs::drainEnded);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, callers, runs, hub, stopPolicy, log);
-        addGauges(loadTable, upstreams, ports.unknown());
+        stop = new StopSequence(loop, callers, runs, hub, stopGate, log);
+        addGauges(loadTable, ports.unknown());
     }
 
     /**
@@ -157,7 +159,7 @@
     }
 
     /** Registers the gauges. */
-    private void addGauges(EngineLoadTable loadTable, UpstreamTable upstreams, UnknownFields unknown) {
+    private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
         metrics.gauge("fields.unknown", unknown::size);
         metrics.gauge("fields.unknown_met", unknown::count);
         metrics.gauge("requests.open", runs::open);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -7,14 +7,15 @@
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.run.RequestDispatcher;
+import org.apricotstack.serving.run.StopGate;
 
 /**
  * Stops a router without losing requests.
  *
  * <p>Callers learn of the stop only when they ask for addresses again, and use their connections until then. So the
- * router is first removed from the addresses for callers and closes each connection after its response. Later it
- * closes idle connections and rejects new requests. It ends when no request is open any more, and in any case shortly
- * before the process would be killed.
+ * router is first removed from the addresses for callers and closes each connection after its response; later it closes
+ * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open any
+ * more, and in any case shortly before the process would be killed.
  */
 final class StopSequence {
 
@@ -27,8 +28,8 @@
     private final DecisionLog log;
     private final StopTimeline timeline;
     private final StopPolicy policy;
+    private final StopGate gate;
     private boolean idleClosed;
-    private boolean rejecting;
     private Runnable whenDone;
 
     /** Creates a sequence that has not started. */
@@ -37,14 +38,15 @@
             CallerServer callers,
             RequestDispatcher runs,
             GossipHub hub,
-            StopPolicy policy,
+            StopGate gate,
             DecisionLog log) {
         this.loop = loop;
         this.callers = callers;
         this.runs = runs;
         this.hub = hub;
+        this.gate = gate;
+        this.policy = gate.policy();
         this.timeline = policy.timeline();
-        this.policy = policy;
         this.log = log;
     }
 
@@ -76,10 +78,6 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        if (!policy.takesRequests(now) && !rejecting) {
-            rejecting = true;
-            phase("rejects", elapsedMillis);
-        }
         if (policy.ends(runs.open(), now)) {
             runs.processEnds();
             line("stopped").put("took_millis", elapsedMillis).write();
@@ -102,7 +100,7 @@
     private DecisionLog.Line line(String event) {
         return log.line(event)
                 .put("open", runs.open())
-                .put("arrived", runs.arrivedWhileStopping())
-                .put("rejected", runs.rejectedAsStopping());
+                .put("arrived", gate.arrived())
+                .put("rejected", gate.rejected());
     }
 }
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -0,0 +1,92 @@
+package org.apricotstack.serving.run;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import com.codahale.metrics.SlidingWindowReservoir;
+import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.engine.EngineProfile;
+import org.apricotstack.core.id.ServiceId;
+
+/**
+ * Estimates how long requests take at most.
+ *
+ * <p>Only the limit of an answer's length is known in advance. So an engine is assumed to decode up to that limit, at
+ * its predicted pace or at that of the slowest answer that this router completed recently. A plain service is assumed
+ * to take as long as its slowest recent answer.
+ */
+final class CompletionTimes {
+
+    /** Number of recent requests of a service that are kept. */
+    private static final int WINDOW = 512;
+
+    /** Requests of a plain service below which its latency target is used instead. */
+    private static final int MIN_RECORDED = 32;
+
+    /** Assumed longest answer of a plain service without enough records, in latency targets. */
+    private static final long PLAIN_LATENCY_TARGETS = 4;
+
+    /** Factor of the predicted pace of an engine that covers the prefill of other prompts meanwhile. */
+    private static final double PREFILL_FACTOR = 1.25;
+
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final EngineLoadTable loadTable;
+    private final Map<ServiceId, SlidingWindowReservoir> recordedMicros = new HashMap<>();
+
+    /** Creates estimates without records. */
+    CompletionTimes(EngineLoadTable loadTable) {
+        this.loadTable = loadTable;
+    }
+
+    /** Records a request that one attempt completed; that of an engine relative to the limit of its answer. */
+    void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
+        long units = facts.runsOnEngines() ? Math.max(1, facts.answerTokens()) : 1;
+        double micros = Math.max(0, tookMillis - predictedMillis) * MICROS_PER_MILLI / units;
+        recordedMicros
+                .computeIfAbsent(facts.service(), service -> new SlidingWindowReservoir(WINDOW))
+                .update(Math.round(micros));
+    }
+
+    /** Estimates the shortest time of the longest answer to a request, in milliseconds; its deadline bounds it. */
+    long leastMillis(RequestFacts facts, long nowMillis) {
+        double millis;
+        if (facts.runsOnEngines()) {
+            EngineProfile engine = facts.profile().engine().orElseThrow();
+            millis = facts.answerTokens() * engine.decodeStepMillis();
+        } else {
+            millis = plainMillis(facts);
+        }
+        return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
+    }
+
+    /** Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
+    long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        double millis = facts.runsOnEngines()
+                ? choice.predictedMillis() + facts.answerTokens() * millisPerToken(facts, choice)
+                : plainMillis(facts);
+        return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
+    }
+
+    /** Estimates the time of each token of the answer at the chosen engine, in milliseconds. */
+    private double millisPerToken(RequestFacts facts, UpstreamChoice choice) {
+        double predicted = loadTable
+                .load(choice.upstream().id())
+                .decodeMillisPerToken(facts.request().promptTokens());
+        return Math.max(PREFILL_FACTOR * predicted, slowestMillis(facts));
+    }
+
+    /** Estimates the longest time of an answer of a plain service, in milliseconds. */
+    private double plainMillis(RequestFacts facts) {
+        SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
+        return recorded != null && recorded.size() >= MIN_RECORDED
+                ? slowestMillis(facts)
+                : PLAIN_LATENCY_TARGETS * facts.route().targetLatencyMillis();
+    }
+
+    /** Returns the slowest record of the request's service, in milliseconds; 0 without records. */
+    private double slowestMillis(RequestFacts facts) {
+        SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
+        return recorded == null ? 0 : recorded.getSnapshot().getMax() / MICROS_PER_MILLI;
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -33,9 +33,6 @@
      */
     private static final long CONFIGURATION_MILLIS = 300;
 
-    /** Retry-after for callers of a stopping router, in milliseconds: the time until a caller knows another router. */
-    private static final long OTHER_ROUTER_MILLIS = 100;
-
     /** End of the response text for a request that no upstream has run or will run. */
     private static final String NOT_RUN = " not_run";
 
@@ -47,8 +44,6 @@
     private final SuspectGate gate;
     private final UpstreamGates gates;
     private final Set<RequestRun> running = new HashSet<>();
-    private long arrivedWhileStopping;
-    private long rejectedAsStopping;
 
     /**
      * Creates a dispatcher.
@@ -65,13 +60,9 @@
     @Override
     public CallerRequestListener open(CallerRequest request, CallerExchange exchange) {
         if (context.stop().timeline().stopping()) {
-            arrivedWhileStopping++;
+            context.stop().countArrived();
             context.metrics().arrivedWhileStopping();
         }
-        if (!context.stop().takesRequests(context.nowMillis())) {
-            rejectedAsStopping++;
-            return refuse(request, exchange, RefusalCause.STOPPING, OTHER_ROUTER_MILLIS);
-        }
         ServingConfiguration configuration = context.configuration().get();
         if (configuration == null) {
             return refuse(request, exchange, RefusalCause.NO_CONFIGURATION, CONFIGURATION_MILLIS);
@@ -84,7 +75,13 @@
         if (account == null && configuration.accounts().required() && !route.anonymous()) {
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
-        RequestFacts facts = RequestFacts.of(request, configuration, route, account, context.nowMillis());
+        long now = context.nowMillis();
+        RequestFacts facts = RequestFacts.of(request, configuration, route, account, now);
+        if (!context.stop().allows(facts, null, now)) {
+            context.stop().countRejected();
+            return refuse(
+                    request, exchange, RefusalCause.STOPPING, context.stop().retryAfterMillis(now));
+        }
         RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, running::remove);
         running.add(run);
         return run;
@@ -189,24 +186,6 @@
         List.copyOf(running).forEach(RequestRun::processEnds);
     }
 
-    /**
-     * Returns the number of requests that arrived while this router was stopping.
-     *
-     * @return number of requests, rejected ones included
-     */
-    public long arrivedWhileStopping() {
-        return arrivedWhileStopping;
-    }
-
-    /**
-     * Returns the number of requests that were rejected because this router was stopping.
-     *
-     * @return number of requests
-     */
-    public long rejectedAsStopping() {
-        return rejectedAsStopping;
-    }
-
     /**
      * Returns the number of requests in flight.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -1,7 +1,6 @@
 package org.apricotstack.serving.run;
 
 import io.netty.handler.codec.http.HttpRequest;
-import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.engine.PromptAdmission;
 import org.apricotstack.core.engine.PromptRequest;
 import org.apricotstack.core.id.ClientAccountId;
@@ -87,14 +86,19 @@
         return halfLeft && (!runsOnEngines() || mayWait(0, nowMillis));
     }
 
+    /** Returns the length of the longest answer in tokens; the usual length if the caller names none. */
+    long answerTokens() {
+        return request.maxAnswerTokens() > 0
+                ? request.maxAnswerTokens()
+                : profile.engine().orElseThrow().meanAnswerTokens();
+    }
+
     /** Returns the input of the engine placer. */
     PromptRequest prompt(long nowMillis, boolean answerStarted) {
-        EngineProfile engine = profile.engine().orElseThrow();
         long waited = nowMillis - arrivedMillis;
-        long answerTokens = request.maxAnswerTokens() > 0 ? request.maxAnswerTokens() : engine.meanAnswerTokens();
         return new PromptRequest(
                 request.promptTokens(),
-                answerTokens,
+                answerTokens(),
                 Math.max(1, route.targetLatencyMillis() - waited),
                 route.tokenGapTargetMillis(),
                 Math.min(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -78,7 +78,7 @@
         count(PassedOverCause.LIMIT, skipped.rateLimited());
         count(PassedOverCause.DRAINING, skipped.draining());
         count(PassedOverCause.BACK_OFF, skipped.backingOff());
-        line("sent")
+        DecisionLog.Line line = line("sent")
                 .put("attempt", attempts.sent())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
@@ -93,8 +93,13 @@
                 .put("predicted_millis", Math.round(choice.predictedMillis()))
                 .put("reserves", choice.reserves())
                 .put("left_millis", facts.remainingMillis(nowMillis))
-                .put("board", context.loadTable().size())
-                .write();
+                .put("board", context.loadTable().size());
+        StopGate stop = context.stop();
+        if (stop.timeline().stopping()) {
+            line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
+                    .put("longest_millis", stop.longestMillis(facts, choice, nowMillis));
+        }
+        line.write();
     }
 
     /** Counts an attempt for which upstreams were skipped. */
@@ -197,6 +202,18 @@
                 .write();
     }
 
+    /** Logs the figures by which a stopping router rejects the request. */
+    void rejectedAsStopping(UpstreamChoice choice, long nowMillis) {
+        StopGate stop = context.stop();
+        line("rejected_by_stop")
+                .put("stopping_millis", stop.timeline().elapsedMillis(nowMillis))
+                .put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
+                .put("predicted_millis", choice == null ? 0 : Math.round(choice.predictedMillis()))
+                .put("longest_millis", stop.longestMillis(facts, choice, nowMillis))
+                .put("ready_peer", stop.hasReadyPeer())
+                .write();
+    }
+
     /** Logs and counts that the request is still in flight when this process ends. */
     void cutByStop(Attempt attempt, boolean answerStarted, long nowMillis) {
         context.metrics().cutByStop();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -282,7 +282,11 @@
 
     /** Ends the run with the response of an upstream. */
     private void finish(String event, Attempt attempt, int status) {
-        log.answered(event, attempt, status, context.nowMillis());
+        long now = context.nowMillis();
+        log.answered(event, attempt, status, now);
+        if (attempts.sent() == 1) {
+            context.stop().completed(facts, attempt.choice().predictedMillis(), now - attempt.startMillis());
+        }
         suspectTracker.served();
         sender.end(attempt);
         close();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -81,6 +81,9 @@
             run.endWithRefusal(RefusalCause.TIME_LIMIT);
             return;
         }
+        if (rejectsAsStopping(null, now)) {
+            return;
+        }
         SuspectDecision decision = suspectTracker.decide();
         if (!decision.sends()) {
             holdOrRefuse(decision, now);
@@ -99,7 +102,24 @@
             run.endWithRefusal(RefusalCause.TOO_DEAR);
             return;
         }
-        begin(choice, now);
+        if (!rejectsAsStopping(choice, now)) {
+            begin(choice, now);
+        }
+    }
+
+    /**
+     * Rejects the request if this router is stopping and could not complete it in time; a stream that has started goes
+     * on. The choice is {@code null} while there is none.
+     */
+    private boolean rejectsAsStopping(UpstreamChoice choice, long now) {
+        StopGate stop = context.stop();
+        if (progress.answerStarted() || stop.allows(facts, choice, now)) {
+            return false;
+        }
+        stop.countRejected();
+        log.rejectedAsStopping(choice, now);
+        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(now));
+        return true;
     }
 
     /** Starts an attempt at the chosen upstreams. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
@@ -8,7 +8,6 @@
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -38,7 +37,7 @@
  * @param limitGossip reports rate limits to the other routers
  * @param budgets retry budgets
  * @param bodies limits the bytes of buffered request bodies
- * @param stop decides what a stopping router does
+ * @param stop rejects requests that a stopping router could not complete
  * @param log the decision log
  * @param metrics the metrics
  */
@@ -60,7 +59,7 @@
         LimitGossip limitGossip,
         RetryBudgets budgets,
         ByteBudget bodies,
-        StopPolicy stop,
+        StopGate stop,
         DecisionLog log,
         ServingMetrics metrics) {
 
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -0,0 +1,100 @@
+package org.apricotstack.serving.run;
+
+import java.util.function.BooleanSupplier;
+
+import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.stop.StopPolicy;
+import org.apricotstack.core.stop.StopTimeline;
+
+/** Rejects requests that a stopping router could not complete before its process ends, and counts them. */
+public final class StopGate {
+
+    private final StopPolicy policy;
+    private final BooleanSupplier hasReadyPeer;
+    private final CompletionTimes times;
+    private long arrived;
+    private long rejected;
+
+    /**
+     * Creates a gate.
+     *
+     * @param policy the policy of this router's stop
+     * @param hasReadyPeer whether another router is ready
+     * @param loadTable placements and load of the engines
+     */
+    public StopGate(StopPolicy policy, BooleanSupplier hasReadyPeer, EngineLoadTable loadTable) {
+        this.policy = policy;
+        this.hasReadyPeer = hasReadyPeer;
+        this.times = new CompletionTimes(loadTable);
+    }
+
+    /**
+     * Returns the policy of this router's stop.
+     *
+     * @return the policy
+     */
+    public StopPolicy policy() {
+        return policy;
+    }
+
+    /** Returns the timeline of this router's stop. */
+    StopTimeline timeline() {
+        return policy.timeline();
+    }
+
+    /** Records a completed request, for the estimates. */
+    void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
+        times.completed(facts, predictedMillis, tookMillis);
+    }
+
+    /** Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none. */
+    long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        return choice == null ? times.leastMillis(facts, nowMillis) : times.longestMillis(facts, choice, nowMillis);
+    }
+
+    /**
+     * Returns whether a request that is sent now is completed before the process ends; the choice is {@code null} while
+     * there is none.
+     */
+    boolean allows(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        return !timeline().stopping() || policy.takes(longestMillis(facts, choice, nowMillis), nowMillis);
+    }
+
+    /** Returns the retry-after for a rejected caller, in milliseconds. */
+    long retryAfterMillis(long nowMillis) {
+        return policy.retryAfterMillis(hasReadyPeer.getAsBoolean(), nowMillis);
+    }
+
+    /** Returns whether another router is ready. */
+    boolean hasReadyPeer() {
+        return hasReadyPeer.getAsBoolean();
+    }
+
+    /** Counts a request that arrived while this router was stopping. */
+    void countArrived() {
+        arrived++;
+    }
+
+    /** Counts a request that was rejected because this router is stopping. */
+    void countRejected() {
+        rejected++;
+    }
+
+    /**
+     * Returns the number of requests that arrived while this router was stopping.
+     *
+     * @return number of requests, rejected ones included
+     */
+    public long arrived() {
+        return arrived;
+    }
+
+    /**
+     * Returns the number of requests that were rejected because this router is stopping.
+     *
+     * @return number of requests
+     */
+    public long rejected() {
+        return rejected;
+    }
+}
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -0,0 +1,124 @@
+package org.apricotstack.serving.run;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.engine.EngineProfile;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.route.AccountKeys;
+import org.apricotstack.core.route.CallerLimits;
+import org.apricotstack.core.route.RequestKind;
+import org.apricotstack.core.route.Route;
+import org.apricotstack.core.route.RouteTable;
+import org.apricotstack.core.route.ServiceProfile;
+import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.route.WeightedService;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.http.CallerRequest;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CompletionTimesTest {
+
+    private static final ServiceId SERVICE = new ServiceId("s");
+    private static final EngineProfile ENGINE = new EngineProfile(10, 100_000, 50, 1, 0.01, 0.004, 100, 0, 2_048, 800);
+    private static final long LIMIT_MILLIS = 10_000;
+
+    private static final UpstreamEntry UPSTREAM = new UpstreamEntry(
+            new UpstreamId("engine", 1), SERVICE, new Address("10.0.0.1", 1), new DataCentreId("east"), 8, false, 1);
+
+    private final EngineLoadTable loadTable = new EngineLoadTable();
+    private final CompletionTimes times = new CompletionTimes(loadTable);
+
+    private static RequestFacts facts(boolean engine, long answerTokens) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/",
+                engine ? RequestKind.STREAMING : RequestKind.SAFE,
+                LIMIT_MILLIS,
+                500,
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                true,
+                true,
+                100);
+        CallerRequest request = new CallerRequest(
+                "id",
+                "h",
+                "/",
+                null,
+                CallerRequest.NO_TIMEOUT,
+                null,
+                5_000,
+                answerTokens,
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
+        ServiceProfile profile = new ServiceProfile(SERVICE, 10, engine ? Optional.of(ENGINE) : Optional.empty());
+        ServingConfiguration configuration = new ServingConfiguration(
+                1,
+                new RouteTable(List.of(route)),
+                Map.of(SERVICE, profile),
+                CallerLimits.DEFAULT,
+                new AccountKeys(Map.of()));
+        return RequestFacts.of(request, configuration, route, null, 0);
+    }
+
+    private UpstreamChoice choice(double predictedMillis) {
+        loadTable.load(UPSTREAM.id()).profile(ENGINE);
+        return new UpstreamChoice(UPSTREAM, List.of(), null, predictedMillis, false, false, false);
+    }
+
+    private void record(RequestFacts facts, int count, double predictedMillis, long tookMillis) {
+        for (int i = 0; i < count; i++) {
+            times.completed(facts, predictedMillis, tookMillis);
+        }
+    }
+
+    @Test
+    void assumesThePredictedPaceOfTheEngineUpToTheLimitOfTheAnswer() {
+        double millisPerToken = 1.25 * (1 + 0.01 + 5 * 0.004);
+        assertThat(times.longestMillis(facts(true, 1_000), choice(100), 0))
+                .isEqualTo(Math.round(100 + 1_000 * millisPerToken));
+    }
+
+    @Test
+    void assumesTheSlowestRecentAnswerInProportionToItsLimit() {
+        record(facts(true, 1_000), 40, 100, 600);
+        record(facts(true, 4_000), 1, 100, 8_100);
+        assertThat(times.longestMillis(facts(true, 2_000), choice(300), 0)).isEqualTo(300 + 4_000);
+    }
+
+    @Test
+    void forgetsOldAnswers() {
+        record(facts(false, 0), 1, 0, 5_000);
+        record(facts(false, 0), 512, 0, 1_000);
+        assertThat(times.longestMillis(facts(false, 0), choice(0), 0)).isEqualTo(1_000);
+    }
+
+    @Test
+    void boundsTheTimeByTheDeadline() {
+        record(facts(false, 0), 40, 0, 3_000);
+        assertThat(times.longestMillis(facts(false, 0), choice(0), 0)).isEqualTo(3_000);
+        assertThat(times.longestMillis(facts(false, 0), choice(0), 9_000)).isEqualTo(LIMIT_MILLIS - 9_000);
+    }
+
+    @Test
+    void assumesAnIdleEngineBeforeOneIsChosen() {
+        assertThat(times.leastMillis(facts(true, 1_000), 0)).isEqualTo(1_000);
+    }
+
+    @Test
+    void assumesSeveralLatencyTargetsForAnUnknownPlainService() {
+        assertThat(times.leastMillis(facts(false, 0), 0)).isEqualTo(2_000);
+    }
+}
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -18,7 +18,6 @@
 import org.apricotstack.core.ratelimit.AdvertisedLimit;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.ratelimit.RateLimit;
-import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -58,7 +57,7 @@
             limitGossip,
             null,
             null,
-            new StopPolicy(8_000),
+            null,
             log,
             null);
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -21,7 +21,6 @@
 import org.apricotstack.core.ratelimit.AdvertisedLimit;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.ratelimit.RateLimit;
-import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -89,7 +88,7 @@
             limitGossip,
             null,
             null,
-            new StopPolicy(8_000),
+            null,
             log,
             new ServingMetrics());
     private final SilenceCheck check = new SilenceCheck(context, new UpstreamGates(context));
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
@@ -6,7 +6,6 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitTable;
-import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -53,7 +52,7 @@
             new DenyingLimitGossip(),
             null,
             null,
-            new StopPolicy(8_000),
+            null,
             log,
             new ServingMetrics());
 
