Tell callers to forget addresses while a stopping router still has time

What callers saw: they sent requests to a stopping router up to 6 s after its signal, and were rejected or cut there.

Cause: a constant stood for the callers' time. The router named 2 s in its answers and closed idle connections 2.6 s after the signal, but some callers cache an answer for three times its lifetime. Closed connections made them open new ones to the same address.

Change: the lifetime follows from the time between SIGTERM and SIGKILL (1 s for 8 s, 2 s from 16 s on), so that the callers that cache longest have forgotten an address after three eighths of it, and idle connections stay open until then, or for half of the time if that is shorter.

In virtual time none comes late while another router is ready.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -3,9 +3,6 @@
 /** Decides how long a stopping router takes requests, and when its process ends. */
 public final class StopPolicy {
 
-    /** Time for which callers may still send requests, in milliseconds; longer than callers cache addresses. */
-    private static final long CALLER_GRACE_MILLIS = 2_600;
-
     /** Retry-after for callers that can go to another router, in milliseconds. */
     private static final long OTHER_ROUTER_MILLIS = 100;
 
@@ -13,14 +10,17 @@
     private static final long RESTART_MILLIS = 1_000;
 
     private final StopTimeline timeline;
+    private final long closesIdleMillis;
 
     /**
      * Creates the policy of a router.
      *
      * @param timeoutMillis time between the signal and the kill of the process, in milliseconds
+     * @param addresses how long callers cache the router's address
      */
-    public StopPolicy(long timeoutMillis) {
+    public StopPolicy(long timeoutMillis, AddressLifetime addresses) {
         this.timeline = new StopTimeline(timeoutMillis);
+        this.closesIdleMillis = Math.min(addresses.longestMillis(), timeoutMillis / 2);
     }
 
     /**
@@ -61,7 +61,7 @@
      * @return {@code false} while callers may still use their connections
      */
     public boolean closesIdle(long nowMillis) {
-        return timeline.elapsedMillis(nowMillis) >= CALLER_GRACE_MILLIS;
+        return timeline.stopping() && timeline.elapsedMillis(nowMillis) >= closesIdleMillis;
     }
 
     /**
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
@@ -6,9 +6,6 @@
 /** What callers got while routers were stopped. */
 final class StopCounts {
 
-    /** Time for which an answer says that callers may cache it, in milliseconds. */
-    static final long TTL_MILLIS = 2_000;
-
     int stops;
     int attempts;
     int arrivedWhileStopping;
@@ -21,11 +18,11 @@
     int cutBeforeSignal;
     final List<Long> stopMillis = new ArrayList<>();
 
-    /** Counts a request that arrives at a router. */
-    void arrived(StopTimeline timeline, long nowMillis) {
+    /** Counts a request that arrives at a router; it is late if its caller should have forgotten the address. */
+    void arrived(StopTimeline timeline, AddressLifetime addresses, long nowMillis) {
         if (timeline.stopping()) {
             arrivedWhileStopping++;
-            arrivedLate += timeline.elapsedMillis(nowMillis) > 3 * TTL_MILLIS ? 1 : 0;
+            arrivedLate += timeline.elapsedMillis(nowMillis) > addresses.longestMillis() ? 1 : 0;
         }
     }
 
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -8,7 +8,7 @@
 
 class StopPolicyTest {
 
-    private final StopPolicy policy = new StopPolicy(8_000);
+    private final StopPolicy policy = new StopPolicy(8_000, new AddressLifetime(1));
 
     @Test
     void takesEveryRequestBeforeTheSignal() {
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
@@ -41,6 +41,21 @@
         return new StopScenario(name, 7, TIMEOUT_MILLIS, List.of(series), 25, 1, 0);
     }
 
+    static Stream<StopScenario> scenariosWithAReadyRouter() {
+        return scenarios()
+                .filter(scenario ->
+                        scenario.name().startsWith("one ") || scenario.name().equals("all routers but one"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenariosWithAReadyRouter")
+    void getsNoRequestsFromCallersThatShouldHaveForgottenTheAddress(StopScenario scenario) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario, seed).run();
+            assertThat(counts.arrivedLate).as("late, seed %d: %s", seed, counts).isZero();
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("scenarios")
     void endsEveryRequestThatAStoppingRouterTakes(StopScenario scenario) {
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -40,6 +40,9 @@
     /** Attempts of one request: the first and one retry. */
     private static final int ATTEMPTS = 2;
 
+    /** Longest lifetime of an answer that callers accept, in seconds. */
+    private static final int MAX_LIFETIME_SECONDS = 5;
+
     private static final long MEAN_ANSWER_MILLIS = 1_700;
     private static final long LONGEST_ANSWER_MILLIS = 5_200;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -49,10 +52,12 @@
     private final VirtualTime time = new VirtualTime();
     private final List<RouterModel> routers = new ArrayList<>();
     private final StopCounts counts = new StopCounts();
+    private final AddressLifetime addressLifetime;
 
     StopSimulation(StopScenario scenario, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
+        this.addressLifetime = AddressLifetime.of(scenario.timeoutMillis(), MAX_LIFETIME_SECONDS);
         for (int i = 0; i < scenario.routers(); i++) {
             routers.add(new RouterModel(i));
         }
@@ -118,7 +123,7 @@
             up = true;
             open = 0;
             peers = new PeerTable();
-            policy = new StopPolicy(scenario.timeoutMillis());
+            policy = new StopPolicy(scenario.timeoutMillis(), addressLifetime);
             timeline = policy.timeline();
             startedMillis = time.nowMillis();
             heartbeats(incarnation);
@@ -193,7 +198,7 @@
         private boolean takes(RequestModel request) {
             long now = time.nowMillis();
             boolean wasStopping = timeline.stopping();
-            counts.arrived(timeline, now);
+            counts.arrived(timeline, addressLifetime, now);
             if (timeline.stopping() && !policy.takes(longestAnswerMillis(), now)) {
                 counts.rejected++;
                 return false;
@@ -256,7 +261,7 @@
                 List<Address> answer = asked.up ? asked.addressesFor(dataCentre) : List.of();
                 if (!answer.isEmpty()) {
                     addresses = answer;
-                    cachedUntilMillis = time.nowMillis() + cacheFactor * StopCounts.TTL_MILLIS;
+                    cachedUntilMillis = time.nowMillis() + cacheFactor * 1_000 * addressLifetime.seconds();
                     return;
                 }
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.serving.gossip.RouterIdentity;
 
 /**
@@ -16,6 +17,7 @@
  * @param retryWindowMillis sliding window of the retry ratio, in milliseconds
  * @param retrySlack retries allowed in addition to the ratio, over all routers
  * @param stopTimeoutMillis time until a stopping process is killed, in milliseconds
+ * @param maxAddressSeconds longest time for which callers may be told to cache addresses, in seconds
  */
 public record RouterOptions(
         RouterIdentity identity,
@@ -25,7 +27,17 @@
         double retryRatio,
         long retryWindowMillis,
         double retrySlack,
-        long stopTimeoutMillis) {
+        long stopTimeoutMillis,
+        int maxAddressSeconds) {
+
+    /**
+     * Returns the time for which callers cache addresses.
+     *
+     * @return the lifetime that fits the stop timeout
+     */
+    public AddressLifetime addressLifetime() {
+        return AddressLifetime.of(stopTimeoutMillis, maxAddressSeconds);
+    }
 
     /** Copies the list of seeds. */
     public RouterOptions {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -116,7 +116,7 @@
                 this::ready,
                 follower::isFollowing,
                 follower::restartIfSilent);
-        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis());
+        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         StopGate stopGate = new StopGate(stopPolicy, () -> peers.hasReadyPeer(loop.nowMillis()), loadTable);
         ServingContext context = new ServingContext(
                 options.identity().process(),
