Tell callers the stopping routers that end last while none is ready

What callers saw: while all routers were stopping, questions for addresses got no answer, and callers went on with the routers that they had, the ones that ended first. There they came up to 7 s after the signal.

Cause: a router that stops said only that it is not ready, so no router knew of any place for callers.

Change: a heartbeat of a stopping router says how long it still takes requests, and once more, with nothing left, when it ends. While no router is ready, callers are sent to the stopping ones that end last. A rejected caller is told to return at once if another router is ready or has time for its request, and otherwise when the first router is back.

Evidence: with the part that chooses among stopping routers switched off, StopScheduleTest.tellsCallersWhereToGoWhileAllRoutersAreStopping and two tests of PeerTableTest fail.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/Peer.java
@@ -18,6 +18,7 @@
  * @param requestsPerSecond recent rate at which it places requests on engines
  * @param takesCallers whether it is an active router, which takes callers and so must receive all placements
  * @param nextHeartbeatMillis time until its next heartbeat, in milliseconds
+ * @param stopLeftMillis time until a stopping router ends in any case, in milliseconds; 0 if it is not stopping
  */
 public record Peer(
         ProcessId process,
@@ -30,4 +31,34 @@
         int capacityPercent,
         double requestsPerSecond,
         boolean takesCallers,
-        long nextHeartbeatMillis) {}
+        long nextHeartbeatMillis,
+        long stopLeftMillis) {
+
+    /** Creates the state of a router that is not stopping. */
+    public Peer(
+            ProcessId process,
+            DataCentreId dataCentre,
+            Address callerAddress,
+            Address peerAddress,
+            boolean ready,
+            long configurationVersion,
+            long upstreamsRevision,
+            int capacityPercent,
+            double requestsPerSecond,
+            boolean takesCallers,
+            long nextHeartbeatMillis) {
+        this(
+                process,
+                dataCentre,
+                callerAddress,
+                peerAddress,
+                ready,
+                configurationVersion,
+                upstreamsRevision,
+                capacityPercent,
+                requestsPerSecond,
+                takesCallers,
+                nextHeartbeatMillis,
+                0);
+    }
+}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -14,6 +14,7 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.stop.OtherRouters;
 
 /**
  * The other routers and the time of the last heartbeat of each.
@@ -44,6 +45,12 @@
      */
     private static final int MIN_CALLER_ADDRESSES = 2;
 
+    /**
+     * Callers are sent to the stopping routers that end at most this long before the last one, in milliseconds, so that
+     * they do not all use the same one.
+     */
+    private static final long STOP_SPREAD_MILLIS = 500;
+
     private final Map<HostId, LastHeartbeat> lastHeartbeats = new HashMap<>();
     private final Set<Address> addresses = new HashSet<>();
     private final EntryWeights weights = new EntryWeights();
@@ -61,6 +68,11 @@
             return Math.max(SUSPECT_MILLIS, (long) (SUSPECT_HEARTBEATS * peer.nextHeartbeatMillis()));
         }
 
+        /** Returns the time until the router ends if it is stopping, in milliseconds; 0 otherwise. */
+        private long stopLeftMillis(long nowMillis) {
+            return Math.max(0, peer.stopLeftMillis() - (nowMillis - atMillis));
+        }
+
         /** Returns the silence after which its address is removed, in milliseconds. */
         private long forgetMillis() {
             return Math.max(FORGET_MILLIS, suspectMillis());
@@ -166,13 +178,28 @@
     }
 
     /**
-     * Returns whether another router can serve callers.
+     * Returns where the callers of this router can go while it is stopping.
      *
      * @param nowMillis the current time
-     * @return whether one that is not suspected reported that it is ready
+     * @return the other routers that are not suspected
      */
-    public boolean hasReadyPeer(long nowMillis) {
-        return alive(nowMillis).stream().anyMatch(Peer::ready);
+    public OtherRouters others(long nowMillis) {
+        boolean ready = alive(nowMillis).stream().anyMatch(Peer::ready);
+        long longestLeftMillis = 0;
+        long soonestEndMillis = Long.MAX_VALUE;
+        for (LastHeartbeat last : stopping(nowMillis)) {
+            longestLeftMillis = Math.max(longestLeftMillis, last.stopLeftMillis(nowMillis));
+            soonestEndMillis = Math.min(soonestEndMillis, last.stopLeftMillis(nowMillis));
+        }
+        return new OtherRouters(ready, longestLeftMillis, soonestEndMillis);
+    }
+
+    /** Returns the stopping routers that still take requests and are not suspected. */
+    private List<LastHeartbeat> stopping(long nowMillis) {
+        return lastHeartbeats.values().stream()
+                .filter(last -> nowMillis - last.atMillis() < last.suspectMillis())
+                .filter(last -> last.stopLeftMillis(nowMillis) > 0)
+                .toList();
     }
 
     /**
@@ -230,7 +257,8 @@
      * Chooses the addresses for callers of a data centre. Routers of that data centre are preferred if it has at least
      * two, because traffic between data centres is expensive and one host alone would be a single point of failure. In
      * a large fleet only {@link EntryRouters} are chosen, and of these the active ones are preferred: a standby router
-     * sends heartbeats rarely, so it may be dead unnoticed.
+     * sends heartbeats rarely, so it may be dead unnoticed. While no router is ready, the stopping ones that end last
+     * are chosen: without an answer, callers would go on with the ones that end first.
      *
      * @param own this router, or {@code null} if it takes no callers now
      * @param dataCentre the callers' data centre, or {@code null}
@@ -240,6 +268,12 @@
      */
     public List<Address> callerAddresses(Peer own, DataCentreId dataCentre, int max, long nowMillis) {
         List<Peer> ready = entryRouters(own, 0, nowMillis);
+        if (ready.isEmpty()) {
+            return lastToEnd(own, nowMillis).stream()
+                    .map(Peer::callerAddress)
+                    .limit(max)
+                    .toList();
+        }
         List<Peer> near = ready.stream()
                 .filter(peer -> peer.dataCentre().equals(dataCentre))
                 .toList();
@@ -249,6 +283,23 @@
                 .stream().map(Peer::callerAddress).limit(max).toList();
     }
 
+    /** Returns the stopping routers that end last, this one included. */
+    private List<Peer> lastToEnd(Peer own, long nowMillis) {
+        List<LastHeartbeat> stopping = new ArrayList<>(stopping(nowMillis));
+        if (own != null && own.stopLeftMillis() > 0) {
+            stopping.add(new LastHeartbeat(own, nowMillis));
+        }
+        long longest = stopping.stream()
+                .mapToLong(last -> last.stopLeftMillis(nowMillis))
+                .max()
+                .orElse(0);
+        return stopping.stream()
+                .filter(last -> last.stopLeftMillis(nowMillis) >= longest - STOP_SPREAD_MILLIS)
+                .map(LastHeartbeat::peer)
+                .sorted(Comparator.comparing(peer -> peer.process().host()))
+                .toList();
+    }
+
     /**
      * Returns the routers that callers are sent to.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -46,12 +46,17 @@
     /**
      * Returns when a rejected caller can be served.
      *
-     * @param hasReadyPeer whether another router is ready
+     * @param others the other routers
+     * @param longestMillis the longest time that the request takes, in milliseconds
      * @param nowMillis the current time
-     * @return time until the caller reaches a router that is not stopping, in milliseconds
+     * @return time until a router can take the request, in milliseconds
      */
-    public long retryAfterMillis(boolean hasReadyPeer, long nowMillis) {
-        return hasReadyPeer ? OTHER_ROUTER_MILLIS : Math.max(0, timeline.leftMillis(nowMillis)) + RESTART_MILLIS;
+    public long retryAfterMillis(OtherRouters others, long longestMillis, long nowMillis) {
+        if (others.ready() || others.longestLeftMillis() >= longestMillis) {
+            return OTHER_ROUTER_MILLIS;
+        }
+        long ownEndMillis = Math.max(0, timeline.leftMillis(nowMillis));
+        return Math.min(ownEndMillis, others.soonestEndMillis()) + RESTART_MILLIS;
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
@@ -8,6 +8,7 @@
 
     private final long timeoutMillis;
     private boolean stopping;
+    private boolean ended;
     private long signalMillis;
 
     /**
@@ -31,6 +32,21 @@
         }
     }
 
+    /** Records that the process takes no more requests. */
+    public void end() {
+        ended = true;
+    }
+
+    /**
+     * Returns how long a stopping router still takes requests, for the other routers.
+     *
+     * @param nowMillis the current time
+     * @return milliseconds; 0 if it is not stopping or has ended
+     */
+    public long takesRequestsMillis(long nowMillis) {
+        return stopping && !ended ? Math.max(0, leftMillis(nowMillis)) : 0;
+    }
+
     /**
      * Returns whether the router is stopping.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.stop.OtherRouters;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -69,6 +70,53 @@
         assertThat(callerIps(EAST, PeerTable.SUSPECT_MILLIS)).containsExactly("127.0.0.2");
     }
 
+    private static Peer stopping(int number, long leftMillis) {
+        Peer ready = peer(number, 1, EAST, false);
+        return new Peer(
+                ready.process(),
+                ready.dataCentre(),
+                ready.callerAddress(),
+                ready.peerAddress(),
+                false,
+                1,
+                1,
+                100,
+                0,
+                true,
+                500,
+                leftMillis);
+    }
+
+    @Test
+    void sendsCallersToTheStoppingRoutersThatEndLastWhileNoneIsReady() {
+        table.recordHeartbeat(stopping(1, 3_000), 0);
+        table.recordHeartbeat(stopping(2, 6_000), 0);
+        table.recordHeartbeat(stopping(3, 5_600), 0);
+        assertThat(callerIps(EAST, 1_000)).containsExactly("127.0.0.2", "127.0.0.3");
+        table.recordHeartbeat(peer(4, 1, WEST, true), 1_000);
+        assertThat(callerIps(EAST, 1_000)).containsExactly("127.0.0.4");
+    }
+
+    @Test
+    void sendsNoCallersToAStoppingRouterThatIsSilentOrHasEnded() {
+        table.recordHeartbeat(stopping(1, 1_000), 0);
+        table.recordHeartbeat(stopping(2, 9_000), 0);
+        assertThat(callerIps(EAST, 1_500)).containsExactly("127.0.0.2");
+        assertThat(callerIps(EAST, PeerTable.SUSPECT_MILLIS)).isEmpty();
+        table.recordHeartbeat(stopping(2, 0), 1_000);
+        assertThat(callerIps(EAST, 1_000)).isEmpty();
+    }
+
+    @Test
+    void tellsAStoppingRouterWhereItsCallersCanGo() {
+        assertThat(table.others(0)).isEqualTo(OtherRouters.NONE);
+        table.recordHeartbeat(stopping(1, 3_000), 0);
+        table.recordHeartbeat(stopping(2, 6_000), 0);
+        assertThat(table.others(1_000)).isEqualTo(new OtherRouters(false, 5_000, 2_000));
+        table.recordHeartbeat(peer(3, 1, WEST, true), 0);
+        assertThat(table.others(0).ready()).isTrue();
+    }
+
     /**
      * Guards against a restarted router that callers are not sent to for minutes: its wall clock jumped back before the
      * restart, so its new incarnation is smaller, and heartbeats of smaller incarnations were dropped.
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 
 import org.apricotstack.core.stop.StopScenario.Series;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -56,6 +57,18 @@
         }
     }
 
+    @Test
+    void tellsCallersWhereToGoWhileAllRoutersAreStopping() {
+        StopScenario scenario =
+                new StopScenario("all stopping", 6, TIMEOUT_MILLIS, List.of(new Series(5_000, 1, 500, 0)), 25, 1, 0);
+        for (int seed = 0; seed < SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario, seed).run();
+            assertThat(counts.emptyAnswers)
+                    .as("answers without an address, seed %d: %s", seed, counts)
+                    .isZero();
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("scenarios")
     void endsEveryRequestThatAStoppingRouterTakes(StopScenario scenario) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -24,6 +24,7 @@
 import org.apricotstack.serving.gossip.GossipHub;
 import org.apricotstack.serving.gossip.GossipServer;
 import org.apricotstack.serving.gossip.HeartbeatPort;
+import org.apricotstack.serving.gossip.Readiness;
 import org.apricotstack.serving.gossip.RouterIdentity;
 import org.apricotstack.serving.http.CallerServer;
 import org.apricotstack.serving.http.HttpCalls;
@@ -74,6 +75,7 @@
     private final GossipHub hub;
     private final RequestDispatcher runs;
     private final CallerServer callers;
+    private final StopPolicy stopPolicy;
     private final StopSequence stop;
     private RouterIdentity identity;
     private GossipServer gossipServer;
@@ -92,6 +94,7 @@
         this.loop = loop;
         this.options = options;
         this.log = log;
+        this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         UniformRandomProvider random = random(options.identity().process());
         OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
@@ -113,11 +116,10 @@
                 options.identity().process().host(),
                 state,
                 log,
-                this::ready,
+                new OwnReadiness(),
                 follower::isFollowing,
                 follower::restartIfSilent);
-        StopPolicy stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
-        StopGate stopGate = new StopGate(stopPolicy, () -> peers.hasReadyPeer(loop.nowMillis()), loadTable);
+        StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable);
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -237,6 +239,20 @@
         }
     }
 
+    /** What this router tells the others of its state. */
+    private final class OwnReadiness implements Readiness {
+
+        @Override
+        public boolean ready() {
+            return ServingRouter.this.ready();
+        }
+
+        @Override
+        public long stopLeftMillis() {
+            return stopPolicy.timeline().takesRequestsMillis(loop.nowMillis());
+        }
+    }
+
     /** Logs that a request was found to be the cause of upstream crashes. */
     private void causeFound(SuspectedRequest suspect) {
         log.line("cause_found")
@@ -279,7 +295,7 @@
      * @return whether the configuration and upstreams are known and the router is not stopping
      */
     public boolean ready() {
-        return state.complete() && !stop.stopping();
+        return state.complete() && !stopPolicy.timeline().stopping();
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -50,11 +50,6 @@
         this.log = log;
     }
 
-    /** Returns whether the router is stopping. */
-    boolean stopping() {
-        return timeline.stopping();
-    }
-
     /** Starts to stop the router. */
     void begin(Runnable done) {
         if (timeline.stopping()) {
@@ -82,6 +77,8 @@
             runs.processEnds();
             line("stopped").put("took_millis", elapsedMillis).write();
             callers.stopListening();
+            timeline.end();
+            hub.heartbeat();
             whenDone.run();
             return;
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -47,7 +47,7 @@
     private final InFlightPlacements inFlight = new InFlightPlacements();
     private final StartPhase start;
     private final PlacementReceiver placements;
-    private final BooleanSupplier ready;
+    private final Readiness ready;
     private final BooleanSupplier readsPlatform;
     private HeartbeatSender heartbeats;
     private PlatformGossip platformGossip;
@@ -68,7 +68,7 @@
      * @param own this router's host
      * @param state receives documents that peers know
      * @param log receives changes of membership and state
-     * @param ready whether this router can serve callers
+     * @param ready tells whether this router serves callers
      * @param readsPlatform whether this router follows the platform and gets responses
      * @param onBehind called when peers know more than the platform has reported to this router
      */
@@ -83,7 +83,7 @@
             HostId own,
             PublishedState state,
             DecisionLog log,
-            BooleanSupplier ready,
+            Readiness ready,
             BooleanSupplier readsPlatform,
             Runnable onBehind) {
         this.loop = loop;
@@ -98,7 +98,7 @@
         this.membershipLog = new MembershipLog(log);
         this.start = new StartPhase(loop.nowMillis());
         this.placements = new PlacementReceiver(loadTable, outlierDetector, state, start);
-        this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready, this::knownRouters);
+        this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready::ready, this::knownRouters);
         this.upstreams = new UpstreamGossip(
                 new SuspectChannel(loop, suspects, log, this::pendingFrame, this::activePeers),
                 new LimitChannel(loop, limits, limitPeers, log, this::pendingFrame),
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipMessages.java
@@ -36,7 +36,8 @@
                 heartbeat.getCapacityPercent(),
                 heartbeat.getRequestsPerSecond(),
                 heartbeat.getTakesCallers(),
-                heartbeat.getNextMillis());
+                heartbeat.getNextMillis(),
+                heartbeat.getStopLeftMillis());
     }
 
     /** Encodes the heartbeat of this router. */
@@ -53,7 +54,8 @@
                 .setCapacityPercent(own.capacityPercent())
                 .setRequestsPerSecond((float) own.requestsPerSecond())
                 .setTakesCallers(own.takesCallers())
-                .setNextMillis((int) own.nextHeartbeatMillis());
+                .setNextMillis((int) own.nextHeartbeatMillis())
+                .setStopLeftMillis((int) own.stopLeftMillis());
     }
 
     /** Decodes a placement of another router. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OwnHeartbeat.java
@@ -48,7 +48,7 @@
     private final RouterIdentity identity;
     private final PeerTable peers;
     private final PublishedState state;
-    private final BooleanSupplier ready;
+    private final Readiness ready;
     private final RequestRate requests;
     private final BooleanSupplier readsPlatform;
     private List<Address> includedAddresses = List.of();
@@ -61,7 +61,7 @@
             RouterIdentity identity,
             PeerTable peers,
             PublishedState state,
-            BooleanSupplier ready,
+            Readiness ready,
             RequestRate requests,
             BooleanSupplier readsPlatform) {
         this.loop = loop;
@@ -82,7 +82,7 @@
 
     /** Returns whether this router can serve callers. */
     boolean isReady() {
-        return ready.getAsBoolean();
+        return ready.ready();
     }
 
     /** Returns the data centre of this router. */
@@ -97,13 +97,14 @@
                 identity.dataCentre(),
                 identity.callerAddress(),
                 identity.peerAddress(),
-                ready.getAsBoolean(),
+                ready.ready(),
                 state.configurationVersion(),
                 state.upstreamsRevision(),
                 identity.capacityPercent(),
                 requests.perSecond(),
                 takesCallers,
-                nextMillis);
+                nextMillis,
+                ready.stopLeftMillis());
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -80,7 +80,7 @@
         if (!context.stop().allows(facts, null, now)) {
             context.stop().countRejected();
             return refuse(
-                    request, exchange, RefusalCause.STOPPING, context.stop().retryAfterMillis(now));
+                    request, exchange, RefusalCause.STOPPING, context.stop().retryAfterMillis(facts, null, now));
         }
         RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, running::remove);
         running.add(run);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -210,7 +210,8 @@
                 .put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
                 .put("predicted_millis", choice == null ? 0 : Math.round(choice.predictedMillis()))
                 .put("longest_millis", stop.longestMillis(facts, choice, nowMillis))
-                .put("ready_peer", stop.hasReadyPeer())
+                .put("ready_router", stop.others().ready())
+                .put("other_left_millis", stop.others().longestLeftMillis())
                 .write();
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -118,7 +118,7 @@
         }
         stop.countRejected();
         log.rejectedAsStopping(choice, now);
-        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(now));
+        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(facts, choice, now));
         return true;
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -1,8 +1,9 @@
 package org.apricotstack.serving.run;
 
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 
@@ -10,7 +11,7 @@
 public final class StopGate {
 
     private final StopPolicy policy;
-    private final BooleanSupplier hasReadyPeer;
+    private final Supplier<OtherRouters> others;
     private final CompletionTimes times;
     private long arrived;
     private long rejected;
@@ -19,12 +20,12 @@
      * Creates a gate.
      *
      * @param policy the policy of this router's stop
-     * @param hasReadyPeer whether another router is ready
+     * @param others the other routers
      * @param loadTable placements and load of the engines
      */
-    public StopGate(StopPolicy policy, BooleanSupplier hasReadyPeer, EngineLoadTable loadTable) {
+    public StopGate(StopPolicy policy, Supplier<OtherRouters> others, EngineLoadTable loadTable) {
         this.policy = policy;
-        this.hasReadyPeer = hasReadyPeer;
+        this.others = others;
         this.times = new CompletionTimes(loadTable);
     }
 
@@ -60,14 +61,14 @@
         return !timeline().stopping() || policy.takes(longestMillis(facts, choice, nowMillis), nowMillis);
     }
 
-    /** Returns the retry-after for a rejected caller, in milliseconds. */
-    long retryAfterMillis(long nowMillis) {
-        return policy.retryAfterMillis(hasReadyPeer.getAsBoolean(), nowMillis);
+    /** Returns the retry-after for the caller of a rejected request, in milliseconds. */
+    long retryAfterMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        return policy.retryAfterMillis(others.get(), longestMillis(facts, choice, nowMillis), nowMillis);
     }
 
-    /** Returns whether another router is ready. */
-    boolean hasReadyPeer() {
-        return hasReadyPeer.getAsBoolean();
+    /** Returns the other routers. */
+    OtherRouters others() {
+        return others.get();
     }
 
     /** Counts a request that arrived while this router was stopping. */
