Answer a request whose head arrives while idle connections are closed

What callers saw: a request got no answer, and its connection ended 3 s later by the header timeout.

Cause: closing idle connections marked each connection as closing, also one of which half a request head had arrived. When the head was complete, the request was dropped like bytes behind a last response.

Change: such a connection is left alone; its next response says that it closes, as all responses of a stopping router do.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -264,9 +264,8 @@
         context.close();
     }
 
-    /** Closes the connection if it has no request in flight, otherwise after the response. */
+    /** Closes the connection if it has no request in flight; otherwise the next response closes it. */
     void closeIfIdle() {
-        closing = true;
         if (exchange == null && !headStarted) {
             closeAfterResponse();
         }
