Read what has arrived before an idle connection is closed

What callers saw: a request on a kept connection got no answer, though the router had read it, as the connection was closed as idle in that moment.

Cause: an idle connection was half closed and read on for 500 ms. What it read meanwhile, also what had arrived before, was dropped.

Change: it reads for 20 ms what has arrived, and is closed only if it is still idle then. It is closed whole: a request that crosses the close is not read, so that its caller knows that it has not run.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -38,6 +38,9 @@
      */
     private static final long LINGER_MILLIS = 500;
 
+    /** Time in which an idle connection reads what has arrived before it is closed, in milliseconds. */
+    private static final long IDLE_CLOSE_MILLIS = 20;
+
     private final CallerServer server;
     private final Deque<Object> pendingMessages = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -264,11 +267,17 @@
         context.close();
     }
 
-    /** Closes the connection if it has no request in flight; otherwise the next response closes it. */
+    /**
+     * Closes the connection if it has no request in flight; otherwise the next response closes it. What has arrived is
+     * read first. What arrives later is not read, so that the caller knows that its request has not run.
+     */
     void closeIfIdle() {
-        if (exchange == null && !headStarted) {
-            closeAfterResponse();
-        }
+        server.schedule(IDLE_CLOSE_MILLIS, () -> {
+            if (exchange == null && !headStarted) {
+                closing = true;
+                context.close();
+            }
+        });
     }
 
     /** Closes the connection if a timeout for receiving a request has passed. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/IdleConnectionCloseTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/IdleConnectionCloseTest.java
@@ -63,12 +63,15 @@
                     new BufferedReader(new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII));
             send(caller);
             assertThat(readHead(in)).isEqualTo(SERVED);
+            CountDownLatch entered = new CountDownLatch(1);
             CountDownLatch sent = new CountDownLatch(1);
             loop.execute(() -> {
+                entered.countDown();
                 await(sent);
                 server.beginStop();
                 server.closeIdle();
             });
+            await(entered);
             send(caller);
             sent.countDown();
             assertThat(readHead(in)).isEqualTo(SERVED);
