Keep the connection of a stream that did not say that it closes

What callers saw: a request behind a stream got no answer. The stream had begun before the router was stopped, so its head did not say that the connection closes, and the caller used it again.

Cause: whether a connection closes was decided anew at the end of a stream. After a stop it closed, and what it read was dropped.

Change: what the head said holds. The connection serves the next request, whose response says that it closes; if none comes, it is closed as idle once that phase of the stop has begun.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -242,6 +242,9 @@
         while (!pendingMessages.isEmpty() && (exchange == null || !bodyComplete)) {
             process(pendingMessages.pollFirst());
         }
+        if (exchange == null && server.closesIdle()) {
+            closeIfIdle();
+        }
     }
 
     /** Shuts down the output, and closes the connection after a delay. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -27,6 +27,7 @@
     private final CallerConnection connection;
     private final boolean keepAlive;
     private boolean answerStarted;
+    private boolean closesAfterResponse;
     private boolean ended;
 
     /** Creates an exchange for a request whose headers were just read. */
@@ -70,7 +71,7 @@
         own.remove(HttpHeaderNames.CONTENT_LENGTH);
         own.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, own);
-        closesAfter(response);
+        closesAfterResponse = closesAfter(response);
         connection.writeWithoutFlush(response);
     }
 
@@ -111,7 +112,7 @@
         }
         ended = true;
         connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
-        connection.answered(!keepAlive || connection.closing());
+        connection.answered(closesAfterResponse);
     }
 
     /** Aborts the connection instead of completing the response. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -51,6 +51,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listenChannel;
     private boolean stopping;
+    private boolean closesIdle;
     private long malformed;
 
     /**
@@ -153,8 +154,9 @@
         stopping = true;
     }
 
-    /** Closes connections without a request in flight. */
+    /** Closes connections without a request in flight, and from now on each one that becomes idle. */
     public void closeIdle() {
+        closesIdle = true;
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
@@ -189,6 +191,11 @@
         return stopping;
     }
 
+    /** Returns whether idle connections are closed. */
+    boolean closesIdle() {
+        return closesIdle;
+    }
+
     /** Returns the limits for callers. */
     CallerLimits limits() {
         return limits.get();
