End a router only when its responses are written

What callers saw: a response of some megabytes to a caller that reads slowly ended in the middle when the router stopped.

Cause: a request counts as ended when its response is handed to the connection, and the router ended with the last request, whatever was still to be written.

Change: a connection with unwritten bytes keeps a stopping router open like a request, until its time is over, and is not closed as idle before they are written.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -72,7 +72,7 @@
     /**
      * Returns whether the process ends.
      *
-     * @param open number of requests in flight
+     * @param open number of requests in flight and of responses that are not written yet
      * @param nowMillis the current time
      * @return whether no caller needs it any more, or no time is left
      */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -14,8 +14,8 @@
  *
  * <p>Callers learn of the stop only when they ask for addresses again, and use their connections until then. So the
  * router is first removed from the addresses for callers and closes each connection after its response; later it closes
- * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open any
- * more, and in any case shortly before the process would be killed.
+ * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open and
+ * all responses are written, and in any case shortly before the process would be killed.
  */
 final class StopSequence {
 
@@ -73,7 +73,7 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        if (policy.ends(runs.open(), now)) {
+        if (policy.ends(runs.open() + callers.unwritten(), now)) {
             runs.processEnds();
             line("stopped").put("took_millis", elapsedMillis).write();
             callers.stopListening();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -271,16 +272,18 @@
     }
 
     /**
-     * Closes the connection if it has no request in flight; otherwise the next response closes it. What has arrived is
-     * read first. What arrives later is not read, so that the caller knows that its request has not run.
+     * Closes the connection if it has no request in flight; otherwise the next response closes it. Responses are
+     * written and what has arrived is read first. What arrives later is not read, so that the caller knows that its
+     * request has not run.
      */
     void closeIfIdle() {
-        server.schedule(IDLE_CLOSE_MILLIS, () -> {
-            if (exchange == null && !headStarted) {
-                closing = true;
-                context.close();
-            }
-        });
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(written -> server.schedule(IDLE_CLOSE_MILLIS, () -> {
+                    if (exchange == null && !headStarted) {
+                        closing = true;
+                        context.close();
+                    }
+                }));
     }
 
     /** Closes the connection if a timeout for receiving a request has passed. */
@@ -324,6 +327,12 @@
                 : "";
     }
 
+    /** Returns whether bytes of a response were not written yet. */
+    boolean hasUnwritten() {
+        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+        return buffer != null && buffer.totalPendingWriteBytes() > 0;
+    }
+
     /** Returns whether the write buffer is below its high-water mark. */
     boolean writable() {
         return context.channel().isWritable();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -160,6 +160,15 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /**
+     * Returns the number of connections with bytes of responses that were not written yet.
+     *
+     * @return connections whose callers read slowly
+     */
+    public int unwritten() {
+        return (int) connections.stream().filter(CallerConnection::hasUnwritten).count();
+    }
+
     /** Stops accepting connections. */
     public void stopListening() {
         if (listenChannel != null) {
