Answer the requests that a router's end finds open

What callers saw: a request without any response when a stopping router had no time left: its connection was closed. Callers could not tell whether it had run, and upstreams and reserved memory were left to time out.

Cause: the process ended with whatever was open, without ending the requests, 300 ms before it would be killed. The last check could come 100 ms late and the log take 200 ms, so nothing of that was left.

Change: at its end the router ends each open request: as not run or as unknown, with Retry-After; a stream that has begun is cut. Attempts are cancelled and reservations released, and the process stays for 100 ms so that all that is written. The end comes 500 ms before the kill, and its check is not late.

Evidence: both tests of StopEndTest failed before (the connection ended without a response) and pass. With the wider margin the test of a timeout of 1 s failed, as idle connections were closed only at the end; half of the time until the end counts now.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -20,7 +20,7 @@
      */
     public StopPolicy(long timeoutMillis, AddressLifetime addresses) {
         this.timeline = new StopTimeline(timeoutMillis);
-        this.closesIdleMillis = Math.min(addresses.longestMillis(), timeoutMillis / 2);
+        this.closesIdleMillis = Math.min(addresses.longestMillis(), timeline.durationMillis() / 2);
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
@@ -3,8 +3,8 @@
 /** The time between the stop signal of a router and the end of its process. */
 public final class StopTimeline {
 
-    /** Time between the end of the process and the moment at which it would be killed, in milliseconds. */
-    private static final long MARGIN_MILLIS = 300;
+    /** Time for the last responses and log lines before the process would be killed, in milliseconds. */
+    private static final long MARGIN_MILLIS = 500;
 
     private final long timeoutMillis;
     private boolean stopping;
@@ -20,6 +20,15 @@
         this.timeoutMillis = timeoutMillis;
     }
 
+    /**
+     * Returns the longest time from the signal to the end of the process.
+     *
+     * @return milliseconds
+     */
+    public long durationMillis() {
+        return Math.max(0, timeoutMillis - MARGIN_MILLIS);
+    }
+
     /**
      * Records the signal; further signals have no effect.
      *
@@ -73,6 +82,6 @@
      * @return milliseconds, negative if it is over; {@link Long#MAX_VALUE} if the router is not stopping
      */
     public long leftMillis(long nowMillis) {
-        return stopping ? timeoutMillis - MARGIN_MILLIS - elapsedMillis(nowMillis) : Long.MAX_VALUE;
+        return stopping ? durationMillis() - elapsedMillis(nowMillis) : Long.MAX_VALUE;
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -21,6 +21,9 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
+    /** Time in which the last responses, and the releases of reserved memory, are written, in milliseconds. */
+    private static final long FLUSH_MILLIS = 100;
+
     private final ServingLoop loop;
     private final CallerServer callers;
     private final RequestDispatcher runs;
@@ -74,15 +77,25 @@
             callers.closeIdle();
         }
         if (policy.ends(runs.open() + callers.unwritten(), now)) {
-            runs.processEnds();
-            line("stopped").put("took_millis", elapsedMillis).write();
-            callers.stopListening();
-            timeline.end();
-            hub.heartbeat();
+            end(elapsedMillis);
+        } else {
+            long untilEndMillis = Math.max(1, timeline.leftMillis(now));
+            loop.schedule(Math.min(CHECK_INTERVAL_MILLIS, untilEndMillis), this::runDueSteps);
+        }
+    }
+
+    /** Ends the requests that are still open, and the process once their responses are written. */
+    private void end(long elapsedMillis) {
+        line("stopped").put("took_millis", elapsedMillis).write();
+        callers.stopListening();
+        timeline.end();
+        hub.heartbeat();
+        if (runs.open() == 0) {
             whenDone.run();
-            return;
+        } else {
+            runs.processEnds();
+            loop.schedule(FLUSH_MILLIS, whenDone);
         }
-        loop.schedule(CHECK_INTERVAL_MILLIS, this::runDueSteps);
     }
 
     /** Logs the begin of a phase. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -181,7 +181,7 @@
         gates.expire(platformAnswers);
     }
 
-    /** Records the requests that are in flight when the process ends. */
+    /** Ends the requests that are in flight because the process ends. */
     public void processEnds() {
         List.copyOf(running).forEach(RequestRun::processEnds);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -292,9 +292,14 @@
         close();
     }
 
-    /** Records that the process ends while the request is in flight. */
+    /** Ends the run because the process ends; a stream that has started is cut. */
     void processEnds() {
-        log.cutByStop(sender.current(), exchange.answerStarted(), context.nowMillis());
+        long now = context.nowMillis();
+        log.cutByStop(sender.current(), exchange.answerStarted(), now);
+        if (sender.current() != null) {
+            attempts.endedInFlight();
+        }
+        endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(facts, null, now));
     }
 
     /** Ends the run because its time limit has passed. */
