End a stopping router 400 ms before it would be killed

What callers saw: more rejections than needed.

Change: 400 ms, which still holds 100 ms for the last responses and 200 ms for the last log lines.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
@@ -4,7 +4,7 @@
 public final class StopTimeline {
 
     /** Time for the last responses and log lines before the process would be killed, in milliseconds. */
-    private static final long MARGIN_MILLIS = 500;
+    private static final long MARGIN_MILLIS = 400;
 
     private final long timeoutMillis;
     private boolean stopping;
