Record the routers that received a crash in a concurrent set

What was seen: in a run of all tests, SuspectGossipTest timed out after 30 s waiting until the active routers had received one crash.

Cause: the test, not the routers. Each router reports a received crash on its own event loop, and all of them added themselves to one ArrayList. Two additions at the same time can leave one, and a router reports each crash once, so the condition cannot hold any more.

The logs of the run that failed first were not compared router by router.

Why this mends it: additions to a concurrent set are not lost.

--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/SuspectGossipTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/SuspectGossipTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.apricotstack.bench.deployment.LocalDeployment;
@@ -25,7 +26,9 @@
     private static final RequestDigest CAUSE = new RequestDigest(2, 2);
 
     private final List<GossipNode> fleet = new ArrayList<>();
-    private final Map<RequestDigest, List<GossipNode>> reports = new ConcurrentHashMap<>();
+
+    /** The routers that received a crash under each request; each router adds itself on a thread of its own. */
+    private final Map<RequestDigest, Set<GossipNode>> reports = new ConcurrentHashMap<>();
 
     @AfterEach
     void close() {
@@ -35,8 +38,8 @@
     private void start(int number) {
         List<Address> seeds = fleet.stream().limit(3).map(GossipNode::address).toList();
         GossipNode router = new GossipNode(number, seeds, CAPACITY_PERCENT);
-        router.onCrashReported(request ->
-                reports.computeIfAbsent(request, key -> new ArrayList<>()).add(router));
+        router.onCrashReported(request -> reports.computeIfAbsent(request, key -> ConcurrentHashMap.newKeySet())
+                .add(router));
         fleet.add(router);
     }
 
@@ -50,7 +53,7 @@
         return routers.stream()
                 .filter(router -> router != sender)
                 .allMatch(router -> router.read(
-                        hub -> reports.getOrDefault(request, List.of()).contains(router)));
+                        hub -> reports.getOrDefault(request, Set.of()).contains(router)));
     }
 
     /**
