--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -308,6 +308,16 @@
         return peers.callerAddresses(hub.ownPeer(), dataCentre, MAX_ADDRESSES, loop.nowMillis());
     }
 
+    /**
+     * Returns whether this router or another one is stopping, as far as it is known here.
+     *
+     * @return whether a stop is in progress
+     */
+    public boolean knowsOfStop() {
+        return stopPolicy.timeline().stopping()
+                || peers.others(loop.nowMillis()).longestLeftMillis() > 0;
+    }
+
     /**
      * Adds addresses at which other routers may be reached; called on the event loop.
      *
