Wait for requests that are arriving before a router ends

What callers saw: a request whose head was arriving when a stopping router had nothing else open got no answer, and what had arrived on idle connections was not read: the router ended in the moment in which it began to close them.

Cause: half a head and a pending idle close did not count as open. Found by review.

Change: they count, until the time of the stop is over. A connection that lingers after its last response is left alone by the idle close.

Evidence: StoppingRouterTest.waitsForARequestWhoseHeadIsArriving; with the code before, the reviewer saw the same test without its open request end without a response.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -72,7 +72,7 @@
     /**
      * Returns whether the process ends.
      *
-     * @param open number of requests in flight and of responses that are not written yet
+     * @param open number of requests in flight and of connections that must not be closed yet
      * @param nowMillis the current time
      * @return whether no caller needs it any more, or no time is left
      */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -14,8 +14,8 @@
  *
  * <p>Callers learn of the stop only when they ask for addresses again, and use their connections until then. So the
  * router is first removed from the addresses for callers and closes each connection after its response; later it closes
- * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open and
- * all responses are written, and in any case shortly before the process would be killed.
+ * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open or
+ * arriving and all responses are written, and in any case shortly before the process would be killed.
  */
 final class StopSequence {
 
@@ -76,7 +76,7 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        if (policy.ends(runs.open() + callers.unwritten(), now)) {
+        if (policy.ends(runs.open() + callers.unsettled(), now)) {
             end(elapsedMillis);
         } else {
             long untilEndMillis = Math.max(1, timeline.leftMillis(now));
@@ -110,6 +110,7 @@
     private DecisionLog.Line line(String event) {
         return log.line(event)
                 .put("open", runs.open())
+                .put("unsettled_connections", callers.unsettled())
                 .put("arrived", gate.arrived())
                 .put("rejected", gate.rejected());
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -52,6 +52,7 @@
     private boolean bodyComplete = true;
     private boolean closing;
     private boolean headStarted;
+    private boolean closesWhenIdle;
     private long lastReadMillis;
 
     /** Creates the connection. */
@@ -277,13 +278,21 @@
      * request has not run.
      */
     void closeIfIdle() {
+        if (closing || exchange != null || headStarted) {
+            return;
+        }
+        closesWhenIdle = true;
         context.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(written -> server.schedule(IDLE_CLOSE_MILLIS, () -> {
-                    if (exchange == null && !headStarted) {
-                        closing = true;
-                        context.close();
-                    }
-                }));
+                .addListener(written -> server.schedule(IDLE_CLOSE_MILLIS, this::closeIfStillIdle));
+    }
+
+    /** Closes the connection unless a request has begun to arrive. */
+    private void closeIfStillIdle() {
+        closesWhenIdle = false;
+        if (exchange == null && !headStarted) {
+            closing = true;
+            context.close();
+        }
     }
 
     /** Closes the connection if a timeout for receiving a request has passed. */
@@ -327,10 +336,12 @@
                 : "";
     }
 
-    /** Returns whether bytes of a response were not written yet. */
-    boolean hasUnwritten() {
+    /** Returns whether a request has begun to arrive, or bytes of a response were not written yet. */
+    boolean isUnsettled() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-        return buffer != null && buffer.totalPendingWriteBytes() > 0;
+        boolean unwritten = buffer != null && buffer.totalPendingWriteBytes() > 0;
+        boolean arriving = exchange == null && headStarted && !closing;
+        return closesWhenIdle || arriving || unwritten;
     }
 
     /** Returns whether the write buffer is below its high-water mark. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -161,12 +161,13 @@
     }
 
     /**
-     * Returns the number of connections with bytes of responses that were not written yet.
+     * Returns the number of connections on which a request has begun to arrive, a response is not written yet, or what
+     * has arrived is still being read before they are closed as idle.
      *
-     * @return connections whose callers read slowly
+     * @return connections that must not be closed yet
      */
-    public int unwritten() {
-        return (int) connections.stream().filter(CallerConnection::hasUnwritten).count();
+    public int unsettled() {
+        return (int) connections.stream().filter(CallerConnection::isUnsettled).count();
     }
 
     /** Stops accepting connections. */
