Ask a stopping router's time again right before a request is sent

What callers saw: a request that waited for a reservation or a permit could be sent up to 0.7 s after the last look at the time that is left, also if the signal came in between. A failed one took a unit of the retry budget before it was rejected.

Change: the longest time that was found for the choice is compared again with the time that is left when the reservation and the permit are there, and before a retry is paid for. The log shows that figure; before, it was worked out anew after the placement was recorded and counted the request itself. The time of a stop begins with the signal, not when the event loop comes to it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -342,7 +342,8 @@
      * @param whenDone called once the router has stopped
      */
     public void stop(Runnable whenDone) {
-        loop.execute(() -> stop.begin(whenDone));
+        long signalMillis = loop.nowMillis();
+        loop.execute(() -> stop.begin(signalMillis, whenDone));
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -54,12 +54,12 @@
     }
 
     /** Starts to stop the router. */
-    void begin(Runnable done) {
+    void begin(long signalMillis, Runnable done) {
         if (timeline.stopping()) {
             return;
         }
         long now = loop.nowMillis();
-        timeline.begin(now);
+        timeline.begin(signalMillis);
         whenDone = done;
         line("stop_begun").put("left_millis", timeline.leftMillis(now)).write();
         callers.beginStop();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -77,10 +77,11 @@
         }
         long now = context.nowMillis();
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, now);
-        if (!context.stop().allows(facts, null, now)) {
-            context.stop().countRejected();
-            return refuse(
-                    request, exchange, RefusalCause.STOPPING, context.stop().retryAfterMillis(facts, null, now));
+        StopGate stop = context.stop();
+        if (stop.timeline().stopping() && !stop.takes(stop.longestMillis(facts, null, now), now)) {
+            stop.countRejected();
+            long retryMillis = stop.retryAfterMillis(stop.longestMillis(facts, null, now), now);
+            return refuse(request, exchange, RefusalCause.STOPPING, retryMillis);
         }
         RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, running::remove);
         running.add(run);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -73,8 +73,11 @@
                 .write();
     }
 
-    /** Logs an attempt and the upstreams that were skipped for it. */
-    void sent(UpstreamChoice choice, SkippedUpstreams skipped, long nowMillis) {
+    /**
+     * Logs an attempt and the upstreams that were skipped for it; on a stopping router also the longest time of the
+     * request.
+     */
+    void sent(UpstreamChoice choice, SkippedUpstreams skipped, long longestMillis, long nowMillis) {
         count(PassedOverCause.LIMIT, skipped.rateLimited());
         count(PassedOverCause.DRAINING, skipped.draining());
         count(PassedOverCause.BACK_OFF, skipped.backingOff());
@@ -96,8 +99,7 @@
                 .put("board", context.loadTable().size());
         StopGate stop = context.stop();
         if (stop.timeline().stopping()) {
-            line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
-                    .put("longest_millis", stop.longestMillis(facts, choice, nowMillis));
+            line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis)).put("longest_millis", longestMillis);
         }
         line.write();
     }
@@ -203,13 +205,12 @@
     }
 
     /** Logs the figures by which a stopping router rejects the request. */
-    void rejectedAsStopping(UpstreamChoice choice, long nowMillis) {
+    void rejectedAsStopping(long longestMillis, long nowMillis) {
         StopGate stop = context.stop();
         line("rejected_by_stop")
                 .put("stopping_millis", stop.timeline().elapsedMillis(nowMillis))
                 .put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
-                .put("predicted_millis", choice == null ? 0 : Math.round(choice.predictedMillis()))
-                .put("longest_millis", stop.longestMillis(facts, choice, nowMillis))
+                .put("longest_millis", longestMillis)
                 .put("ready_router", stop.others().ready())
                 .put("other_left_millis", stop.others().longestLeftMillis())
                 .write();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -146,6 +146,9 @@
         }
         long now = context.nowMillis();
         RefusalCause cause = attempts.retryRefusal(kind, isUncounted, facts.remainingMillis(now));
+        if (cause == null && !exchange.answerStarted() && !sender.mayComplete(now)) {
+            cause = RefusalCause.STOPPING;
+        }
         if (cause == null
                 && !isUncounted
                 && !context.budgets().of(facts.service()).trySpend(now)) {
@@ -299,7 +302,7 @@
         if (sender.current() != null) {
             attempts.endedInFlight();
         }
-        endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(facts, null, now));
+        endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(0, now));
     }
 
     /** Ends the run because its time limit has passed. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -36,6 +36,7 @@
     private ReservedHelpers reserved;
     private boolean waitsForCapacity;
     private boolean waitsForTrial;
+    private long longestMillis;
 
     /** Creates a sender that has no body yet. */
     RequestSender(
@@ -113,12 +114,28 @@
      */
     private boolean rejectsAsStopping(UpstreamChoice choice, long now) {
         StopGate stop = context.stop();
-        if (progress.answerStarted() || stop.allows(facts, choice, now)) {
+        if (!stop.timeline().stopping() || progress.answerStarted()) {
+            return false;
+        }
+        longestMillis = stop.longestMillis(facts, choice, now);
+        return rejectsAsStopping(now);
+    }
+
+    /** Returns whether this router still has time for the request, as far as is known before an upstream is chosen. */
+    boolean mayComplete(long now) {
+        StopGate stop = context.stop();
+        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, null, now), now);
+    }
+
+    /** Rejects the request if its longest time no longer fits into the time that is left. */
+    private boolean rejectsAsStopping(long now) {
+        StopGate stop = context.stop();
+        if (stop.takes(longestMillis, now)) {
             return false;
         }
         stop.countRejected();
-        log.rejectedAsStopping(choice, now);
-        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(facts, choice, now));
+        log.rejectedAsStopping(longestMillis, now);
+        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(longestMillis, now));
         return true;
     }
 
@@ -287,6 +304,9 @@
             send();
             return;
         }
+        if (longestMillis > 0 && !progress.answerStarted() && rejectsAsStopping(context.nowMillis())) {
+            return;
+        }
         SuspectDecision decision = suspectTracker.decide();
         if (decision.sends()) {
             forward(attempt, decision);
@@ -314,7 +334,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, chooser.skippedUpstreams(facts.service()), now);
+        log.sent(choice, chooser.skippedUpstreams(facts.service()), longestMillis, now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -53,17 +53,14 @@
         return choice == null ? times.leastMillis(facts, nowMillis) : times.longestMillis(facts, choice, nowMillis);
     }
 
-    /**
-     * Returns whether a request that is sent now is completed before the process ends; the choice is {@code null} while
-     * there is none.
-     */
-    boolean allows(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return !timeline().stopping() || policy.takes(longestMillis(facts, choice, nowMillis), nowMillis);
+    /** Returns whether a request of the given longest time is completed before the process ends. */
+    boolean takes(long longestMillis, long nowMillis) {
+        return policy.takes(longestMillis, nowMillis);
     }
 
     /** Returns the retry-after for the caller of a rejected request, in milliseconds. */
-    long retryAfterMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return policy.retryAfterMillis(others.get(), longestMillis(facts, choice, nowMillis), nowMillis);
+    long retryAfterMillis(long longestMillis, long nowMillis) {
+        return policy.retryAfterMillis(others.get(), longestMillis, nowMillis);
     }
 
     /** Returns the other routers. */
