Tell rejected callers to return when the first router can be back

Cause: the advice took the latest end of a stop for its end. Most stops end once idle connections are closed.

Change: the advice is the earliest end of a stop, this one's or another's, and the time of a restart.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -44,7 +44,8 @@
     }
 
     /**
-     * Returns when a rejected caller can be served.
+     * Returns when a rejected caller can be served. Without a router that takes the request now this is when the first
+     * stopping router, this one included, can be back; most end as soon as they have closed idle connections.
      *
      * @param others the other routers
      * @param longestMillis the longest time that the request takes, in milliseconds
@@ -55,8 +56,9 @@
         if (others.ready() || others.longestLeftMillis() >= longestMillis) {
             return OTHER_ROUTER_MILLIS;
         }
-        long ownEndMillis = Math.max(0, timeline.leftMillis(nowMillis));
-        return Math.min(ownEndMillis, others.soonestEndMillis()) + RESTART_MILLIS;
+        long leftMillis = Math.min(Math.max(0, timeline.leftMillis(nowMillis)), others.soonestEndMillis());
+        long earliestEndMillis = Math.max(0, leftMillis - (timeline.durationMillis() - closesIdleMillis));
+        return earliestEndMillis + RESTART_MILLIS;
     }
 
     /**
