--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -308,6 +308,15 @@
         return peers.callerAddresses(hub.ownPeer(), dataCentre, MAX_ADDRESSES, loop.nowMillis());
     }
 
+    /**
+     * Returns whether this router or another one is ready.
+     *
+     * @return {@code false} while callers can only be sent to stopping routers
+     */
+    public boolean hasReadyRouter() {
+        return ready() || peers.others(loop.nowMillis()).ready();
+    }
+
     /**
      * Returns whether this router or another one is stopping, as far as it is known here.
      *
