Let no single delay set the longest time of later requests

What callers saw: nothing yet; found by review. One short answer that was delayed by half a second raised the longest time of an answer of 300 tokens from 0.5 s to 9.5 s, as its delay counted for each token, and one slow answer of a plain service held for 512 requests: a stopping router would have rejected nearly all of them.

Change: answers whose limit is below the usual length are not recorded, and the slowest hundredth of the records does not count. A request that was chosen before the signal and is sent after it is asked for the first time then.

Evidence: CompletionTimesTest.learnsNoPaceFromShortAnswers and ignoresASingleSlowAnswerAmongMany.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -29,6 +29,9 @@
     /** Factor of the predicted pace of an engine that covers the prefill of other prompts meanwhile. */
     private static final double PREFILL_FACTOR = 1.25;
 
+    /** Share of the recent requests that are faster than the slowest one that counts. */
+    private static final double SLOW_SHARE = 0.99;
+
     private static final double MICROS_PER_MILLI = 1_000;
 
     private final EngineLoadTable loadTable;
@@ -39,8 +42,14 @@
         this.loadTable = loadTable;
     }
 
-    /** Records a request that one attempt completed; that of an engine relative to the limit of its answer. */
+    /**
+     * Records a request that one attempt completed; that of an engine relative to the limit of its answer. Short
+     * answers of engines say little of their pace.
+     */
     void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
+        if (facts.runsOnEngines() && facts.answerTokens() < usualTokens(facts)) {
+            return;
+        }
         long units = facts.runsOnEngines() ? Math.max(1, facts.answerTokens()) : 1;
         double micros = Math.max(0, tookMillis - predictedMillis) * MICROS_PER_MILLI / units;
         recordedMicros
@@ -48,6 +57,10 @@
                 .update(Math.round(micros));
     }
 
+    private static long usualTokens(RequestFacts facts) {
+        return facts.profile().engine().orElseThrow().meanAnswerTokens();
+    }
+
     /** Estimates the shortest time of the longest answer to a request, in milliseconds; its deadline bounds it. */
     long leastMillis(RequestFacts facts, long nowMillis) {
         double millis;
@@ -84,9 +97,9 @@
                 : PLAIN_LATENCY_TARGETS * facts.route().targetLatencyMillis();
     }
 
-    /** Returns the slowest record of the request's service, in milliseconds; 0 without records. */
+    /** Returns the slowest record of the request's service that counts, in milliseconds; 0 without records. */
     private double slowestMillis(RequestFacts facts) {
         SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
-        return recorded == null ? 0 : recorded.getSnapshot().getMax() / MICROS_PER_MILLI;
+        return recorded == null ? 0 : recorded.getSnapshot().getValue(SLOW_SHARE) / MICROS_PER_MILLI;
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -127,6 +127,14 @@
         return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, null, now), now);
     }
 
+    /** Rejects the request if the time became too short while it waited for reservations and a permit. */
+    private boolean rejectsBeforeSending(UpstreamChoice choice, long now) {
+        if (longestMillis == 0) {
+            return rejectsAsStopping(choice, now);
+        }
+        return !progress.answerStarted() && rejectsAsStopping(now);
+    }
+
     /** Rejects the request if its longest time no longer fits into the time that is left. */
     private boolean rejectsAsStopping(long now) {
         StopGate stop = context.stop();
@@ -304,7 +312,7 @@
             send();
             return;
         }
-        if (longestMillis > 0 && !progress.answerStarted() && rejectsAsStopping(context.nowMillis())) {
+        if (rejectsBeforeSending(attempt.choice(), context.nowMillis())) {
             return;
         }
         SuspectDecision decision = suspectTracker.decide();
