Let a test of idle connections fail instead of running for ever

With StopPolicy.closesIdle switched off (always false), AddressLifetimeTest counted milliseconds up to the end of the long and the build hung; the mutant had to be killed. The loop now ends with the timeout, and the same assertion fails: 0 ms left, expected to be positive. What is asserted is as before.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/AddressLifetimeTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/AddressLifetimeTest.java
@@ -29,7 +29,7 @@
         StopPolicy policy = new StopPolicy(stopTimeoutMillis, AddressLifetime.of(stopTimeoutMillis, 5));
         policy.timeline().begin(0);
         long closesMillis = 0;
-        while (!policy.closesIdle(closesMillis)) {
+        while (!policy.closesIdle(closesMillis) && policy.timeline().leftMillis(closesMillis) > 0) {
             closesMillis++;
         }
         assertThat(policy.timeline().leftMillis(closesMillis)).isPositive();
