Guard the end of a stop, and the naming of the own router, with tests

Of 22 mutants of the core's part of the mend four were seen by no test:

- a router that ends as soon as nothing is open, before callers have forgotten its address: they would find nobody there;
- a router that never ends before its timeout;
- a router that has ended but goes on announcing its time left, so that the others send callers to it;
- a stopping router that never names itself: while all are stopping, callers who ask it get the addresses of those that end earlier.

Each has a test now that was seen to fail with the mutant: doesNotEndWhileCallersMaySendRequestsThoughNoneIsOpen (the first two), announcesNoTimeOnceItHasEnded, sendsCallersToThisStoppingRouterIfItEndsLast.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -97,6 +97,18 @@
         assertThat(callerIps(EAST, 1_000)).containsExactly("127.0.0.4");
     }
 
+    /** Callers would get no address, and go on with the one of a router that ends first. */
+    @Test
+    void sendsCallersToThisStoppingRouterIfItEndsLast() {
+        table.recordHeartbeat(stopping(1, 3_000), 0);
+        assertThat(table.callerAddresses(stopping(2, 6_000), EAST, 64, 0))
+                .extracting(Address::ip)
+                .containsExactly("127.0.0.2");
+        assertThat(table.callerAddresses(stopping(2, 2_000), EAST, 64, 0))
+                .extracting(Address::ip)
+                .containsExactly("127.0.0.1");
+    }
+
     @Test
     void sendsNoCallersToAStoppingRouterThatIsSilentOrHasEnded() {
         table.recordHeartbeat(stopping(1, 1_000), 0);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -50,4 +50,29 @@
         assertThat(policy.retryAfterMillis(OtherRouters.NONE, longestMillis, 5_000))
                 .isEqualTo(3_600);
     }
+
+    /** Callers cache the router's address, and find nobody there once it has ended. */
+    @Test
+    void doesNotEndWhileCallersMaySendRequestsThoughNoneIsOpen() {
+        policy.timeline().begin(0);
+        long forgottenMillis = new AddressLifetime(1).longestMillis();
+        assertThat(policy.ends(0, forgottenMillis - 1)).isFalse();
+        assertThat(policy.ends(0, forgottenMillis)).isTrue();
+    }
+
+    @Test
+    void doesNotEndWhileARequestIsOpenThatTheTimeoutAllows() {
+        policy.timeline().begin(0);
+        assertThat(policy.ends(1, 7_599)).isFalse();
+        assertThat(policy.ends(1, 7_600)).isTrue();
+    }
+
+    /** The others would send callers to it for as long as its timeout would have allowed. */
+    @Test
+    void announcesNoTimeOnceItHasEnded() {
+        policy.timeline().begin(0);
+        assertThat(policy.timeline().takesRequestsMillis(3_200)).isEqualTo(4_400);
+        policy.timeline().end();
+        assertThat(policy.timeline().takesRequestsMillis(3_200)).isZero();
+    }
 }
