Simulate stops beside stalls, lost halves, late starts and short requests

The simulation knows more of what happens while routers stop: routers that are not ready at first, one that stalls, halves that receive no heartbeats of each other, data centre by data centre, a second series before the first has ended, answers that take longer than routers assume, plain requests with a deadline, callers that await the Retry-After, and the kill at the timeout.

A router that takes a request after the signal cuts none in all of them, but for the router that stalls; no short request is rejected while its router has a second left.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
@@ -18,6 +18,14 @@
     int unserved;
     int cutAfterSignal;
     int cutBeforeSignal;
+    int cutByStall;
+    int killed;
+    int notReady;
+    int repeats;
+    int repeatsTaken;
+    int plainRejected;
+    int plainRejectedWithTime;
+    long retryAfterMillis;
     final List<Long> stopMillis = new ArrayList<>();
 
     /** Counts a request that arrives at a router; it is late if its caller should have forgotten the address. */
@@ -34,7 +42,9 @@
                 + arrivedLate + " rejected=" + rejected + " noConnection=" + noConnection + " questions=" + questions
                 + " emptyAnswers=" + emptyAnswers + " ended=" + ended
                 + " unserved=" + unserved + " cutAfterSignal=" + cutAfterSignal + " cutBeforeSignal=" + cutBeforeSignal
-                + " meanStopMillis="
+                + " cutByStall=" + cutByStall + " killed=" + killed + " notReady=" + notReady + " repeats=" + repeats
+                + " repeatsTaken=" + repeatsTaken + " retryAfterMillis=" + retryAfterMillis + " plainRejected="
+                + plainRejected + " plainRejectedWithTime=" + plainRejectedWithTime + " meanStopMillis="
                 + stopMillis.stream().mapToLong(Long::longValue).average().orElse(0);
     }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScenario.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScenario.java
@@ -12,6 +12,7 @@
  * @param requestsPerSecond requests of all callers together
  * @param slowdown factor by which answers take longer than usual while routers stop
  * @param lostShare share of the heartbeats that are lost
+ * @param conditions what else happens meanwhile
  */
 record StopScenario(
         String name,
@@ -20,7 +21,131 @@
         List<Series> series,
         double requestsPerSecond,
         double slowdown,
-        double lostShare) {
+        double lostShare,
+        Conditions conditions) {
+
+    StopScenario(
+            String name,
+            int routers,
+            long timeoutMillis,
+            List<Series> series,
+            double requestsPerSecond,
+            double slowdown,
+            double lostShare) {
+        this(name, routers, timeoutMillis, series, requestsPerSecond, slowdown, lostShare, Conditions.NONE);
+    }
+
+    /** Returns the scenario with other conditions. */
+    StopScenario with(Conditions next) {
+        return new StopScenario(name, routers, timeoutMillis, series, requestsPerSecond, slowdown, lostShare, next);
+    }
+
+    /**
+     * What happens while routers are stopped.
+     *
+     * @param notReadyMillis time for which a router is not ready after its start, in milliseconds
+     * @param stallAtMillis when the first router stalls; 0 if none does
+     * @param stallMillis how long it sends and handles nothing
+     * @param cutOffAtMillis when routers with even and odd numbers lose each other; 0 if they do not
+     * @param cutOffMillis how long they receive no heartbeats of each other
+     * @param byDataCentre whether series stop one data centre after the other
+     * @param unknownSlowdown factor by which answers take at most longer than routers assume
+     * @param plainPerSecond plain requests with a deadline, beside the others
+     * @param awaitsRetryAfter whether callers repeat rejected requests after the time that they are told
+     */
+    record Conditions(
+            long notReadyMillis,
+            long stallAtMillis,
+            long stallMillis,
+            long cutOffAtMillis,
+            long cutOffMillis,
+            boolean byDataCentre,
+            double unknownSlowdown,
+            double plainPerSecond,
+            boolean awaitsRetryAfter) {
+
+        static final Conditions NONE = new Conditions(0, 0, 0, 0, 0, false, 1, 0, false);
+
+        static final Conditions RETRY_AFTER = new Conditions(0, 0, 0, 0, 0, false, 1, 0, true);
+
+        Conditions notReady(long millis) {
+            return new Conditions(
+                    millis,
+                    stallAtMillis,
+                    stallMillis,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    byDataCentre,
+                    unknownSlowdown,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions stall(long atMillis, long millis) {
+            return new Conditions(
+                    notReadyMillis,
+                    atMillis,
+                    millis,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    byDataCentre,
+                    unknownSlowdown,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions cutOff(long atMillis, long millis) {
+            return new Conditions(
+                    notReadyMillis,
+                    stallAtMillis,
+                    stallMillis,
+                    atMillis,
+                    millis,
+                    byDataCentre,
+                    unknownSlowdown,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions dataCentreByDataCentre() {
+            return new Conditions(
+                    notReadyMillis,
+                    stallAtMillis,
+                    stallMillis,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    true,
+                    unknownSlowdown,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions unknownSlowdown(double factor) {
+            return new Conditions(
+                    notReadyMillis,
+                    stallAtMillis,
+                    stallMillis,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    byDataCentre,
+                    factor,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions plain(double perSecond) {
+            return new Conditions(
+                    notReadyMillis,
+                    stallAtMillis,
+                    stallMillis,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    byDataCentre,
+                    unknownSlowdown,
+                    perSecond,
+                    awaitsRetryAfter);
+        }
+    }
 
     /**
      * All routers are stopped once, some at a time.
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 
+import org.apricotstack.core.stop.StopScenario.Conditions;
 import org.apricotstack.core.stop.StopScenario.Series;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,6 +17,9 @@
 
     private static final int SEEDS = 10;
 
+    /** More, as few requests are rejected while a router is ready. */
+    private static final int REPEAT_SEEDS = 50;
+
     private static final long TIMEOUT_MILLIS = 8_000;
 
     private static final List<Series> OVERLAPPING =
@@ -79,4 +83,83 @@
                     .isZero();
         }
     }
+
+    private static StopScenario overlapping(String name, Conditions conditions) {
+        return new StopScenario(name, 7, TIMEOUT_MILLIS, OVERLAPPING, 25, 1, 0, conditions);
+    }
+
+    static Stream<StopScenario> scenariosWithOtherConditions() {
+        List<Series> secondBeforeFirstEnds = List.of(new Series(5_000, 1, 1_000, 0), new Series(8_000, 2, 500, 0));
+        List<Series> dataCentres = List.of(new Series(5_000, 7, 4_000, 0));
+        return Stream.of(
+                overlapping("routers that are not ready at first", Conditions.NONE.notReady(1_500)),
+                overlapping("stalled router", Conditions.NONE.stall(14_500, 3_000)),
+                overlapping("halves cut off from each other", Conditions.NONE.cutOff(13_000, 6_000)),
+                new StopScenario(
+                        "20 routers, data centre by data centre",
+                        20,
+                        TIMEOUT_MILLIS,
+                        dataCentres,
+                        60,
+                        1,
+                        0,
+                        Conditions.NONE.dataCentreByDataCentre()),
+                new StopScenario(
+                        "second series before the first has ended", 7, TIMEOUT_MILLIS, secondBeforeFirstEnds, 25, 1, 0),
+                overlapping("short plain requests beside streams", Conditions.NONE.plain(20)));
+    }
+
+    /** The requests of a router that stalls may end too late; those of the others may not. */
+    @ParameterizedTest
+    @MethodSource("scenariosWithOtherConditions")
+    void endsEveryRequestThatAStoppingRouterTakesWhileOthersAreUnknownStalledOrCutOff(StopScenario scenario) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario, seed).run();
+            assertThat(counts.cutAfterSignal)
+                    .as("cut, seed %d: %s", seed, counts)
+                    .isZero();
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenariosWithOtherConditions")
+    void rejectsNoShortRequestWhileItsRouterHasASecondLeft(StopScenario scenario) {
+        StopScenario withPlain = scenario.with(scenario.conditions().plain(20));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(withPlain, seed).run();
+            assertThat(counts.plainRejectedWithTime)
+                    .as("rejected, seed %d: %s", seed, counts)
+                    .isZero();
+        }
+    }
+
+    @Test
+    void servesTheRepeatOfARejectedRequestWhileOneRouterAfterTheOtherStops() {
+        assertRepeatsTaken(series("one after the other", new Series(5_000, 1, 4_000, 0)));
+    }
+
+    /** The caller's other addresses are those of routers that stop too. */
+    @Test
+    void servesTheRepeatOfARejectedRequestWhileAllRoutersButOneStop() {
+        assertRepeatsTaken(series("all routers but one", new Series(5_000, 6, 0, 1)));
+    }
+
+    private static void assertRepeatsTaken(StopScenario scenario) {
+        for (int seed = 0; seed < REPEAT_SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario.with(Conditions.RETRY_AFTER), seed).run();
+            assertThat(counts.repeatsTaken)
+                    .as("repeats taken, seed %d: %s", seed, counts)
+                    .isEqualTo(counts.repeats);
+        }
+    }
+
+    /** The time of the signal is taken when it is handled, and the process is killed by when it was sent. */
+    @Test
+    void endsBeforeItsTimeoutThoughItStalledWhenTheSignalCame() {
+        StopScenario scenario = overlapping("stalled router", Conditions.NONE.stall(14_500, 3_000));
+        for (int seed = 0; seed < REPEAT_SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario, seed).run();
+            assertThat(counts.killed).as("killed, seed %d: %s", seed, counts).isZero();
+        }
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -23,7 +24,7 @@
 
     static final long SIMULATED_MILLIS = 40_000;
 
-    private static final int DATA_CENTRES = 3;
+    static final int DATA_CENTRES = 3;
     private static final int MAX_ADDRESSES = 64;
     private static final long HEARTBEAT_MILLIS = 500;
     private static final long FIRST_HEARTBEAT_MILLIS = 100;
@@ -31,32 +32,40 @@
     private static final long CHECK_MILLIS = 100;
     private static final long RESTART_MILLIS = 900;
 
-    /** Routers that a caller asks for addresses before it goes on with the addresses that it has. */
-    private static final int ASKED_ROUTERS = 3;
+    /** Time until a request is repeated if its caller is not told one, in milliseconds. */
+    static final long RETRY_MILLIS = 100;
 
-    /** Every third caller caches addresses for three times as long as it is told. */
-    private static final int LONG_CACHE_FACTOR = 3;
-
-    /** Attempts of one request: the first and one retry. */
-    private static final int ATTEMPTS = 2;
+    /** Retry-after of a router that is not ready, in milliseconds. */
+    private static final long NOT_READY_MILLIS = 300;
 
     /** Longest lifetime of an answer that callers accept, in seconds. */
     private static final int MAX_LIFETIME_SECONDS = 5;
 
     private static final long MEAN_ANSWER_MILLIS = 1_700;
     private static final long LONGEST_ANSWER_MILLIS = 5_200;
-    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long PLAIN_ANSWER_MILLIS = 20;
+    private static final long PLAIN_DEADLINE_MILLIS = 600;
+
+    /** Time left above which a router rejects no plain request. */
+    private static final long ENOUGH_MILLIS = 1_000;
 
     private final StopScenario scenario;
-    private final Random random;
-    private final VirtualTime time = new VirtualTime();
-    private final List<RouterModel> routers = new ArrayList<>();
-    private final StopCounts counts = new StopCounts();
-    private final AddressLifetime addressLifetime;
+    final StopScenario.Conditions conditions;
+    final Random random;
+
+    /** Draws what only some conditions need, so that the others stay as they are. */
+    private final Random conditionsRandom;
+
+    final VirtualTime time = new VirtualTime();
+    final List<RouterModel> routers = new ArrayList<>();
+    final StopCounts counts = new StopCounts();
+    final AddressLifetime addressLifetime;
 
     StopSimulation(StopScenario scenario, long seed) {
         this.scenario = scenario;
+        this.conditions = scenario.conditions();
         this.random = new Random(seed);
+        this.conditionsRandom = new Random(~seed);
         this.addressLifetime = AddressLifetime.of(scenario.timeoutMillis(), MAX_LIFETIME_SECONDS);
         for (int i = 0; i < scenario.routers(); i++) {
             routers.add(new RouterModel(i));
@@ -69,7 +78,13 @@
         scenario.series().forEach(this::schedule);
         int callers = Math.max(9, (int) (2 * scenario.requestsPerSecond()));
         for (int i = 0; i < callers; i++) {
-            new CallerModel(i, scenario.requestsPerSecond() / callers).scheduleNext();
+            new StopCaller(this, i, scenario.requestsPerSecond() / callers, false).scheduleNext();
+        }
+        for (int i = 0; i < 2 * conditions.plainPerSecond(); i++) {
+            new StopCaller(this, i, 1 / 2.0, true).scheduleNext();
+        }
+        if (conditions.stallAtMillis() > 0) {
+            time.at(conditions.stallAtMillis(), routers.get(0)::stall);
         }
         time.run();
         return counts;
@@ -78,6 +93,9 @@
     private void schedule(StopScenario.Series series) {
         List<RouterModel> order = new ArrayList<>(routers);
         Collections.shuffle(order, random);
+        if (conditions.byDataCentre()) {
+            order.sort(Comparator.comparing(router -> router.dataCentre.value()));
+        }
         int stopped = order.size() - series.spared();
         for (int i = 0; i < stopped; i++) {
             RouterModel router = order.get(i);
@@ -85,7 +103,7 @@
         }
     }
 
-    private long exponential(double meanMillis) {
+    long exponential(double meanMillis) {
         return (long) (-Math.log(1 - random.nextDouble()) * meanMillis);
     }
 
@@ -94,27 +112,45 @@
     }
 
     private long answerMillis() {
-        return (long) (Math.min(LONGEST_ANSWER_MILLIS, 50 + exponential(MEAN_ANSWER_MILLIS)) * scenario.slowdown());
+        return (long) (Math.min(LONGEST_ANSWER_MILLIS, 50 + exponential(MEAN_ANSWER_MILLIS))
+                * scenario.slowdown()
+                * unknownSlowdown());
+    }
+
+    private double unknownSlowdown() {
+        double most = conditions.unknownSlowdown();
+        return most == 1 ? 1 : 1 + conditionsRandom.nextDouble() * (most - 1);
+    }
+
+    /** Returns whether two routers receive no heartbeats of each other now. */
+    private boolean cutOff(RouterModel one, RouterModel other) {
+        long sinceMillis = time.nowMillis() - conditions.cutOffAtMillis();
+        return conditions.cutOffAtMillis() > 0
+                && sinceMillis >= 0
+                && sinceMillis < conditions.cutOffMillis()
+                && (one.number - other.number) % 2 != 0;
     }
 
     /** A simulated router. */
-    private final class RouterModel {
+    final class RouterModel {
         private final int number;
-        private final DataCentreId dataCentre;
+        final DataCentreId dataCentre;
         private PeerTable peers;
-        private StopTimeline timeline;
+        StopTimeline timeline;
         private StopPolicy policy;
-        private boolean up;
-        private int incarnation;
+        boolean up;
+        int incarnation;
         private int open;
         private long startedMillis;
+        private long stalledUntilMillis;
+        private int stalledIncarnation;
 
         RouterModel(int number) {
             this.number = number;
             this.dataCentre = new DataCentreId("dc-" + number % DATA_CENTRES);
         }
 
-        private Address address() {
+        Address address() {
             return new Address("10.0.0." + (number + 1), 1);
         }
 
@@ -126,10 +162,29 @@
             policy = new StopPolicy(scenario.timeoutMillis(), addressLifetime);
             timeline = policy.timeline();
             startedMillis = time.nowMillis();
+            stalledIncarnation = stalled() ? incarnation : stalledIncarnation;
             heartbeats(incarnation);
         }
 
+        /** Sends and handles nothing for a while. */
+        private void stall() {
+            stalledUntilMillis = time.nowMillis() + conditions.stallMillis();
+            stalledIncarnation = up ? incarnation : stalledIncarnation;
+        }
+
+        boolean stalled() {
+            return time.nowMillis() < stalledUntilMillis;
+        }
+
+        private boolean ready() {
+            return !timeline.stopping() && time.nowMillis() - startedMillis >= conditions.notReadyMillis();
+        }
+
         private void heartbeats(int mine) {
+            if (stalled()) {
+                time.at(stalledUntilMillis, () -> heartbeats(mine));
+                return;
+            }
             if (!up || mine != incarnation || time.nowMillis() > SIMULATED_MILLIS) {
                 return;
             }
@@ -145,15 +200,22 @@
                 boolean lost = !overStreams && random.nextDouble() < scenario.lostShare();
                 if (other != this && !lost) {
                     int meant = other.incarnation;
-                    time.at(time.nowMillis() + 1 + random.nextInt(3), () -> {
-                        if (other.up && other.incarnation == meant) {
-                            other.peers.recordHeartbeat(own, time.nowMillis());
-                        }
-                    });
+                    long delayMillis = 1 + random.nextInt(3);
+                    if (!cutOff(this, other)) {
+                        time.at(time.nowMillis() + delayMillis, () -> other.receive(own, meant));
+                    }
                 }
             }
         }
 
+        private void receive(Peer peer, int meant) {
+            if (stalled()) {
+                time.at(stalledUntilMillis, () -> receive(peer, meant));
+            } else if (up && incarnation == meant) {
+                peers.recordHeartbeat(peer, time.nowMillis());
+            }
+        }
+
         private Peer peer() {
             ProcessId process = new ProcessId(new HostId("host-" + number), incarnation);
             return new Peer(
@@ -161,7 +223,7 @@
                     dataCentre,
                     address(),
                     address(),
-                    !timeline.stopping(),
+                    ready(),
                     1,
                     1,
                     100,
@@ -171,7 +233,7 @@
                     timeline.takesRequestsMillis(time.nowMillis()));
         }
 
-        private List<Address> addressesFor(DataCentreId callers) {
+        List<Address> addressesFor(DataCentreId callers) {
             return peers.callerAddresses(peer(), callers, MAX_ADDRESSES, time.nowMillis());
         }
 
@@ -179,13 +241,41 @@
             if (!up || timeline.stopping()) {
                 return;
             }
+            int mine = incarnation;
+            time.at(time.nowMillis() + scenario.timeoutMillis(), () -> kill(mine));
+            handleSignal(mine);
+        }
+
+        private void handleSignal(int mine) {
+            if (stalled()) {
+                time.at(stalledUntilMillis, () -> handleSignal(mine));
+                return;
+            }
+            if (!up || mine != incarnation || timeline.stopping()) {
+                return;
+            }
             counts.stops++;
             timeline.begin(time.nowMillis());
             sendHeartbeat(true);
             checkStop(incarnation);
         }
 
+        private void kill(int mine) {
+            if (up && mine == incarnation) {
+                counts.killed++;
+                up = false;
+                time.at(time.nowMillis() + RESTART_MILLIS, this::start);
+            }
+        }
+
         private void checkStop(int mine) {
+            if (stalled()) {
+                time.at(stalledUntilMillis, () -> checkStop(mine));
+                return;
+            }
+            if (!up || mine != incarnation) {
+                return;
+            }
             if (policy.ends(open, time.nowMillis())) {
                 counts.stopMillis.add(timeline.elapsedMillis(time.nowMillis()));
                 timeline.end();
@@ -198,127 +288,68 @@
         }
 
         /** Returns whether the request is taken. */
-        private boolean takes(RequestModel request) {
+        boolean takes(RequestModel request) {
             long now = time.nowMillis();
             boolean wasStopping = timeline.stopping();
             counts.arrived(timeline, addressLifetime, now);
-            if (timeline.stopping() && !policy.takes(longestAnswerMillis(), now)) {
-                counts.rejected++;
+            if (now - startedMillis < conditions.notReadyMillis()) {
+                counts.notReady++;
+                request.retryAfterMillis = NOT_READY_MILLIS;
+                return false;
+            }
+            if (timeline.stopping() && !policy.takes(request.longestMillis(), now)) {
+                reject(request, now);
                 return false;
             }
             open++;
             int mine = incarnation;
-            time.at(now + request.answerMillis, () -> {
-                if (mine == incarnation && up) {
-                    open--;
-                    counts.ended++;
-                } else if (wasStopping) {
-                    counts.cutAfterSignal++;
-                } else {
-                    counts.cutBeforeSignal++;
-                }
-            });
+            time.at(now + request.answerMillis, () -> complete(mine, wasStopping));
             return true;
         }
-    }
-
-    /** One request of a caller. */
-    private final class RequestModel {
-        private final long answerMillis = answerMillis();
-        private final Set<Address> failed = new HashSet<>();
-        private int attempts;
-    }
-
-    /** A simulated caller. */
-    private final class CallerModel {
-        private final DataCentreId dataCentre;
-        private final long cacheFactor;
-        private final double requestsPerMilli;
-        private List<Address> addresses = List.of();
-        private long cachedUntilMillis;
-        private RouterModel kept;
-        private int keptIncarnation;
-
-        CallerModel(int number, double requestsPerSecond) {
-            this.dataCentre = new DataCentreId("dc-" + number % DATA_CENTRES);
-            this.cacheFactor = number % LONG_CACHE_FACTOR == 0 ? LONG_CACHE_FACTOR : 1;
-            this.requestsPerMilli = requestsPerSecond / MILLIS_PER_SECOND;
-        }
 
-        private void scheduleNext() {
-            long at = time.nowMillis() + 1_000 + exponential(1 / requestsPerMilli);
-            if (at < SIMULATED_MILLIS) {
-                time.at(at, () -> {
-                    send(new RequestModel());
-                    scheduleNext();
-                });
+        private void reject(RequestModel request, long now) {
+            counts.rejected++;
+            if (request.plain) {
+                counts.plainRejected++;
+                counts.plainRejectedWithTime += timeline.leftMillis(now) > ENOUGH_MILLIS ? 1 : 0;
             }
+            request.rejected = true;
+            request.retryAfterMillis = policy.retryAfterMillis(peers.others(now), request.longestMillis(), now);
+            counts.retryAfterMillis += request.retryAfterMillis;
         }
 
-        private void resolve() {
-            counts.questions++;
-            List<RouterModel> nearest = new ArrayList<>(routers);
-            Collections.shuffle(nearest, random);
-            nearest.sort((one, other) ->
-                    Boolean.compare(!one.dataCentre.equals(dataCentre), !other.dataCentre.equals(dataCentre)));
-            for (RouterModel asked : nearest.subList(0, Math.min(ASKED_ROUTERS, nearest.size()))) {
-                List<Address> answer = asked.up ? asked.addressesFor(dataCentre) : List.of();
-                counts.emptyAnswers += asked.up && answer.isEmpty() ? 1 : 0;
-                if (!answer.isEmpty()) {
-                    addresses = answer;
-                    cachedUntilMillis = time.nowMillis() + cacheFactor * 1_000 * addressLifetime.seconds();
-                    return;
-                }
+        private void complete(int mine, boolean wasStopping) {
+            if (mine == incarnation && up && stalled()) {
+                time.at(stalledUntilMillis, () -> complete(mine, wasStopping));
+            } else if (mine == incarnation && up) {
+                open--;
+                counts.ended++;
+            } else if (wasStopping && mine == stalledIncarnation) {
+                counts.cutByStall++;
+            } else if (wasStopping) {
+                counts.cutAfterSignal++;
+            } else {
+                counts.cutBeforeSignal++;
             }
         }
+    }
 
-        private RouterModel choose(RequestModel request) {
-            if (time.nowMillis() >= cachedUntilMillis) {
-                resolve();
-            }
-            boolean keptUsable = kept != null
-                    && kept.up
-                    && kept.incarnation == keptIncarnation
-                    && addresses.contains(kept.address())
-                    && !request.failed.contains(kept.address());
-            if (keptUsable) {
-                return kept;
-            }
-            List<Address> untried = addresses.stream()
-                    .filter(address -> !request.failed.contains(address))
-                    .toList();
-            if (untried.isEmpty()) {
-                return null;
-            }
-            Address chosen = untried.get(random.nextInt(untried.size()));
-            return routers.stream()
-                    .filter(router -> router.address().equals(chosen))
-                    .findFirst()
-                    .orElseThrow();
+    /** One request of a caller. */
+    final class RequestModel {
+        private final long answerMillis;
+        private final boolean plain;
+        final Set<Address> failed = new HashSet<>();
+        int attempts;
+        boolean rejected;
+        long retryAfterMillis = RETRY_MILLIS;
+
+        RequestModel(boolean plain) {
+            this.plain = plain;
+            this.answerMillis = plain ? PLAIN_ANSWER_MILLIS : answerMillis();
         }
 
-        private void send(RequestModel request) {
-            counts.attempts++;
-            request.attempts++;
-            RouterModel router = choose(request);
-            boolean taken = router != null && router.up && router.takes(request);
-            if (taken) {
-                boolean closes = router.timeline.stopping();
-                kept = closes ? null : router;
-                keptIncarnation = router.incarnation;
-                return;
-            }
-            if (router == null || !router.up) {
-                counts.noConnection++;
-            }
-            if (router != null) {
-                request.failed.add(router.address());
-            }
-            if (request.attempts < ATTEMPTS) {
-                time.at(time.nowMillis() + 100, () -> send(request));
-            } else {
-                counts.unserved++;
-            }
+        private long longestMillis() {
+            return plain ? PLAIN_DEADLINE_MILLIS : longestAnswerMillis();
         }
     }
 }
