--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -178,7 +178,7 @@
     @Test
     void tellsTheOtherRoutersOfAStopAtOnce() throws IOException {
         onLoop(() -> {
-            sequence.begin(() -> {});
+            sequence.begin(nowMillis, () -> {});
             sendLast();
         });
         Heartbeat last = lastHeartbeat();
@@ -189,7 +189,7 @@
     /** Otherwise callers would be sent to it until its silence is noticed. */
     @Test
     void tellsTheOtherRoutersThatItHasEndedThoughItHadTimeLeft() throws IOException {
-        onLoop(() -> sequence.begin(this::sendLast));
+        onLoop(() -> sequence.begin(nowMillis, this::sendLast));
         nowMillis = lifetime.longestMillis();
         Heartbeat last = lastHeartbeat();
         assertThat(last.getReady()).isFalse();
@@ -199,9 +199,9 @@
 
     @Test
     void ignoresASecondSignal() throws IOException {
-        onLoop(() -> sequence.begin(this::sendLast));
+        onLoop(() -> sequence.begin(nowMillis, this::sendLast));
         CompletableFuture<Void> second = new CompletableFuture<>();
-        onLoop(() -> sequence.begin(() -> second.complete(null)));
+        onLoop(() -> sequence.begin(nowMillis, () -> second.complete(null)));
         nowMillis = lifetime.longestMillis();
         lastHeartbeat();
         onLoop(() -> {});
