Log the stages of a stop and what reaches a stopping router

Neither logs nor metrics could tell why a request met a router that refused it as it was stopping: whether another router had named it after the stop began, the request was late, or the news of the stop was lost. A stop logs its stages with the requests taken and refused since it began; each request that is taken or refused meanwhile is logged with its id and its time since then; each router logs from when on it names another one no more. entry.requests.while_leaving counts what is taken. No decision is changed.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/metrics/RouterMetrics.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/metrics/RouterMetrics.java
@@ -40,6 +40,7 @@
     private final Map<StreamVerdict, Counter> entryDropped;
     private final Map<StreamVerdict, Counter> ownerDropped;
     private final Map<LengthClass, Histogram> firstTokenMillis = new EnumMap<>(LengthClass.class);
+    private final Counter whileLeaving = registry.counter("entry.requests.while_leaving");
     private final Counter completed = registry.counter("entry.requests.completed");
     private final Counter budgetExhausted = registry.counter("entry.retries.budget_exhausted");
     private final Counter promptTokens = registry.counter("owner.prompt_tokens");
@@ -119,6 +120,11 @@
         registry.counter(applyResultName(topic, applied)).inc();
     }
 
+    /** Counts a request that was accepted while the router was leaving. */
+    public void requestWhileLeaving() {
+        whileLeaving.inc();
+    }
+
     @Override
     public void requestRefused(Refusal refusal) {
         boolean notRun = refusal.outcome() == Outcome.NOT_RUN;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryGate.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryGate.java
@@ -7,11 +7,12 @@
 public interface EntryGate {
 
     /**
-     * Returns why new requests are refused.
+     * Returns why a new request is refused.
      *
-     * @return the reason, or {@code null} if requests are accepted
+     * @param request its id, for the log
+     * @return the reason, or {@code null} if the request is accepted
      */
-    RefusalReason closedReason();
+    RefusalReason closedReason(String request);
 
     /**
      * Returns the configuration in force.
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
@@ -29,6 +29,9 @@
     /** Suggested retry delay while this router does not accept requests, in milliseconds. */
     private static final long CLOSED_RETRY_MILLIS = 500;
 
+    /** Name of requests for tickets in the log. */
+    private static final String TICKET_REQUEST = "ticket";
+
     private final EntryGate gate;
     private final AccountLimiter limiter;
     private final RequestCoordinator coordinator;
@@ -85,7 +88,7 @@
      * @throws RefusedException if the caller has no client account or this router accepts no requests
      */
     public Ticket issueTicket(String keyDigest) {
-        FleetConfiguration configuration = requireOpen();
+        FleetConfiguration configuration = requireOpen(TICKET_REQUEST);
         EntryRequest accountRequest = new EntryRequest(keyDigest, null, null, 0, 0, null, null, null, null, null);
         try {
             new RequestChecks(configuration, accountRequest).account();
@@ -118,7 +121,7 @@
     /** Checks a request and runs it. Refusals by the checks are counted here, refusals by the run where they occur. */
     private Flux<AttemptSignal> checkAndRun(RequestId id, EntryRequest request) {
         try {
-            FleetConfiguration configuration = requireOpen();
+            FleetConfiguration configuration = requireOpen(id.value());
             RequestChecks checks = new RequestChecks(configuration, request);
             ClientAccount account = checks.account();
             Service service = checks.service(account);
@@ -220,9 +223,9 @@
         return hasher.putBytes(work.body()).hash().toString();
     }
 
-    /** Returns the configuration, or throws the refusal if this router accepts no requests. */
-    private FleetConfiguration requireOpen() {
-        RefusalReason closed = gate.closedReason();
+    /** Returns the configuration, or throws the refusal if this router does not accept the request. */
+    private FleetConfiguration requireOpen(String request) {
+        RefusalReason closed = gate.closedReason(request);
         if (closed != null) {
             throw Refusal.notRun(closed, CLOSED_RETRY_MILLIS).toException();
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -84,7 +84,7 @@
         AtomicLong requests = new AtomicLong();
         EntryGate gate = new EntryGate() {
             @Override
-            public RefusalReason closedReason() {
+            public RefusalReason closedReason(String request) {
                 return null;
             }
 
--- a/apricotstack-router/src/main/java/org/apricotstack/router/MembershipService.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/MembershipService.java
@@ -19,6 +19,7 @@
 import org.apricotstack.core.membership.ServingHosts;
 import org.apricotstack.core.replication.ReplicationTopic;
 import org.apricotstack.core.time.MonotonicClock;
+import org.tinylog.Logger;
 
 /** Maintains the membership view, and creates and receives the payload of probes. */
 final class MembershipService implements ProbeExchange {
@@ -74,11 +75,22 @@
             }
             viewOfTable = table.revision();
             viewOfRoster = roster.version();
-            view = MemberView.of(++revision, roster, table);
+            MemberView next = MemberView.of(++revision, roster, table);
+            logNewlyAvoided(next);
+            view = next;
         }
         return view;
     }
 
+    /** Writes the routers to the log that callers and attempts are no longer sent to. */
+    private void logNewlyAvoided(MemberView next) {
+        for (HostId host : next.avoided()) {
+            if (view == null || !view.avoided().contains(host)) {
+                Logger.info("event=peer_avoided at={} host={} state={}", self, host.value(), table.state(host));
+            }
+        }
+    }
+
     /** Returns whether a router is known to serve. Other routers report it themselves. */
     boolean isKnownToServe(HostId host) {
         if (host.equals(self.host())) {
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -152,7 +152,12 @@
                 settings.host(), shares, limiter, membership::view, peers, runtime.clock(), replication::configuration);
         entry = entryService(dispatcher, limiter);
         stop = new StopController(
-                () -> entry.active() + owners.active(), this::entryKeepMillis, this::announceLeaving, runtime.timer());
+                self,
+                () -> entry.active() + owners.active(),
+                this::entryKeepMillis,
+                this::announceLeaving,
+                metrics::requestWhileLeaving,
+                runtime);
         status = new StatusReport(self, settings.dataCentre(), replication, membership, table, owners);
         replication.connect(this::fetch, this::adopted);
     }
@@ -176,14 +181,14 @@
     private final class Gate implements EntryGate {
 
         @Override
-        public RefusalReason closedReason() {
+        public RefusalReason closedReason(String request) {
             if (table.isReplaced()) {
                 return RefusalReason.STOPPING;
             }
             if (!replication.isOpen()) {
                 return RefusalReason.NO_CONFIGURATION;
             }
-            return stop.closedReason();
+            return stop.closedReason(request);
         }
 
         @Override
