Test that fails: requests that reach a router after it ceased to take them

Callers learn the addresses of routers from any router, keep them from the time at which the answer arrives, and need time from the choice of an address to the arrival of the request, for instance for a ticket.

--- a/apricotstack-router/src/test/java/org/apricotstack/router/SpreadFleet.java
+++ b/apricotstack-router/src/test/java/org/apricotstack/router/SpreadFleet.java
@@ -54,6 +54,11 @@
         nodes.put(host, new SpreadNode(process, new DataCentreId("dc" + index % 3), this, random));
     }
 
+    /** Starts a new process on the host of one that has ended. */
+    void restart(SpreadNode ended) {
+        start(ended.process().host());
+    }
+
     /** Waits until all routers have started, then runs a schedule of publications and faults. */
     void run(int steps, double faultShare) {
         advance(Duration.ofSeconds(5));
--- a/apricotstack-router/src/test/java/org/apricotstack/router/SpreadNode.java
+++ b/apricotstack-router/src/test/java/org/apricotstack/router/SpreadNode.java
@@ -10,6 +10,7 @@
 import org.apricotstack.core.configuration.FleetConfiguration;
 import org.apricotstack.core.configuration.FleetLimits;
 import org.apricotstack.core.configuration.Problem;
+import org.apricotstack.core.failure.RefusalReason;
 import org.apricotstack.core.fleet.FleetConfigurations;
 import org.apricotstack.core.fleet.NetworkNode;
 import org.apricotstack.core.fleet.NodeScheduler;
@@ -17,6 +18,7 @@
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.membership.FailureDetector;
+import org.apricotstack.core.membership.MemberState;
 import org.apricotstack.core.membership.MembershipTable;
 import org.apricotstack.core.membership.PeerProbes;
 import org.apricotstack.core.membership.RosterHost;
@@ -24,6 +26,7 @@
 import org.apricotstack.core.replication.DocumentSet;
 import org.apricotstack.core.replication.ReplicationTopic;
 import org.apricotstack.core.replication.Validated;
+import org.apricotstack.core.routing.EntryRouterSelector;
 import org.apricotstack.core.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -33,6 +36,7 @@
 
     private static final Duration PROBE = Duration.ofMillis(500);
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
+    private static final int MAX_ENTRIES = 8;
     private static final Duration START_WAIT = Duration.ofMillis(1_500);
 
     private final ProcessId process;
@@ -41,6 +45,9 @@
     private final ReplicationService replication;
     private final MembershipTable table;
     private final MembershipService membership;
+    private final EntryRouterSelector selector;
+    private final StopController stop;
+    private long open;
     private long served;
 
     SpreadNode(ProcessId process, DataCentreId dataCentre, SpreadFleet fleet, Random random) {
@@ -63,6 +70,17 @@
                 PROBE_TIMEOUT);
         NeighbourGossip gossip = new NeighbourGossip(process.host(), membership::view, detector);
         replication.connect(this::fetch, gossip::broadcast);
+        selector = new EntryRouterSelector(dataCentre, membership::isKnownToServe, MAX_ENTRIES);
+        stop = new StopController(
+                process,
+                () -> open,
+                () -> replication.configuration().limits().entryKeepMillis(),
+                () -> {
+                    table.announce(MemberState.LEAVING, clock.millis());
+                    gossip.broadcast();
+                },
+                () -> {},
+                new RouterRuntime(clock, timer, process.incarnation()));
         for (ReplicationTopic topic : ReplicationTopic.values()) {
             PlatformWatcher watcher = new PlatformWatcher(
                     fleet.platform(),
@@ -148,6 +166,48 @@
         return replication.isOpen();
     }
 
+    /** Returns the routers that this one names to a caller. */
+    List<HostId> entries(String callerIp) {
+        return selector.select(membership.view(), callerIp);
+    }
+
+    /** Starts a shutdown, after which the process does not run any more. */
+    void drain(Runnable onEnded) {
+        stop.ended().subscribe(done -> {}, error -> {}, () -> {
+            timer.kill();
+            onEnded.run();
+        });
+        stop.drain();
+    }
+
+    /** Takes or refuses a request, or a request for a ticket, and runs it for the given time. */
+    Arrival arrive(String request, Duration duration) {
+        if (timer.isDead()) {
+            return Arrival.NOT_CONNECTED;
+        }
+        if (stop.closedReason(request) == RefusalReason.STOPPING) {
+            return Arrival.REFUSED;
+        }
+        open++;
+        fleet.time().schedule(() -> open--, duration.toMillis(), TimeUnit.MILLISECONDS);
+        return Arrival.TAKEN;
+    }
+
+    /** Returns the number of requests in progress. */
+    long open() {
+        return open;
+    }
+
+    /** What becomes of a request that is sent to a process. */
+    enum Arrival {
+        /** The process runs it. */
+        TAKEN,
+        /** The process refuses it as it is stopping. */
+        REFUSED,
+        /** The process does not run any more, so the caller uses its next address. */
+        NOT_CONNECTED
+    }
+
     ProcessId process() {
         return process;
     }
