Take requests for as long as they come while a router stops

What callers saw: a request that reached a router of the product's own interface more than entryKeepMillis after its stop began was refused as stopping, also from callers that used the address only for as long as they were told.

Cause: a constant stood for the time of other parties. The stop counted the time for which callers keep an entry answer from its own beginning. But another router names the stopping one until it has heard of the stop, the caller's time starts when the answer arrives, and the request needs time from the choice of its address to its arrival. Whatever came after the constant was refused, although the router was running and had most of its time left. In the same way, the issuer of a ticket could end before its call came.

Change: a stopping router takes requests for as long as they come. It ends when nothing is in progress and no request or ticket has been asked for during the time for which answers are kept. The stage in which everything was refused is gone. The gate is asked once the time limit of a request is known.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
@@ -138,7 +138,9 @@
                 null);
         RouterRuntime machine = RouterRuntime.system();
         Router router = new Router(
-                settings, new RouterRuntime(machine.clock(), machine.timer(), machine.startMillis() + incarnations++));
+                settings,
+                new RouterRuntime(
+                        machine.clock(), machine.timer(), machine.startMillis() + incarnations++, machine.stopLimit()));
         router.start();
         routers.put(name, router);
         dataCentreOfRouter.put(name, dataCentre);
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -1,10 +1,12 @@
 package org.apricotstack.bench.deployment;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.apricotstack.bench.engine.EngineFaults.Fault;
 import org.apricotstack.bench.engine.EngineSpeed;
@@ -216,8 +218,12 @@
                 .subscribeOn(Schedulers.boundedElastic())
                 .then()
                 .cache();
-        replacement.subscribe();
-        List<ReplayResult> results = replay(23, 300, 20, 0.1);
+        AtomicBoolean replaced = new AtomicBoolean();
+        replacement.doFinally(end -> replaced.set(true)).subscribe();
+        List<ReplayResult> results = new ArrayList<>(replay(23, 300, 20, 0.1));
+        for (long seed = 24; !replaced.get(); seed++) {
+            results.addAll(replay(seed, 40, 20, 0.1));
+        }
         replacement.block(MAX_WAIT);
         assertThat(notCompleted(results)).isEmpty();
         assertThat(deployment.routers().keySet()).doesNotContainAnyElementsOf(old);
--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/RouterCommand.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/RouterCommand.java
@@ -19,11 +19,12 @@
     @Parameter(
             names = "--stop-seconds",
             description = "Maximum time of a graceful stop, after which the process exits anyway.")
-    private long stopSeconds = 300;
+    private long stopSeconds = RouterRuntime.DEFAULT_STOP_LIMIT.toSeconds();
 
     @Override
     int run() {
-        Router router = new Router(SettingsReader.readFile(Path.of(settings)), RouterRuntime.system());
+        RouterRuntime runtime = RouterRuntime.system(Duration.ofSeconds(stopSeconds));
+        Router router = new Router(SettingsReader.readFile(Path.of(settings)), runtime);
         router.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "graceful-stop"));
         router.ended().block();
@@ -31,12 +32,9 @@
     }
 
     /** Drains the router, and closes it when it is drained or the time is up. */
-    private void stop(Router router) {
+    private static void stop(Router router) {
         router.drain();
-        router.ended()
-                .timeout(Duration.ofSeconds(stopSeconds))
-                .onErrorComplete()
-                .block();
+        router.ended().onErrorComplete().block();
         router.close();
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryGate.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryGate.java
@@ -7,12 +7,20 @@
 public interface EntryGate {
 
     /**
-     * Returns why a new request is refused.
+     * Returns why all new requests are refused.
+     *
+     * @return the reason, or {@code null} if requests are accepted
+     */
+    RefusalReason closedReason();
+
+    /**
+     * Returns why a request is refused because this router is stopping.
      *
      * @param request its id, for the log
+     * @param timeLimitMillis the time by which it has ended, in milliseconds from now
      * @return the reason, or {@code null} if the request is accepted
      */
-    RefusalReason closedReason(String request);
+    RefusalReason stoppingReason(String request, long timeLimitMillis);
 
     /**
      * Returns the configuration in force.
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
@@ -88,10 +88,11 @@
      * @throws RefusedException if the caller has no client account or this router accepts no requests
      */
     public Ticket issueTicket(String keyDigest) {
-        FleetConfiguration configuration = requireOpen(TICKET_REQUEST);
+        FleetConfiguration configuration = requireOpen();
         EntryRequest accountRequest = new EntryRequest(keyDigest, null, null, 0, 0, null, null, null, null, null);
         try {
             new RequestChecks(configuration, accountRequest).account();
+            requireAccepted(gate.stoppingReason(TICKET_REQUEST, 0));
         } catch (RefusedException e) {
             metrics.requestRefused(e.refusal());
             throw e;
@@ -121,11 +122,12 @@
     /** Checks a request and runs it. Refusals by the checks are counted here, refusals by the run where they occur. */
     private Flux<AttemptSignal> checkAndRun(RequestId id, EntryRequest request) {
         try {
-            FleetConfiguration configuration = requireOpen(id.value());
+            FleetConfiguration configuration = requireOpen();
             RequestChecks checks = new RequestChecks(configuration, request);
             ClientAccount account = checks.account();
             Service service = checks.service(account);
             Deadline deadline = checks.deadline(service, identity.clock());
+            requireAccepted(gate.stoppingReason(id.value(), deadline.remainingMillis(identity.clock())));
             Work work = checks.work(account.id(), service);
             AdmittedRequest admitted = checks.admitted(id, work, service, deadline);
             Ticket ticket = ticket(request);
@@ -223,15 +225,19 @@
         return hasher.putBytes(work.body()).hash().toString();
     }
 
-    /** Returns the configuration, or throws the refusal if this router does not accept the request. */
-    private FleetConfiguration requireOpen(String request) {
-        RefusalReason closed = gate.closedReason(request);
-        if (closed != null) {
-            throw Refusal.notRun(closed, CLOSED_RETRY_MILLIS).toException();
-        }
+    /** Returns the configuration, or throws the refusal if this router accepts no requests. */
+    private FleetConfiguration requireOpen() {
+        requireAccepted(gate.closedReason());
         return gate.configuration();
     }
 
+    /** Throws the refusal for a reason, if there is one. */
+    private static void requireAccepted(RefusalReason reason) {
+        if (reason != null) {
+            throw Refusal.notRun(reason, CLOSED_RETRY_MILLIS).toException();
+        }
+    }
+
     /**
      * Returns the number of requests in progress.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -84,7 +84,12 @@
         AtomicLong requests = new AtomicLong();
         EntryGate gate = new EntryGate() {
             @Override
-            public RefusalReason closedReason(String request) {
+            public RefusalReason closedReason() {
+                return null;
+            }
+
+            @Override
+            public RefusalReason stoppingReason(String request, long timeLimitMillis) {
                 return null;
             }
 
--- a/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
@@ -282,7 +282,7 @@
     /**
      * Returns the completion of a graceful shutdown.
      *
-     * @return completes when no requests or attempts are in progress
+     * @return completes when no requests or attempts are in progress or expected, or when its time is up
      */
     public Mono<Void> ended() {
         return parts.stop.ended();
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -181,14 +181,19 @@
     private final class Gate implements EntryGate {
 
         @Override
-        public RefusalReason closedReason(String request) {
+        public RefusalReason closedReason() {
             if (table.isReplaced()) {
                 return RefusalReason.STOPPING;
             }
             if (!replication.isOpen()) {
                 return RefusalReason.NO_CONFIGURATION;
             }
-            return stop.closedReason(request);
+            return null;
+        }
+
+        @Override
+        public RefusalReason stoppingReason(String request, long timeLimitMillis) {
+            return stop.closedReason(request, timeLimitMillis);
         }
 
         @Override
--- a/apricotstack-router/src/main/java/org/apricotstack/router/StopController.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/StopController.java
@@ -1,8 +1,6 @@
 package org.apricotstack.router;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
 import org.apricotstack.core.failure.RefusalReason;
@@ -15,11 +13,15 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Shuts down a router without aborting requests.
+ * Shuts down a router without refusing or aborting requests.
  *
- * <p>Callers cache the addresses of routers and may connect to one that has since begun to shut down. The router
- * therefore keeps accepting requests until the cached addresses have expired, and only then refuses new ones. It ends
- * after its last request and the last attempt that it runs as an owner.
+ * <p>Callers cache the addresses of routers, and this router does not know until when: another router names it until it
+ * has heard of the shutdown, the cached time starts when the answer arrives, and a request takes time to arrive. The
+ * router therefore accepts requests for as long as they come. It ends once nothing is in progress and no request has
+ * arrived for the time for which addresses may be cached.
+ *
+ * <p>After that time, a request is refused only if its time limit ends after that of the shutdown. Callers that never
+ * ask for addresses again thus cannot keep the router running, and their requests are not aborted.
  */
 final class StopController {
 
@@ -27,17 +29,14 @@
     enum Stage {
         /** Accepts requests, and is returned to callers. */
         SERVING,
-        /** Accepts requests, and is no longer returned to callers. */
+        /** Accepts requests that it can complete, and is no longer returned to callers. */
         LEAVING,
-        /** Refuses new requests, and completes those in progress. */
-        ENDING,
-        /** No requests or attempts are in progress. */
+        /** Accepts no requests, and none are in progress unless the time limit of the shutdown has passed. */
         ENDED
     }
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
 
-    private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.SERVING);
     private final Sinks.Empty<Void> ended = Sinks.empty();
     private final ProcessId self;
     private final LongSupplier active;
@@ -46,9 +45,13 @@
     private final Runnable onTaken;
     private final MonotonicClock clock;
     private final Scheduler timer;
-    private final AtomicLong taken = new AtomicLong();
-    private final AtomicLong refused = new AtomicLong();
-    private volatile long leavingMillis;
+    private final long limitMillis;
+    private Stage stage = Stage.SERVING;
+    private long leavingMillis;
+    private long keptMillis;
+    private long lastArrivalMillis;
+    private long taken;
+    private long refused;
 
     /**
      * Creates a controller.
@@ -58,7 +61,7 @@
      * @param keepMillis how long callers cache the addresses of routers, in milliseconds
      * @param announce announces to the peers that this router is leaving
      * @param onTaken counts a request that is accepted while the router is leaving
-     * @param runtime clock and timer
+     * @param runtime clock, timer and time limit
      */
     StopController(
             ProcessId self,
@@ -74,81 +77,99 @@
         this.onTaken = onTaken;
         this.clock = runtime.clock();
         this.timer = runtime.timer();
+        this.limitMillis = runtime.stopLimit().toMillis();
     }
 
     /** Starts the shutdown. Further calls have no effect. */
     void drain() {
-        if (!stage.compareAndSet(Stage.SERVING, Stage.LEAVING)) {
+        if (!leave()) {
             return;
         }
-        leavingMillis = clock.millis();
-        long keep = keepMillis.getAsLong();
-        Logger.info("event=leaving at={} active={} keep_millis={}", self, active.getAsLong(), keep);
         announce.run();
-        Mono.delay(Duration.ofMillis(keep), timer)
-                .doOnNext(over -> refuseNew())
-                .thenMany(Flux.interval(CHECK_INTERVAL, timer))
-                .takeUntil(tick -> active.getAsLong() == 0)
-                .subscribe(tick -> {}, error -> complete(), this::complete);
+        Flux.interval(CHECK_INTERVAL, timer)
+                .onBackpressureDrop()
+                .takeUntil(tick -> endIfPossible())
+                .subscribe(tick -> {}, ended::tryEmitError, ended::tryEmitEmpty);
     }
 
-    /** Starts to refuse new requests. */
-    private void refuseNew() {
-        stage.set(Stage.ENDING);
-        logStage("ending");
+    /** Enters the stage of leaving; returns whether this is the first call. */
+    private synchronized boolean leave() {
+        if (stage != Stage.SERVING) {
+            return false;
+        }
+        stage = Stage.LEAVING;
+        leavingMillis = clock.millis();
+        lastArrivalMillis = leavingMillis;
+        keptMillis = keepMillis.getAsLong();
+        Logger.info(
+                "event=leaving at={} active={} keep_millis={} limit_millis={}",
+                self,
+                active.getAsLong(),
+                keptMillis,
+                limitMillis);
+        return true;
     }
 
-    /** Completes the shutdown. */
-    private void complete() {
-        stage.set(Stage.ENDED);
-        logStage("ended");
-        ended.tryEmitEmpty();
+    /** Ends the shutdown if nothing is in progress or expected, or if its time limit has passed. */
+    private synchronized boolean endIfPossible() {
+        keptMillis = Math.max(keptMillis, keepMillis.getAsLong());
+        long inProgress = active.getAsLong();
+        boolean idle = inProgress == 0 && clock.millis() - lastArrivalMillis >= keptMillis;
+        if (!idle && leftMillis() > 0) {
+            return false;
+        }
+        stage = Stage.ENDED;
+        Logger.info(
+                "event=ended at={} since_leaving_millis={} taken={} refused={} cut={}",
+                self,
+                sinceLeavingMillis(),
+                taken,
+                refused,
+                inProgress);
+        return true;
     }
 
     /** Returns the stage. */
-    Stage stage() {
-        return stage.get();
+    synchronized Stage stage() {
+        return stage;
     }
 
     /**
      * Decides whether a new request is accepted.
      *
      * @param request its id, for the log
+     * @param timeLimitMillis the time by which it has ended, in milliseconds from now
      * @return why it is refused, or {@code null} if it is accepted
      */
-    RefusalReason closedReason(String request) {
-        if (stage.get() == Stage.SERVING) {
+    synchronized RefusalReason closedReason(String request, long timeLimitMillis) {
+        if (stage == Stage.SERVING) {
             return null;
         }
-        if (stage.get() == Stage.LEAVING) {
-            taken.incrementAndGet();
-            onTaken.run();
-            Logger.info(
-                    "event=taken_while_leaving at={} request={} since_leaving_millis={}",
-                    self,
-                    request,
-                    sinceLeavingMillis());
-            return null;
+        // Addresses are valid at least for the cached time, and the time limit is an upper bound of what a request
+        // needs, so it is not applied before.
+        boolean expected = stage == Stage.LEAVING && sinceLeavingMillis() < keptMillis;
+        boolean completable = stage == Stage.LEAVING && timeLimitMillis <= leftMillis();
+        boolean accepted = expected || completable;
+        logArrival(accepted ? "taken_while_leaving" : "refused_while_stopping", request);
+        if (!accepted) {
+            refused++;
+            return RefusalReason.STOPPING;
         }
-        refused.incrementAndGet();
-        Logger.warn(
-                "event=refused_while_stopping at={} request={} since_leaving_millis={}",
-                self,
-                request,
-                sinceLeavingMillis());
-        return RefusalReason.STOPPING;
+        lastArrivalMillis = clock.millis();
+        taken++;
+        onTaken.run();
+        return null;
     }
 
-    /** Writes the start of a stage, with the requests since the shutdown began, to the log. */
-    private void logStage(String event) {
+    /** Writes a request that arrives during the shutdown to the log. */
+    private void logArrival(String event, String request) {
         Logger.info(
-                "event={} at={} since_leaving_millis={} taken={} refused={} active={}",
+                "event={} at={} request={} since_leaving_millis={} left_millis={}",
                 event,
                 self,
+                request,
                 sinceLeavingMillis(),
-                taken,
-                refused,
-                active.getAsLong());
+                leftMillis());
     }
 
     /** Returns the time since the shutdown began, in milliseconds. */
@@ -156,7 +177,12 @@
         return clock.millis() - leavingMillis;
     }
 
-    /** Completes when no requests or attempts are in progress. */
+    /** Returns the time that is left to the shutdown, in milliseconds. */
+    private long leftMillis() {
+        return limitMillis - sinceLeavingMillis();
+    }
+
+    /** Completes when the shutdown has ended. */
     Mono<Void> ended() {
         return ended.asMono();
     }
--- a/apricotstack-router/src/test/java/org/apricotstack/router/SpreadNode.java
+++ b/apricotstack-router/src/test/java/org/apricotstack/router/SpreadNode.java
@@ -37,6 +37,7 @@
     private static final Duration PROBE = Duration.ofMillis(500);
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(200);
     private static final int MAX_ENTRIES = 8;
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(300);
     private static final Duration START_WAIT = Duration.ofMillis(1_500);
 
     private final ProcessId process;
@@ -80,7 +81,7 @@
                     gossip.broadcast();
                 },
                 () -> {},
-                new RouterRuntime(clock, timer, process.incarnation()));
+                new RouterRuntime(clock, timer, process.incarnation(), STOP_LIMIT));
         for (ReplicationTopic topic : ReplicationTopic.values()) {
             PlatformWatcher watcher = new PlatformWatcher(
                     fleet.platform(),
@@ -180,16 +181,16 @@
         stop.drain();
     }
 
-    /** Takes or refuses a request, or a request for a ticket, and runs it for the given time. */
-    Arrival arrive(String request, Duration duration) {
+    /** Takes or refuses a request, or a request for a ticket, and runs it until the end of its time limit. */
+    Arrival arrive(String request, Duration timeLimit) {
         if (timer.isDead()) {
             return Arrival.NOT_CONNECTED;
         }
-        if (stop.closedReason(request) == RefusalReason.STOPPING) {
+        if (stop.closedReason(request, timeLimit.toMillis()) == RefusalReason.STOPPING) {
             return Arrival.REFUSED;
         }
         open++;
-        fleet.time().schedule(() -> open--, duration.toMillis(), TimeUnit.MILLISECONDS);
+        fleet.time().schedule(() -> open--, timeLimit.toMillis(), TimeUnit.MILLISECONDS);
         return Arrival.TAKEN;
     }
 
