Count runs of tickets as in progress until they end, whoever waits for them

A router knows alone whether its tickets are spent, so it runs the requests that other routers forward to it, and goes on with a run whose caller disconnected. Neither counted as in progress unless the router was also the owner of the group: a stopping router could end during the run, and its caller was told ticket_home_lost for a call that may have run.

Each run of a ticket counts now until it ends. A forwarded request asks the same gate as any other: it keeps a stopping router from ending, and one that can no longer be completed is answered with an unknown outcome, as an earlier call with its ticket may have run.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
@@ -41,6 +41,7 @@
     private final EntryMetrics metrics;
     private final EntryIdentity identity;
     private final AtomicLong active = new AtomicLong();
+    private final AtomicLong ticketedRuns = new AtomicLong();
 
     /**
      * Creates a service.
@@ -165,7 +166,7 @@
             return coordinator.run(admitted);
         }
         if (ticket.issuer().equals(identity.process())) {
-            return ticketed.run(ticket, contentDigest(admitted.work()), coordinator.run(admitted));
+            return runTicketed(ticket, admitted);
         }
         Refusal issuerLost = Refusal.unknown(RefusalReason.TICKET_HOME_LOST);
         Flux<AttemptSignal> forwarded = forwarder
@@ -203,6 +204,10 @@
                 return Flux.error(
                         Refusal.unknown(RefusalReason.TICKET_HOME_LOST).toException());
             }
+            if (gate.stoppingReason(id.value(), deadline.remainingMillis(identity.clock())) != null) {
+                return Flux.error(
+                        Refusal.unknown(RefusalReason.TICKET_HOME_LOST).toException());
+            }
             AdmittedRequest admitted = new AdmittedRequest(
                     id,
                     work,
@@ -210,8 +215,17 @@
                     configuration.limits().lengthClass(work.promptTokens()),
                     deadline,
                     configuration);
-            return ticketed.run(ticket, contentDigest(work), coordinator.run(admitted));
+            return runTicketed(ticket, admitted);
+        });
+    }
+
+    /** Runs a request with a ticket of this process, and counts the run until it ends, whoever still waits for it. */
+    private Flux<AttemptSignal> runTicketed(Ticket ticket, AdmittedRequest admitted) {
+        Flux<AttemptSignal> counted = Flux.defer(() -> {
+            ticketedRuns.incrementAndGet();
+            return coordinator.run(admitted).doFinally(end -> ticketedRuns.decrementAndGet());
         });
+        return ticketed.run(ticket, contentDigest(admitted.work()), counted);
     }
 
     /** Computes the digest that identifies equal requests, from account, service, call and body. */
@@ -239,11 +253,21 @@
     }
 
     /**
-     * Returns the number of requests in progress.
+     * Returns the number of requests of callers in progress.
      *
      * @return the number
      */
     public long active() {
         return active.get();
     }
+
+    /**
+     * Returns the number of running requests with tickets of this process, including those that other routers forwarded
+     * and those whose callers disconnected.
+     *
+     * @return the number
+     */
+    public long ticketedRuns() {
+        return ticketedRuns.get();
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -60,6 +60,7 @@
     private final UpstreamReconciler reconciler;
     private final Set<UpstreamId> leaving = new HashSet<>();
     private final NoMetrics metrics = new NoMetrics();
+    private boolean stopped;
 
     FleetNode(ProcessId process, DataCentreId dataCentre, SeededFleet fleet, VirtualTimeScheduler time) {
         this.process = process;
@@ -90,7 +91,7 @@
 
             @Override
             public RefusalReason stoppingReason(String request, long timeLimitMillis) {
-                return null;
+                return stopped ? RefusalReason.STOPPING : null;
             }
 
             @Override
@@ -169,6 +170,11 @@
         return owners;
     }
 
+    /** Lets the process take no more requests. */
+    void stop() {
+        stopped = true;
+    }
+
     /** Marks an upstream as leaving, as the roster does. */
     void markLeaving(UpstreamId upstream) {
         leaving.add(upstream);
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -153,7 +153,7 @@
         entry = entryService(dispatcher, limiter);
         stop = new StopController(
                 self,
-                () -> entry.active() + owners.active(),
+                () -> entry.active() + entry.ticketedRuns() + owners.active(),
                 this::entryKeepMillis,
                 this::announceLeaving,
                 metrics::requestWhileLeaving,
--- a/apricotstack-router/src/main/java/org/apricotstack/router/StopController.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/StopController.java
@@ -57,7 +57,7 @@
      * Creates a controller.
      *
      * @param self this process, for the log
-     * @param active the number of requests and attempts in progress
+     * @param active zero if nothing is in progress; a request may count as request, run and attempt
      * @param keepMillis how long callers cache the addresses of routers, in milliseconds
      * @param announce announces to the peers that this router is leaving
      * @param onTaken counts a request that is accepted while the router is leaving
@@ -120,7 +120,7 @@
         }
         stage = Stage.ENDED;
         Logger.info(
-                "event=ended at={} since_leaving_millis={} taken={} refused={} cut={}",
+                "event=ended at={} since_leaving_millis={} taken={} refused={} active={}",
                 self,
                 sinceLeavingMillis(),
                 taken,
