Count requests of callers as in progress from their head to the last byte of the response

A stopping router counted a request from its admission to the end of its answer. While it still read the body, or still sent the end of the response, the request did not count: the router could end and close the connection under it, and the caller got no answer to a request that the router had begun to read, or only a part of one that was complete.

Callers' requests count now from their head to the last byte of the response, or until the caller disconnects.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/caller/CallerServer.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.BiFunction;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -62,6 +63,7 @@
 
     private final CallerEndpoint endpoint;
     private final ByteBudget budget;
+    private final OpenRequests open;
     private final DisposableServer server;
 
     /**
@@ -71,10 +73,12 @@
      * @param tls keys, or {@code null} for none
      * @param endpoint handles the requests
      * @param budget memory for request bodies
+     * @param open counts the requests
      */
-    public CallerServer(Address listen, SslContext tls, CallerEndpoint endpoint, ByteBudget budget) {
+    public CallerServer(Address listen, SslContext tls, CallerEndpoint endpoint, ByteBudget budget, OpenRequests open) {
         this.endpoint = endpoint;
         this.budget = budget;
+        this.open = open;
         HttpServer http = HttpServer.create()
                 .host(listen.ip())
                 .port(listen.port())
@@ -95,12 +99,20 @@
 
     /** Registers the routes. */
     private void routes(HttpServerRoutes routes) {
-        routes.get("/v1/entries", this::entries)
-                .post("/v1/tickets", this::ticket)
-                .post("/v1/completions", this::completion)
-                .route(request -> request.uri().startsWith(SERVICES), this::plain);
+        routes.get("/v1/entries", tracked(this::entries))
+                .post("/v1/tickets", tracked(this::ticket))
+                .post("/v1/completions", tracked(this::completion))
+                .route(request -> request.uri().startsWith(SERVICES), tracked(this::plain));
     }
 
+    /** Counts the requests of a handler. */
+    private Handler tracked(Handler handler) {
+        return (request, response) -> open.track(() -> handler.apply(request, response));
+    }
+
+    /** Handles a request and completes when its response was sent. */
+    private interface Handler extends BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> {}
+
     /** Sends the addresses of the routers that the caller should use. */
     private Publisher<Void> entries(HttpServerRequest request, HttpServerResponse response) {
         String ip = request.remoteAddress() == null
--- a/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
@@ -91,7 +91,11 @@
                 parts.self,
                 parts.runtime.clock());
         callerServer = new CallerServer(
-                settings.callerAddress(), TlsContexts.callerServer(settings.callerTls()), endpoints, bodies);
+                settings.callerAddress(),
+                TlsContexts.callerServer(settings.callerTls()),
+                endpoints,
+                bodies,
+                parts.openRequests);
         adminServer = new AdminServer(
                 settings.adminAddress(),
                 TlsContexts.callerServer(settings.callerTls()),
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.apricotstack.adapters.caller.OpenRequests;
 import org.apricotstack.adapters.configuration.JsonConfigurationValidator;
 import org.apricotstack.adapters.configuration.JsonRosterValidator;
 import org.apricotstack.adapters.metrics.RouterMetrics;
@@ -97,6 +98,9 @@
     /** Handles requests of callers. */
     final EntryService entry;
 
+    /** Counts the requests of callers. */
+    final OpenRequests openRequests = new OpenRequests();
+
     /** Leases of client accounts' limits. */
     final LimitService limits;
 
@@ -153,7 +157,7 @@
         entry = entryService(dispatcher, limiter);
         stop = new StopController(
                 self,
-                () -> entry.active() + entry.ticketedRuns() + owners.active(),
+                () -> openRequests.count() + entry.ticketedRuns() + owners.active(),
                 this::entryKeepMillis,
                 this::announceLeaving,
                 metrics::requestWhileLeaving,
