Kill the router of the crash test on a thread that may block

bringsAllEnginesToThePublishedRevisionAndBackToIt failed whenever the test of the replacement was passed over: not all engines loaded the new revision in 30 s. The fault is one of the tests, with another cause than the refused requests of the replacement:

- completesRequestsOfOtherEntriesWhenARouterCrashes, which runs before it, killed a router on a thread that may not block.
Closing the listening socket for callers threw IllegalStateException there, after the router's periodic work was disposed and before anything else was closed.
The error was dropped.
The router went on answering probes, peers and callers without doing any work of its own.
- Its peers thus never took it for dead (no peer_avoided line, and it adopted the new configuration as the fourth of four routers), and nobody brought the engines of the group that it owned to the new revision.
If the replacement runs first, the routers have other names; that the one which is killed then owns no group of engines is inferred, not logged.

The crash test now kills on a thread that may block, and fails if the kill fails: with the old thread it ended with the IllegalStateException (one run). With the new thread the other routers list the killed one as dead. So that a router that is closed or killed ends like a process, a caller server also closes its connections; before, callers went on using them. The class starts its tests once each router names all others to callers: without that, 68 of 120 requests of the crash test by itself were unreachable in one run, as callers keep the first answer of a router that names only itself.

Evidence: without the test of the replacement, the other tests of the class failed in one run before and passed in one run now. The crash test by itself passed in six of six runs. CallerServerTest.closesItsConnections fails without the close.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/caller/CallerServer.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/caller/CallerServer.java
@@ -6,8 +6,11 @@
 import java.util.function.BiFunction;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.apricotstack.adapters.caller.CallerEndpoint.IssuedTicket;
 import org.apricotstack.adapters.json.Json;
 import org.apricotstack.adapters.json.KeyDigests;
@@ -64,6 +67,7 @@
     private final CallerEndpoint endpoint;
     private final ByteBudget budget;
     private final OpenRequests open;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final DisposableServer server;
 
     /**
@@ -82,6 +86,7 @@
         HttpServer http = HttpServer.create()
                 .host(listen.ip())
                 .port(listen.port())
+                .doOnConnection(connection -> connections.add(connection.channel()))
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
                 .route(this::routes);
         if (tls != null) {
@@ -238,8 +243,10 @@
         return server.port();
     }
 
+    /** Closes the listening socket and all connections, as the end of the process does. */
     @Override
     public void close() {
         server.disposeNow();
+        connections.close();
     }
 }
--- a/apricotstack-adapters/src/test/java/org/apricotstack/adapters/caller/OpenRequestsTest.java
+++ b/apricotstack-adapters/src/test/java/org/apricotstack/adapters/caller/CallerServerTest.java
@@ -21,8 +21,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Guards against a router that ends while it reads a request or sends a response. */
-class OpenRequestsTest {
+/** Guards against a router that ends while it reads a request or sends a response, and against one that never ends. */
+class CallerServerTest {
 
     private static final int BODY_BYTES = 1 << 10;
     private static final Duration POLL = Duration.ofMillis(5);
@@ -72,6 +72,17 @@
         await(() -> open.count() == 0);
     }
 
+    @Test
+    void closesItsConnections() throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", server.port())) {
+            caller.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
+            await(() -> open.count() == 1);
+            caller.setSoTimeout((int) MAX_WAIT.toMillis());
+            server.close();
+            assertThat(caller.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
     /** Refuses each request. */
     private static final class RefusingEndpoint implements CallerEndpoint {
 
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
@@ -1,5 +1,7 @@
 package org.apricotstack.bench.deployment;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -8,6 +10,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.BooleanSupplier;
 
+import org.apricotstack.adapters.json.Json;
 import org.apricotstack.adapters.json.KeyDigests;
 import org.apricotstack.adapters.settings.RouterSettings;
 import org.apricotstack.bench.engine.EngineSpeed;
@@ -25,6 +28,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
 
 /** A complete deployment in one process, connected over loopback TCP. */
 public final class LocalDeployment implements AutoCloseable {
@@ -238,6 +242,25 @@
         return addresses;
     }
 
+    /**
+     * Returns the number of routers that a router names to callers.
+     *
+     * @param router the router
+     * @return the number of addresses in its entry answer
+     */
+    public static int namedRouters(Router router) {
+        byte[] answer = HttpClient.create()
+                .get()
+                .uri("http://" + new Address(ANY_PORT.ip(), router.callerPort()) + "/v1/entries")
+                .responseSingle((response, body) -> body.asByteArray())
+                .block(MAX_WAIT);
+        try {
+            return Json.STRICT.readTree(answer).path("entries").size();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Returns the memory held on all engines.
      *
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -45,6 +45,9 @@
     @BeforeAll
     void start() {
         deployment = new LocalDeployment(SHAPE, SPEED, 1);
+        LocalDeployment.await("all routers name each other", () -> deployment.routers().values().stream()
+                .allMatch(router -> LocalDeployment.namedRouters(router)
+                        == deployment.routers().size()));
     }
 
     @AfterAll
@@ -238,8 +241,13 @@
     @Test
     void completesRequestsOfOtherEntriesWhenARouterCrashes() {
         String victim = deployment.routers().keySet().iterator().next();
-        Mono.delay(Duration.ofSeconds(1)).subscribe(tick -> deployment.killRouter(victim));
+        Mono<Void> killed = Mono.delay(Duration.ofSeconds(1), Schedulers.boundedElastic())
+                .doOnNext(tick -> deployment.killRouter(victim))
+                .then()
+                .cache();
+        killed.subscribe(done -> {}, error -> {});
         List<ReplayResult> results = replay(24, 120, 40, 0.1);
+        killed.block(MAX_WAIT);
         assertThat(results)
                 .allMatch(result -> result.outcome() == ReplayOutcome.COMPLETED
                         || result.code().equals("connection_lost")
