Configure callers of the stand-ins with routers that serve

The test of the replacement takes the configured addresses of its callers while the first new router starts, so that they could name a router which had no configuration yet; requests that are sent before the first entry answer arrives use them. Configured addresses are now those of routers that serve. Nothing is changed for routers.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -234,12 +233,13 @@
     /**
      * Returns the addresses for callers.
      *
-     * @return addresses of all running routers
+     * @return addresses of all running routers that serve
      */
     public List<Address> entries() {
-        List<Address> addresses = new ArrayList<>();
-        routers.values().forEach(router -> addresses.add(new Address(ANY_PORT.ip(), router.callerPort())));
-        return addresses;
+        return routers.values().stream()
+                .filter(Router::isServing)
+                .map(router -> new Address(ANY_PORT.ip(), router.callerPort()))
+                .toList();
     }
 
     /**
