--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -61,6 +61,7 @@
     private final Set<UpstreamId> leaving = new HashSet<>();
     private final NoMetrics metrics = new NoMetrics();
     private boolean stopped;
+    private long askedMillis;
 
     FleetNode(ProcessId process, DataCentreId dataCentre, SeededFleet fleet, VirtualTimeScheduler time) {
         this.process = process;
@@ -91,6 +92,7 @@
 
             @Override
             public RefusalReason stoppingReason(String request, long timeLimitMillis) {
+                askedMillis = timeLimitMillis;
                 return stopped ? RefusalReason.STOPPING : null;
             }
 
@@ -170,6 +172,11 @@
         return owners;
     }
 
+    /** Returns the time limit of the last request that the gate was asked about. */
+    long askedMillis() {
+        return askedMillis;
+    }
+
     /** Lets the process take no more requests. */
     void stop() {
         stopped = true;
