Let requests of four callers reach the routers that the test replaces

The caller of the test asks for addresses every 3 s, and the stops followed each other nearly as fast: a run tried almost one and the same distance between an entry answer and a stop.

--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 
@@ -39,6 +40,8 @@
             new DeploymentShape("test", List.of("dc-a", "dc-b"), List.of(2, 2), 1, 2, 4, 0.5);
     private static final EngineSpeed SPEED = new EngineSpeed(400_000, 4_096, 2_000, 5, 60);
     private static final Duration MAX_WAIT = Duration.ofSeconds(70);
+    private static final int LATER_CALLERS = 3;
+    private static final Duration CALLER_OFFSET = Duration.ofMillis(750);
 
     private LocalDeployment deployment;
 
@@ -204,6 +207,15 @@
         }
     }
 
+    /** Replays the requests of callers whose entry lists expire at different times. */
+    private Mono<List<ReplayResult>> laterCallers() {
+        return Flux.range(1, LATER_CALLERS)
+                .flatMap(number -> Mono.delay(CALLER_OFFSET.multipliedBy(number), Schedulers.boundedElastic())
+                        .map(tick -> replay(30 + number, 60, 5, 0.1)))
+                .flatMapIterable(results -> results)
+                .collectList();
+    }
+
     /**
      * Guards against truncated, refused or lost requests during a rolling replacement of all routers under load, in
      * which callers have cached entry lists that name stopped hosts.
@@ -223,7 +235,10 @@
                 .cache();
         AtomicBoolean replaced = new AtomicBoolean();
         replacement.doFinally(end -> replaced.set(true)).subscribe();
+        Mono<List<ReplayResult>> others = laterCallers().cache();
+        others.subscribe(done -> {}, error -> {});
         List<ReplayResult> results = new ArrayList<>(replay(23, 300, 20, 0.1));
+        results.addAll(others.block(MAX_WAIT));
         for (long seed = 24; !replaced.get(); seed++) {
             results.addAll(replay(seed, 40, 20, 0.1));
         }
--- a/apricotstack-router/src/test/java/org/apricotstack/router/StopControllerTest.java
+++ b/apricotstack-router/src/test/java/org/apricotstack/router/StopControllerTest.java
@@ -26,13 +26,17 @@
     private long keepMillis = KEEP_MILLIS;
     private int announcements;
     private int taken;
-    private final StopController stop = new StopController(
-            new ProcessId(new HostId("r0"), 1),
-            () -> active,
-            () -> keepMillis,
-            () -> announcements++,
-            () -> taken++,
-            new RouterRuntime(() -> time.now(TimeUnit.NANOSECONDS), time, 1, Duration.ofMillis(LIMIT_MILLIS)));
+    private final StopController stop = controller(LIMIT_MILLIS);
+
+    private StopController controller(long limitMillis) {
+        return new StopController(
+                new ProcessId(new HostId("r0"), 1),
+                () -> active,
+                () -> keepMillis,
+                () -> announcements++,
+                () -> taken++,
+                new RouterRuntime(() -> time.now(TimeUnit.NANOSECONDS), time, 1, Duration.ofMillis(limitMillis)));
+    }
 
     private void advance(long millis) {
         time.advanceTimeBy(Duration.ofMillis(millis));
@@ -87,6 +91,15 @@
         assertThat(stop.stage()).isEqualTo(Stage.ENDED);
     }
 
+    @Test
+    void acceptsNothingAfterATimeLimitThatIsShorterThanTheCachedTime() {
+        StopController shortStop = controller(SHORT_MILLIS);
+        shortStop.drain();
+        advance(SHORT_MILLIS + CHECK_MILLIS);
+        assertThat(shortStop.stage()).isEqualTo(Stage.ENDED);
+        assertThat(shortStop.closedReason("request", 0)).isEqualTo(RefusalReason.STOPPING);
+    }
+
     @Test
     void refusesOnlyRequestsThatMayExceedItsTimeLimit() {
         stop.drain();
