--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -211,7 +211,7 @@
     private Mono<List<ReplayResult>> laterCallers() {
         return Flux.range(1, LATER_CALLERS)
                 .flatMap(number -> Mono.delay(CALLER_OFFSET.multipliedBy(number), Schedulers.boundedElastic())
-                        .map(tick -> replay(30 + number, 60, 5, 0.1)))
+                        .map(tick -> replay(30 + number, 60, 5, 0)))
                 .flatMapIterable(results -> results)
                 .collectList();
     }
@@ -240,7 +240,7 @@
         List<ReplayResult> results = new ArrayList<>(replay(23, 300, 20, 0.1));
         results.addAll(others.block(MAX_WAIT));
         for (long seed = 24; !replaced.get(); seed++) {
-            results.addAll(replay(seed, 40, 20, 0.1));
+            results.addAll(replay(seed, 40, 20, 0));
         }
         replacement.block(MAX_WAIT);
         assertThat(notCompleted(results)).isEmpty();
