--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/deployment/LocalDeployment.java
@@ -1,13 +1,15 @@
 package org.apricotstack.bench.deployment;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.BooleanSupplier;
 
+import org.apricotstack.adapters.json.Json;
 import org.apricotstack.adapters.json.KeyDigests;
 import org.apricotstack.adapters.settings.RouterSettings;
 import org.apricotstack.bench.engine.EngineSpeed;
@@ -25,6 +27,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
 
 /** A complete deployment in one process, connected over loopback TCP. */
 public final class LocalDeployment implements AutoCloseable {
@@ -138,7 +141,9 @@
                 null);
         RouterRuntime machine = RouterRuntime.system();
         Router router = new Router(
-                settings, new RouterRuntime(machine.clock(), machine.timer(), machine.startMillis() + incarnations++));
+                settings,
+                new RouterRuntime(
+                        machine.clock(), machine.timer(), machine.startMillis() + incarnations++, machine.stopLimit()));
         router.start();
         routers.put(name, router);
         dataCentreOfRouter.put(name, dataCentre);
@@ -228,12 +233,32 @@
     /**
      * Returns the addresses for callers.
      *
-     * @return addresses of all running routers
+     * @return addresses of all running routers that serve
      */
     public List<Address> entries() {
-        List<Address> addresses = new ArrayList<>();
-        routers.values().forEach(router -> addresses.add(new Address(ANY_PORT.ip(), router.callerPort())));
-        return addresses;
+        return routers.values().stream()
+                .filter(Router::isServing)
+                .map(router -> new Address(ANY_PORT.ip(), router.callerPort()))
+                .toList();
+    }
+
+    /**
+     * Returns the number of routers that a router names to callers.
+     *
+     * @param router the router
+     * @return the number of addresses in its entry answer
+     */
+    public static int namedRouters(Router router) {
+        byte[] answer = HttpClient.create()
+                .get()
+                .uri("http://" + new Address(ANY_PORT.ip(), router.callerPort()) + "/v1/entries")
+                .responseSingle((response, body) -> body.asByteArray())
+                .block(MAX_WAIT);
+        try {
+            return Json.STRICT.readTree(answer).path("entries").size();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /**
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/deployment/LoopbackFaultsTest.java
@@ -1,10 +1,12 @@
 package org.apricotstack.bench.deployment;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.apricotstack.bench.engine.EngineFaults.Fault;
 import org.apricotstack.bench.engine.EngineSpeed;
@@ -24,6 +26,7 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 
@@ -37,12 +40,17 @@
             new DeploymentShape("test", List.of("dc-a", "dc-b"), List.of(2, 2), 1, 2, 4, 0.5);
     private static final EngineSpeed SPEED = new EngineSpeed(400_000, 4_096, 2_000, 5, 60);
     private static final Duration MAX_WAIT = Duration.ofSeconds(70);
+    private static final int LATER_CALLERS = 3;
+    private static final Duration CALLER_OFFSET = Duration.ofMillis(750);
 
     private LocalDeployment deployment;
 
     @BeforeAll
     void start() {
         deployment = new LocalDeployment(SHAPE, SPEED, 1);
+        LocalDeployment.await("all routers name each other", () -> deployment.routers().values().stream()
+                .allMatch(router -> LocalDeployment.namedRouters(router)
+                        == deployment.routers().size()));
     }
 
     @AfterAll
@@ -199,6 +207,15 @@
         }
     }
 
+    /** Replays the requests of callers whose entry lists expire at different times. */
+    private Mono<List<ReplayResult>> laterCallers() {
+        return Flux.range(1, LATER_CALLERS)
+                .flatMap(number -> Mono.delay(CALLER_OFFSET.multipliedBy(number), Schedulers.boundedElastic())
+                        .map(tick -> replay(30 + number, 60, 5, 0)))
+                .flatMapIterable(results -> results)
+                .collectList();
+    }
+
     /**
      * Guards against truncated, refused or lost requests during a rolling replacement of all routers under load, in
      * which callers have cached entry lists that name stopped hosts.
@@ -216,8 +233,15 @@
                 .subscribeOn(Schedulers.boundedElastic())
                 .then()
                 .cache();
-        replacement.subscribe();
-        List<ReplayResult> results = replay(23, 300, 20, 0.1);
+        AtomicBoolean replaced = new AtomicBoolean();
+        replacement.doFinally(end -> replaced.set(true)).subscribe();
+        Mono<List<ReplayResult>> others = laterCallers().cache();
+        others.subscribe(done -> {}, error -> {});
+        List<ReplayResult> results = new ArrayList<>(replay(23, 300, 20, 0.1));
+        results.addAll(others.block(MAX_WAIT));
+        for (long seed = 24; !replaced.get(); seed++) {
+            results.addAll(replay(seed, 40, 20, 0));
+        }
         replacement.block(MAX_WAIT);
         assertThat(notCompleted(results)).isEmpty();
         assertThat(deployment.routers().keySet()).doesNotContainAnyElementsOf(old);
@@ -232,8 +256,13 @@
     @Test
     void completesRequestsOfOtherEntriesWhenARouterCrashes() {
         String victim = deployment.routers().keySet().iterator().next();
-        Mono.delay(Duration.ofSeconds(1)).subscribe(tick -> deployment.killRouter(victim));
+        Mono<Void> killed = Mono.delay(Duration.ofSeconds(1), Schedulers.boundedElastic())
+                .doOnNext(tick -> deployment.killRouter(victim))
+                .then()
+                .cache();
+        killed.subscribe(done -> {}, error -> {});
         List<ReplayResult> results = replay(24, 120, 40, 0.1);
+        killed.block(MAX_WAIT);
         assertThat(results)
                 .allMatch(result -> result.outcome() == ReplayOutcome.COMPLETED
                         || result.code().equals("connection_lost")
--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
@@ -29,6 +29,9 @@
     /** Suggested retry delay while this router does not accept requests, in milliseconds. */
     private static final long CLOSED_RETRY_MILLIS = 500;
 
+    /** Name of requests for tickets in the log. */
+    private static final String TICKET_REQUEST = "ticket";
+
     private final EntryGate gate;
     private final AccountLimiter limiter;
     private final RequestCoordinator coordinator;
@@ -38,6 +41,7 @@
     private final EntryMetrics metrics;
     private final EntryIdentity identity;
     private final AtomicLong active = new AtomicLong();
+    private final AtomicLong ticketedRuns = new AtomicLong();
 
     /**
      * Creates a service.
@@ -89,6 +93,7 @@
         EntryRequest accountRequest = new EntryRequest(keyDigest, null, null, 0, 0, null, null, null, null, null);
         try {
             new RequestChecks(configuration, accountRequest).account();
+            requireAccepted(gate.stoppingReason(TICKET_REQUEST, 0));
         } catch (RefusedException e) {
             metrics.requestRefused(e.refusal());
             throw e;
@@ -123,6 +128,7 @@
             ClientAccount account = checks.account();
             Service service = checks.service(account);
             Deadline deadline = checks.deadline(service, identity.clock());
+            requireAccepted(gate.stoppingReason(id.value(), deadline.remainingMillis(identity.clock())));
             Work work = checks.work(account.id(), service);
             AdmittedRequest admitted = checks.admitted(id, work, service, deadline);
             Ticket ticket = ticket(request);
@@ -160,7 +166,7 @@
             return coordinator.run(admitted);
         }
         if (ticket.issuer().equals(identity.process())) {
-            return ticketed.run(ticket, contentDigest(admitted.work()), coordinator.run(admitted));
+            return runTicketed(ticket, admitted);
         }
         Refusal issuerLost = Refusal.unknown(RefusalReason.TICKET_HOME_LOST);
         Flux<AttemptSignal> forwarded = forwarder
@@ -198,6 +204,10 @@
                 return Flux.error(
                         Refusal.unknown(RefusalReason.TICKET_HOME_LOST).toException());
             }
+            if (gate.stoppingReason(id.value(), deadline.remainingMillis(identity.clock())) != null) {
+                return Flux.error(
+                        Refusal.unknown(RefusalReason.TICKET_HOME_LOST).toException());
+            }
             AdmittedRequest admitted = new AdmittedRequest(
                     id,
                     work,
@@ -205,10 +215,19 @@
                     configuration.limits().lengthClass(work.promptTokens()),
                     deadline,
                     configuration);
-            return ticketed.run(ticket, contentDigest(work), coordinator.run(admitted));
+            return runTicketed(ticket, admitted);
         });
     }
 
+    /** Runs a request with a ticket of this process, and counts the run until it ends, whoever still waits for it. */
+    private Flux<AttemptSignal> runTicketed(Ticket ticket, AdmittedRequest admitted) {
+        Flux<AttemptSignal> counted = Flux.defer(() -> {
+            ticketedRuns.incrementAndGet();
+            return coordinator.run(admitted).doFinally(end -> ticketedRuns.decrementAndGet());
+        });
+        return ticketed.run(ticket, contentDigest(admitted.work()), counted);
+    }
+
     /** Computes the digest that identifies equal requests, from account, service, call and body. */
     private static String contentDigest(Work work) {
         Hasher hasher = Hashing.sha256()
@@ -222,19 +241,33 @@
 
     /** Returns the configuration, or throws the refusal if this router accepts no requests. */
     private FleetConfiguration requireOpen() {
-        RefusalReason closed = gate.closedReason();
-        if (closed != null) {
-            throw Refusal.notRun(closed, CLOSED_RETRY_MILLIS).toException();
-        }
+        requireAccepted(gate.closedReason());
         return gate.configuration();
     }
 
+    /** Throws the refusal for a reason, if there is one. */
+    private static void requireAccepted(RefusalReason reason) {
+        if (reason != null) {
+            throw Refusal.notRun(reason, CLOSED_RETRY_MILLIS).toException();
+        }
+    }
+
     /**
-     * Returns the number of requests in progress.
+     * Returns the number of requests of callers in progress.
      *
      * @return the number
      */
     public long active() {
         return active.get();
     }
+
+    /**
+     * Returns the number of running requests with tickets of this process, including those that other routers forwarded
+     * and those whose callers disconnected.
+     *
+     * @return the number
+     */
+    public long ticketedRuns() {
+        return ticketedRuns.get();
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/FleetNode.java
@@ -60,6 +60,8 @@
     private final UpstreamReconciler reconciler;
     private final Set<UpstreamId> leaving = new HashSet<>();
     private final NoMetrics metrics = new NoMetrics();
+    private boolean stopped;
+    private long askedMillis;
 
     FleetNode(ProcessId process, DataCentreId dataCentre, SeededFleet fleet, VirtualTimeScheduler time) {
         this.process = process;
@@ -88,6 +90,12 @@
                 return null;
             }
 
+            @Override
+            public RefusalReason stoppingReason(String request, long timeLimitMillis) {
+                askedMillis = timeLimitMillis;
+                return stopped ? RefusalReason.STOPPING : null;
+            }
+
             @Override
             public FleetConfiguration configuration() {
                 return configuration;
@@ -164,6 +172,16 @@
         return owners;
     }
 
+    /** Returns the time limit of the last request that the gate was asked about. */
+    long askedMillis() {
+        return askedMillis;
+    }
+
+    /** Lets the process take no more requests. */
+    void stop() {
+        stopped = true;
+    }
+
     /** Marks an upstream as leaving, as the roster does. */
     void markLeaving(UpstreamId upstream) {
         leaving.add(upstream);
--- a/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
@@ -91,7 +91,11 @@
                 parts.self,
                 parts.runtime.clock());
         callerServer = new CallerServer(
-                settings.callerAddress(), TlsContexts.callerServer(settings.callerTls()), endpoints, bodies);
+                settings.callerAddress(),
+                TlsContexts.callerServer(settings.callerTls()),
+                endpoints,
+                bodies,
+                parts.openRequests);
         adminServer = new AdminServer(
                 settings.adminAddress(),
                 TlsContexts.callerServer(settings.callerTls()),
@@ -282,7 +286,7 @@
     /**
      * Returns the completion of a graceful shutdown.
      *
-     * @return completes when no requests or attempts are in progress
+     * @return completes when no requests or attempts are in progress or expected, or when its time is up
      */
     public Mono<Void> ended() {
         return parts.stop.ended();
--- a/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/RouterAssembly.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.apricotstack.adapters.caller.OpenRequests;
 import org.apricotstack.adapters.configuration.JsonConfigurationValidator;
 import org.apricotstack.adapters.configuration.JsonRosterValidator;
 import org.apricotstack.adapters.metrics.RouterMetrics;
@@ -97,6 +98,9 @@
     /** Handles requests of callers. */
     final EntryService entry;
 
+    /** Counts the requests of callers. */
+    final OpenRequests openRequests = new OpenRequests();
+
     /** Leases of client accounts' limits. */
     final LimitService limits;
 
@@ -152,7 +156,12 @@
                 settings.host(), shares, limiter, membership::view, peers, runtime.clock(), replication::configuration);
         entry = entryService(dispatcher, limiter);
         stop = new StopController(
-                () -> entry.active() + owners.active(), this::entryKeepMillis, this::announceLeaving, runtime.timer());
+                self,
+                () -> openRequests.count() + entry.ticketedRuns() + owners.active(),
+                this::entryKeepMillis,
+                this::announceLeaving,
+                metrics::requestWhileLeaving,
+                runtime);
         status = new StatusReport(self, settings.dataCentre(), replication, membership, table, owners);
         replication.connect(this::fetch, this::adopted);
     }
@@ -183,7 +192,12 @@
             if (!replication.isOpen()) {
                 return RefusalReason.NO_CONFIGURATION;
             }
-            return stop.closedReason();
+            return null;
+        }
+
+        @Override
+        public RefusalReason stoppingReason(String request, long timeLimitMillis) {
+            return stop.closedReason(request, timeLimitMillis);
         }
 
         @Override
