Bound the pace of a stream by the slowest recent one again

Cause: leaving out the slowest hundredth of the recent streams let more requests in that take longer than estimated.

Change: of streams the slowest of the recent ones counts again. Short answers stay left out, which was what let one delay set the time of all, and of plain services the slowest hundredth does not count.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -29,8 +29,8 @@
     /** Factor of the predicted pace of an engine that covers the prefill of other prompts meanwhile. */
     private static final double PREFILL_FACTOR = 1.25;
 
-    /** Share of the recent requests that are faster than the slowest one that counts. */
-    private static final double SLOW_SHARE = 0.99;
+    /** Share of the recent answers of a plain service that are faster than the slowest one that counts. */
+    private static final double PLAIN_SHARE = 0.99;
 
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -100,6 +100,8 @@
     /** Returns the slowest record of the request's service that counts, in milliseconds; 0 without records. */
     private double slowestMillis(RequestFacts facts) {
         SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
-        return recorded == null ? 0 : recorded.getSnapshot().getValue(SLOW_SHARE) / MICROS_PER_MILLI;
+        return recorded == null
+                ? 0
+                : recorded.getSnapshot().getValue(facts.runsOnEngines() ? 1 : PLAIN_SHARE) / MICROS_PER_MILLI;
     }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -94,7 +94,7 @@
     @Test
     void assumesTheSlowestRecentAnswerInProportionToItsLimit() {
         record(facts(true, 1_000), 40, 100, 600);
-        record(facts(true, 4_000), 4, 100, 8_100);
+        record(facts(true, 4_000), 1, 100, 8_100);
         assertThat(times.longestMillis(facts(true, 2_000), choice(300), 0)).isEqualTo(300 + 4_000);
     }
 
@@ -106,7 +106,7 @@
     }
 
     @Test
-    void ignoresASingleSlowAnswerAmongMany() {
+    void ignoresASingleSlowAnswerOfAPlainService() {
         record(facts(false, 0), 300, 0, 100);
         record(facts(false, 0), 1, 0, 7_000);
         assertThat(times.longestMillis(facts(false, 0), choice(0), 0)).isEqualTo(100);
