--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -121,7 +121,7 @@
 
     @Test
     void tellsAStoppingRouterWhereItsCallersCanGo() {
-        assertThat(table.others(0)).isEqualTo(OtherRouters.NONE);
+        assertThat(table.others(0)).isEqualTo(new OtherRouters(false, 0, Long.MAX_VALUE));
         table.recordHeartbeat(stopping(1, 3_000), 0);
         table.recordHeartbeat(stopping(2, 6_000), 0);
         assertThat(table.others(1_000)).isEqualTo(new OtherRouters(false, 5_000, 2_000));
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -41,15 +41,15 @@
     void sendsRejectedCallersToAnotherRouterOrBackAfterTheRestart() {
         policy.timeline().begin(0);
         long longestMillis = 4_000;
-        assertThat(policy.retryAfterMillis(OtherRouters.READY, longestMillis, 5_000))
+        assertThat(policy.retryAfterMillis(new OtherRouters(true, 0, Long.MAX_VALUE), longestMillis, 5_000))
                 .isEqualTo(100);
         assertThat(policy.retryAfterMillis(new OtherRouters(false, 4_000, 1_000), longestMillis, 5_000))
                 .isEqualTo(100);
         assertThat(policy.retryAfterMillis(new OtherRouters(false, 3_900, 1_000), longestMillis, 5_000))
                 .isEqualTo(1_000);
-        assertThat(policy.retryAfterMillis(OtherRouters.NONE, longestMillis, 5_000))
+        assertThat(policy.retryAfterMillis(new OtherRouters(false, 0, Long.MAX_VALUE), longestMillis, 5_000))
                 .isEqualTo(1_000);
-        assertThat(policy.retryAfterMillis(OtherRouters.NONE, longestMillis, 2_000))
+        assertThat(policy.retryAfterMillis(new OtherRouters(false, 0, Long.MAX_VALUE), longestMillis, 2_000))
                 .isEqualTo(2_200);
         assertThat(policy.retryAfterMillis(new OtherRouters(false, 3_900, 5_000), longestMillis, 2_000))
                 .isEqualTo(1_600);
