Record short answers by themselves

Cause: answers below the usual length were not recorded at all, so a stopping router knew nothing of their time.

Change: only answers whose limit is below a quarter of the usual length count as short. They are recorded as they are, not for each token, and bound each other; all others are recorded for each token as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -32,10 +32,14 @@
     /** Share of the recent answers of a plain service that are faster than the slowest one that counts. */
     private static final double PLAIN_SHARE = 0.99;
 
+    /** Answers whose limit is below the usual length divided by this count as short. */
+    private static final int SHORT_DIVISOR = 4;
+
     private static final double MICROS_PER_MILLI = 1_000;
 
     private final EngineLoadTable loadTable;
     private final Map<ServiceId, SlidingWindowReservoir> recordedMicros = new HashMap<>();
+    private final Map<ServiceId, SlidingWindowReservoir> shortMicros = new HashMap<>();
 
     /** Creates estimates without records. */
     CompletionTimes(EngineLoadTable loadTable) {
@@ -43,22 +47,29 @@
     }
 
     /**
-     * Records a request that one attempt completed; that of an engine relative to the limit of its answer. Short
-     * answers of engines say little of their pace.
+     * Records a request that one attempt completed; that of an engine relative to the limit of its answer, unless the
+     * answer is short: most of its time is not spent on tokens.
      */
     void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
-        if (facts.runsOnEngines() && facts.answerTokens() < usualTokens(facts)) {
-            return;
+        double millis = Math.max(0, tookMillis - predictedMillis);
+        if (isShort(facts)) {
+            record(shortMicros, facts, millis);
+        } else {
+            record(recordedMicros, facts, millis / (facts.runsOnEngines() ? Math.max(1, facts.answerTokens()) : 1));
         }
-        long units = facts.runsOnEngines() ? Math.max(1, facts.answerTokens()) : 1;
-        double micros = Math.max(0, tookMillis - predictedMillis) * MICROS_PER_MILLI / units;
-        recordedMicros
-                .computeIfAbsent(facts.service(), service -> new SlidingWindowReservoir(WINDOW))
-                .update(Math.round(micros));
     }
 
-    private static long usualTokens(RequestFacts facts) {
-        return facts.profile().engine().orElseThrow().meanAnswerTokens();
+    /** Adds a record of a request's service. */
+    private static void record(Map<ServiceId, SlidingWindowReservoir> records, RequestFacts facts, double millis) {
+        records.computeIfAbsent(facts.service(), service -> new SlidingWindowReservoir(WINDOW))
+                .update(Math.round(millis * MICROS_PER_MILLI));
+    }
+
+    /** Returns whether the limit of an engine's answer is far below the usual length. */
+    private static boolean isShort(RequestFacts facts) {
+        return facts.runsOnEngines()
+                && SHORT_DIVISOR * facts.answerTokens()
+                        < facts.profile().engine().orElseThrow().meanAnswerTokens();
     }
 
     /** Estimates the shortest time of the longest answer to a request, in milliseconds; its deadline bounds it. */
@@ -75,33 +86,36 @@
 
     /** Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        double millis = facts.runsOnEngines()
-                ? choice.predictedMillis() + facts.answerTokens() * millisPerToken(facts, choice)
-                : plainMillis(facts);
+        double millis =
+                facts.runsOnEngines() ? choice.predictedMillis() + decodeMillis(facts, choice) : plainMillis(facts);
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
-    /** Estimates the time of each token of the answer at the chosen engine, in milliseconds. */
-    private double millisPerToken(RequestFacts facts, UpstreamChoice choice) {
-        double predicted = loadTable
-                .load(choice.upstream().id())
-                .decodeMillisPerToken(facts.request().promptTokens());
-        return Math.max(PREFILL_FACTOR * predicted, slowestMillis(facts));
+    /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
+    private double decodeMillis(RequestFacts facts, UpstreamChoice choice) {
+        double millisPerToken = PREFILL_FACTOR
+                * loadTable
+                        .load(choice.upstream().id())
+                        .decodeMillisPerToken(facts.request().promptTokens());
+        double predicted = facts.answerTokens() * millisPerToken;
+        double recorded = isShort(facts)
+                ? slowestMillis(shortMicros, facts)
+                : facts.answerTokens() * slowestMillis(recordedMicros, facts);
+        return Math.max(predicted, recorded);
     }
 
     /** Estimates the longest time of an answer of a plain service, in milliseconds. */
     private double plainMillis(RequestFacts facts) {
         SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
         return recorded != null && recorded.size() >= MIN_RECORDED
-                ? slowestMillis(facts)
+                ? slowestMillis(recordedMicros, facts)
                 : PLAIN_LATENCY_TARGETS * facts.route().targetLatencyMillis();
     }
 
     /** Returns the slowest record of the request's service that counts, in milliseconds; 0 without records. */
-    private double slowestMillis(RequestFacts facts) {
-        SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
-        return recorded == null
-                ? 0
-                : recorded.getSnapshot().getValue(facts.runsOnEngines() ? 1 : PLAIN_SHARE) / MICROS_PER_MILLI;
+    private static double slowestMillis(Map<ServiceId, SlidingWindowReservoir> records, RequestFacts facts) {
+        SlidingWindowReservoir recorded = records.get(facts.service());
+        double share = facts.runsOnEngines() ? 1 : PLAIN_SHARE;
+        return recorded == null ? 0 : recorded.getSnapshot().getValue(share) / MICROS_PER_MILLI;
     }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -105,6 +105,12 @@
         assertThat(times.longestMillis(facts(true, 1_000), choice(100), 0)).isLessThan(1_500);
     }
 
+    @Test
+    void assumesTheSlowestOfTheShortAnswersForAnotherOne() {
+        record(facts(true, 16), 1, 100, 2_600);
+        assertThat(times.longestMillis(facts(true, 100), choice(100), 0)).isEqualTo(100 + 2_500);
+    }
+
     @Test
     void ignoresASingleSlowAnswerOfAPlainService() {
         record(facts(false, 0), 300, 0, 100);
