Count a stop from the begin of the stall in which its signal came

What callers saw: a router that stalled for 3 s as SIGTERM came was killed with requests open. They ended without an answer.

Cause: the time at which the signal was handled stood for the time at which it was sent. The process is killed by the latter, so a router that stalled thought that it had up to 3 s more than it had.

Ruled out: a kill during the stall (the killed ones ran for 5 s and more before it).

A process cannot learn when a signal was sent, but it can tell how long it did not run: StallDetector, reported to every 100 ms. A signal that is handled within 100 ms of the end of a stall counts as sent when the stall began. Idle connections are still kept by the time at which the other routers were told, as callers cache the address until then.

Sight: stop_begun says how old its signal may be, each stall is one log line and counted (process.stalls, process.stalled_millis).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -101,7 +101,9 @@
      * @return {@code false} while callers may still use their connections
      */
     public boolean closesIdle(long nowMillis) {
-        return timeline.stopping() && timeline.elapsedMillis(nowMillis) >= closesIdleMillis;
+        return timeline.stopping()
+                && timeline.announcedForMillis(nowMillis)
+                        >= Math.min(closesIdleMillis, timeline.leftWhenAnnouncedMillis() / 2);
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopTimeline.java
@@ -10,6 +10,7 @@
     private boolean stopping;
     private boolean ended;
     private long signalMillis;
+    private long announcedMillis;
 
     /**
      * Creates the timeline of a router that is not stopping.
@@ -32,12 +33,14 @@
     /**
      * Records the signal; further signals have no effect.
      *
-     * @param nowMillis the current time
+     * @param sentMillis the earliest time at which it may have been sent
+     * @param nowMillis the current time, from which on the other routers know of the stop
      */
-    public void begin(long nowMillis) {
+    public void begin(long sentMillis, long nowMillis) {
         if (!stopping) {
             stopping = true;
-            signalMillis = nowMillis;
+            signalMillis = sentMillis;
+            announcedMillis = nowMillis;
         }
     }
 
@@ -75,6 +78,25 @@
         return stopping ? nowMillis - signalMillis : 0;
     }
 
+    /**
+     * Returns the time for which the other routers have known of the stop.
+     *
+     * @param nowMillis the current time
+     * @return milliseconds; 0 if the router is not stopping
+     */
+    public long announcedForMillis(long nowMillis) {
+        return stopping ? nowMillis - announcedMillis : 0;
+    }
+
+    /**
+     * Returns the time that was left when the other routers were told of the stop.
+     *
+     * @return milliseconds, negative if there was none
+     */
+    public long leftWhenAnnouncedMillis() {
+        return leftMillis(announcedMillis);
+    }
+
     /**
      * Returns the time until the process ends in any case.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/AddressLifetimeTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/AddressLifetimeTest.java
@@ -18,7 +18,7 @@
     void closesNoIdleConnectionWhileCallersMayStillUseIt(long stopTimeoutMillis) {
         AddressLifetime lifetime = AddressLifetime.of(stopTimeoutMillis, 5);
         StopPolicy policy = new StopPolicy(stopTimeoutMillis, lifetime);
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         assertThat(policy.closesIdle(3_000L * lifetime.seconds())).isFalse();
         assertThat(policy.closesIdle(lifetime.longestMillis())).isTrue();
     }
@@ -27,7 +27,7 @@
     @CsvSource({"1000", "2000", "5000"})
     void closesIdleConnectionsBeforeTheEndHoweverShortTheTimeoutIs(long stopTimeoutMillis) {
         StopPolicy policy = new StopPolicy(stopTimeoutMillis, AddressLifetime.of(stopTimeoutMillis, 5));
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         long closesMillis = 0;
         while (!policy.closesIdle(closesMillis) && policy.timeline().leftMillis(closesMillis) > 0) {
             closesMillis++;
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCounts.java
@@ -20,6 +20,10 @@
     int cutBeforeSignal;
     int cutByStall;
     int killed;
+
+    /** Killed before they ran again after a stall; these could not have ended by themselves. */
+    int killedStalled;
+
     int notReady;
     int repeats;
     int repeatsTaken;
@@ -42,7 +46,8 @@
                 + arrivedLate + " rejected=" + rejected + " noConnection=" + noConnection + " questions=" + questions
                 + " emptyAnswers=" + emptyAnswers + " ended=" + ended
                 + " unserved=" + unserved + " cutAfterSignal=" + cutAfterSignal + " cutBeforeSignal=" + cutBeforeSignal
-                + " cutByStall=" + cutByStall + " killed=" + killed + " notReady=" + notReady + " repeats=" + repeats
+                + " cutByStall=" + cutByStall + " killed=" + killed + " killedStalled=" + killedStalled + " notReady="
+                + notReady + " repeats=" + repeats
                 + " repeatsTaken=" + repeatsTaken + " retryAfterMillis=" + retryAfterMillis + " plainRejected="
                 + plainRejected + " plainRejectedWithTime=" + plainRejectedWithTime + " meanStopMillis="
                 + stopMillis.stream().mapToLong(Long::longValue).average().orElse(0);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -31,14 +31,14 @@
         "7610, 1, false"
     })
     void takesOnlyRequestsThatAreCompletedBeforeTheEnd(long elapsedMillis, long longestMillis, boolean expected) {
-        policy.timeline().begin(500);
+        policy.timeline().begin(500, 500);
         assertThat(policy.takes(longestMillis, 500 + elapsedMillis)).isEqualTo(expected);
     }
 
     @Test
     void keepsTheTimeOfTheFirstSignal() {
-        policy.timeline().begin(1_000);
-        policy.timeline().begin(5_000);
+        policy.timeline().begin(1_000, 1_000);
+        policy.timeline().begin(5_000, 5_000);
         assertThat(policy.timeline().elapsedMillis(6_000)).isEqualTo(5_000);
         assertThat(policy.timeline().leftMillis(6_000)).isEqualTo(2_600);
     }
@@ -67,14 +67,14 @@
     @MethodSource("retryAfterTimes")
     void sendsRejectedCallersToAnotherRouterOrBackAfterTheRestart(
             String name, long elapsedMillis, OtherRouters others, long expectedMillis) {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         assertThat(policy.retryAfterMillis(others, 4_000, elapsedMillis)).isEqualTo(expectedMillis);
     }
 
     /** Guards against a repeat that is rejected again by another stopping router whose address the caller caches. */
     @Test
     void sendsRejectedCallersBackOnceTheyHaveForgottenTheRoutersThatRejectThemToo() {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         long elapsedMillis = 2_500;
         long leftMillis = 7_600 - elapsedMillis;
         assertThat(policy.retryAfterMillis(ready(leftMillis), 5_200, elapsedMillis))
@@ -86,7 +86,7 @@
     /** Guards against a wave of returning callers at the first router that is back. */
     @Test
     void spreadsTheReturnOfCallersOverTimeInTheOrderInWhichTheyWereRejected() {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         long first = 2_500 + policy.retryAfterMillis(stopping(5_100L), 5_200, 2_500);
         long later = 2_900 + policy.retryAfterMillis(stopping(4_700L), 5_200, 2_900);
         assertThat(later - first).isEqualTo(200);
@@ -95,15 +95,32 @@
     /** Callers cache the router's address, and find nobody there once it has ended. */
     @Test
     void doesNotEndWhileCallersMaySendRequestsThoughNoneIsOpen() {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         long forgottenMillis = new AddressLifetime(1).longestMillis();
         assertThat(policy.ends(0, forgottenMillis - 1)).isFalse();
         assertThat(policy.ends(0, forgottenMillis)).isTrue();
     }
 
+    /** Guards against a router that ends while callers still cache its address, as nobody was told during its stall. */
+    @Test
+    void closesIdleConnectionsByTheTimeAtWhichTheOthersWereTold() {
+        policy.timeline().begin(0, 1_000);
+        assertThat(policy.timeline().leftMillis(1_000)).isEqualTo(6_600);
+        assertThat(policy.closesIdle(1_000 + 3_199)).isFalse();
+        assertThat(policy.closesIdle(1_000 + 3_200)).isTrue();
+    }
+
+    /** Guards against idle connections that are closed only when no time is left for their last requests. */
+    @Test
+    void closesIdleConnectionsInHalfOfTheTimeThatIsLeftAfterALongStall() {
+        policy.timeline().begin(0, 4_000);
+        assertThat(policy.closesIdle(4_000 + 1_799)).isFalse();
+        assertThat(policy.closesIdle(4_000 + 1_800)).isTrue();
+    }
+
     @Test
     void doesNotEndWhileARequestIsOpenThatTheTimeoutAllows() {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         assertThat(policy.ends(1, 7_599)).isFalse();
         assertThat(policy.ends(1, 7_600)).isTrue();
     }
@@ -111,7 +128,7 @@
     /** The others would send callers to it for as long as its timeout would have allowed. */
     @Test
     void announcesNoTimeOnceItHasEnded() {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         assertThat(policy.timeline().takesRequestsMillis(3_200)).isEqualTo(4_400);
         policy.timeline().end();
         assertThat(policy.timeline().takesRequestsMillis(3_200)).isZero();
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScenario.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScenario.java
@@ -44,8 +44,9 @@
      * What happens while routers are stopped.
      *
      * @param notReadyMillis time for which a router is not ready after its start, in milliseconds
-     * @param stallAtMillis when the first router stalls; 0 if none does
-     * @param stallMillis how long it sends and handles nothing
+     * @param stallAtMillis when the first routers stall; 0 if none does
+     * @param stallMillis how long they send and handle nothing
+     * @param stalledRouters how many stall
      * @param cutOffAtMillis when routers with even and odd numbers lose each other; 0 if they do not
      * @param cutOffMillis how long they receive no heartbeats of each other
      * @param byDataCentre whether series stop one data centre after the other
@@ -57,6 +58,7 @@
             long notReadyMillis,
             long stallAtMillis,
             long stallMillis,
+            int stalledRouters,
             long cutOffAtMillis,
             long cutOffMillis,
             boolean byDataCentre,
@@ -64,13 +66,14 @@
             double plainPerSecond,
             boolean awaitsRetryAfter) {
 
-        static final Conditions NONE = new Conditions(0, 0, 0, 0, 0, false, 1, 0, false);
+        static final Conditions NONE = new Conditions(0, 0, 0, 1, 0, 0, false, 1, 0, false);
 
         Conditions retryAfter() {
             return new Conditions(
                     notReadyMillis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     cutOffAtMillis,
                     cutOffMillis,
                     byDataCentre,
@@ -84,6 +87,7 @@
                     millis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     cutOffAtMillis,
                     cutOffMillis,
                     byDataCentre,
@@ -97,6 +101,21 @@
                     notReadyMillis,
                     atMillis,
                     millis,
+                    stalledRouters,
+                    cutOffAtMillis,
+                    cutOffMillis,
+                    byDataCentre,
+                    unknownSlowdown,
+                    plainPerSecond,
+                    awaitsRetryAfter);
+        }
+
+        Conditions stalledRouters(int count) {
+            return new Conditions(
+                    notReadyMillis,
+                    stallAtMillis,
+                    stallMillis,
+                    count,
                     cutOffAtMillis,
                     cutOffMillis,
                     byDataCentre,
@@ -110,6 +129,7 @@
                     notReadyMillis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     atMillis,
                     millis,
                     byDataCentre,
@@ -123,6 +143,7 @@
                     notReadyMillis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     cutOffAtMillis,
                     cutOffMillis,
                     true,
@@ -136,6 +157,7 @@
                     notReadyMillis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     cutOffAtMillis,
                     cutOffMillis,
                     byDataCentre,
@@ -149,6 +171,7 @@
                     notReadyMillis,
                     stallAtMillis,
                     stallMillis,
+                    stalledRouters,
                     cutOffAtMillis,
                     cutOffMillis,
                     byDataCentre,
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.stop.StopScenario.Series;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -175,4 +176,24 @@
             assertThat(counts.killed).as("killed, seed %d: %s", seed, counts).isZero();
         }
     }
+
+    static Stream<Arguments> stalls() {
+        return Stream.of(200L, 1_000L, 3_000L, 6_000L, 10_000L)
+                .flatMap(millis -> Stream.of(13_000L, 13_950L, 14_050L, 16_000L).flatMap(atMillis -> Stream.of(1, 3, 7)
+                        .map(count -> Arguments.arguments(atMillis, millis, count))));
+    }
+
+    /** Guards against a kill with requests in flight after a stall that was over before the kill. */
+    @ParameterizedTest(name = "at {0} ms for {1} ms, {2} routers")
+    @MethodSource("stalls")
+    void endsByItselfIfItsTimeoutIsNotOverAfterAStall(long atMillis, long millis, int count) {
+        StopScenario scenario = overlapping(
+                "stalled routers", Conditions.NONE.stall(atMillis, millis).stalledRouters(count));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            StopCounts counts = new StopSimulation(scenario, seed).run();
+            assertThat(counts.killed - counts.killedStalled)
+                    .as("killed, seed %d: %s", seed, counts)
+                    .isZero();
+        }
+    }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -15,6 +15,7 @@
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.suspect.VirtualTime;
+import org.apricotstack.core.time.StallDetector;
 
 /**
  * Simulates routers in virtual time that are stopped and started again, and callers that ask them for addresses, cache
@@ -84,7 +85,9 @@
             new StopCaller(this, i, 1 / 2.0, true).scheduleNext();
         }
         if (conditions.stallAtMillis() > 0) {
-            time.at(conditions.stallAtMillis(), routers.get(0)::stall);
+            routers.stream()
+                    .limit(conditions.stalledRouters())
+                    .forEach(router -> time.at(conditions.stallAtMillis(), router::stall));
         }
         time.run();
         return counts;
@@ -138,6 +141,7 @@
         private PeerTable peers;
         StopTimeline timeline;
         private StopPolicy policy;
+        private StallDetector stalls;
         boolean up;
         int incarnation;
         private int open;
@@ -162,10 +166,21 @@
             policy = new StopPolicy(scenario.timeoutMillis(), addressLifetime);
             timeline = policy.timeline();
             startedMillis = time.nowMillis();
+            stalls = new StallDetector(startedMillis);
+            reportRunning(incarnation);
             stalledIncarnation = stalled() ? incarnation : stalledIncarnation;
             heartbeats(incarnation);
         }
 
+        private void reportRunning(int mine) {
+            if (stalled()) {
+                time.at(stalledUntilMillis, () -> reportRunning(mine));
+            } else if (up && mine == incarnation && time.nowMillis() <= SIMULATED_MILLIS) {
+                stalls.running(time.nowMillis());
+                time.at(time.nowMillis() + StallDetector.INTERVAL_MILLIS, () -> reportRunning(mine));
+            }
+        }
+
         /** Sends and handles nothing for a while. */
         private void stall() {
             stalledUntilMillis = time.nowMillis() + conditions.stallMillis();
@@ -255,7 +270,7 @@
                 return;
             }
             counts.stops++;
-            timeline.begin(time.nowMillis());
+            timeline.begin(stalls.earliestMillis(time.nowMillis()), time.nowMillis());
             sendHeartbeat(true);
             checkStop(incarnation);
         }
@@ -263,6 +278,7 @@
         private void kill(int mine) {
             if (up && mine == incarnation) {
                 counts.killed++;
+                counts.killedStalled += time.nowMillis() <= stalledUntilMillis ? 1 : 0;
                 up = false;
                 time.at(time.nowMillis() + RESTART_MILLIS, this::start);
             }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -17,6 +17,7 @@
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.suspect.SuspectedRequest;
+import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -49,8 +50,8 @@
     /** Interval between two checks for expired state, in milliseconds. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
 
-    /** Delay of a sweep above which the process counts as stalled, in milliseconds. */
-    private static final long STALL_MILLIS = 1_000;
+    /** Length of a stall above which this router resynchronizes with the platform, in milliseconds. */
+    private static final long LONG_STALL_MILLIS = 1_000;
 
     /** Share of the process memory for request bodies. */
     private static final double BODY_SHARE = 0.1;
@@ -80,7 +81,7 @@
     private RouterIdentity identity;
     private GossipServer gossipServer;
     private HeartbeatPort heartbeatPort;
-    private long lastSweepMillis;
+    private StallDetector stalls;
 
     /**
      * Creates a router that is not started.
@@ -212,11 +213,12 @@
                 configured.capacityPercent());
         heartbeatPort = new HeartbeatPort(loop, identity.peerAddress());
         options.seeds().forEach(peers::addAddress);
-        lastSweepMillis = loop.nowMillis();
+        stalls = new StallDetector(loop.nowMillis());
         loop.execute(() -> {
             follower.start();
             hub.start(identity, heartbeatPort);
             loop.scheduleWithFixedDelay(SWEEP_INTERVAL_MILLIS, this::sweep);
+            loop.scheduleWithFixedDelay(StallDetector.INTERVAL_MILLIS, this::detectStall);
         });
         return identity;
     }
@@ -264,15 +266,22 @@
                 .write();
     }
 
-    /** Removes expired state, and resynchronizes with the platform after a stall of the process. */
-    private void sweep() {
-        long now = loop.nowMillis();
-        long stalledMillis = now - lastSweepMillis - SWEEP_INTERVAL_MILLIS;
-        lastSweepMillis = now;
-        if (stalledMillis > STALL_MILLIS) {
-            log.line("process_stalled").put("millis", stalledMillis).write();
+    /** Looks for a stall of the process, and resynchronizes with the platform after a long one. */
+    private void detectStall() {
+        long stalledMillis = stalls.running(loop.nowMillis());
+        if (stalledMillis == 0) {
+            return;
+        }
+        metrics.stalled(stalledMillis);
+        log.line("process_stalled").put("millis", stalledMillis).write();
+        if (stalledMillis > LONG_STALL_MILLIS) {
             follower.resync();
         }
+    }
+
+    /** Removes expired state. */
+    private void sweep() {
+        long now = loop.nowMillis();
         follower.resumeIfNeeded();
         state.removeExpired(now);
         suspects.expire(now);
@@ -351,8 +360,8 @@
      * @param whenDone called once the router has stopped
      */
     public void stop(Runnable whenDone) {
-        long signalMillis = loop.nowMillis();
-        loop.execute(() -> stop.begin(signalMillis, whenDone));
+        long handledMillis = loop.nowMillis();
+        loop.execute(() -> stop.begin(stalls.earliestMillis(handledMillis), whenDone));
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -53,15 +53,18 @@
         this.log = log;
     }
 
-    /** Starts to stop the router. */
+    /** Starts to stop the router; the signal was sent at the given time or later. */
     void begin(long signalMillis, Runnable done) {
         if (timeline.stopping()) {
             return;
         }
         long now = loop.nowMillis();
-        timeline.begin(signalMillis);
+        timeline.begin(signalMillis, now);
         whenDone = done;
-        line("stop_begun").put("left_millis", timeline.leftMillis(now)).write();
+        line("stop_begun")
+                .put("signal_age_millis", now - signalMillis)
+                .put("left_millis", timeline.leftMillis(now))
+                .write();
         callers.beginStop();
         hub.heartbeat();
         runDueSteps();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -48,6 +48,8 @@
             counters(AdvertisedBackOff.Kind.class, kind -> "back_offs." + lower(kind));
     private final Counter arrivedWhileStopping = registry.counter("stops.requests_arrived");
     private final Counter cutByStop = registry.counter("stops.requests_cut");
+    private final Counter stalls = registry.counter("process.stalls");
+    private final Counter stalledMillis = registry.counter("process.stalled_millis");
     private volatile int backOffsInForce;
     private final Map<RequestKind, Histogram> firstByte = new EnumMap<>(RequestKind.class);
     private final Histogram predictionError = histogram("placement.first_event_error_millis");
@@ -187,6 +189,16 @@
         arrivedWhileStopping.inc();
     }
 
+    /**
+     * Counts a stall of this process.
+     *
+     * @param millis its length, in milliseconds
+     */
+    public void stalled(long millis) {
+        stalls.inc();
+        stalledMillis.inc(millis);
+    }
+
     /** Counts a request that was still in flight when this process ended. */
     public void cutByStop() {
         cutByStop.inc();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -42,6 +42,8 @@
             "passed_over.draining",
             "passed_over.limit",
             "placement.first_event_error_millis",
+            "process.stalled_millis",
+            "process.stalls",
             "refusals.attempts_used",
             "refusals.body_memory",
             "refusals.ends_upstreams",
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
@@ -123,7 +123,7 @@
 
     @BeforeEach
     void stopTheRouter() throws IOException {
-        policy.timeline().begin(0);
+        policy.timeline().begin(0, 0);
         caller = new Socket(address.ip(), address.port());
         caller.setSoTimeout(WAIT_TIMEOUT_MILLIS);
     }
