Count the silence of an upstream from the dispatch of its attempt

What callers saw: while all routers of the own interface were replaced under load, requests ended as unknown with upstream_silent, without a first token, some 4 s after they were sent.

Cause: the time of the last event was set when an attempt was queued. An attempt that had waited for more than four heartbeats counted as sent to a silent engine at the first check after its dispatch. Its retry queued behind the same work, and was judged the same way.

Ruled out: the addresses of the routers that stop, as requests to routers that do not stop failed too.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/owner/GroupOwner.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/owner/GroupOwner.java
@@ -140,7 +140,7 @@
             return;
         }
         Upstream lead = assignment.upstreams().get(0);
-        attempt.started(assignment);
+        attempt.started(assignment, clock);
         attempt.emit(new AttemptEvent(command.attempt(), load(), new AttemptSignal.Started(lead.id())));
         Disposable subscription = gateway.run(assignment, remainingMillis)
                 .subscribe(
--- a/apricotstack-core/src/main/java/org/apricotstack/core/owner/OwnedAttempt.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/owner/OwnedAttempt.java
@@ -56,8 +56,9 @@
         sink.tryEmitComplete();
     }
 
-    /** Records that the attempt was dispatched to upstreams. */
-    void started(Assignment newAssignment) {
+    /** Records that the attempt was dispatched to upstreams, which cannot have sent an event before. */
+    void started(Assignment newAssignment, MonotonicClock clock) {
+        eventReceived(clock);
         assignment = newAssignment;
     }
 
@@ -79,7 +80,7 @@
         lastEventNanos = clock.nanos();
     }
 
-    /** Returns the time since the last event from the upstream, in milliseconds. */
+    /** Returns the time since the last event from the upstream, or since the dispatch, in milliseconds. */
     long silentMillis(MonotonicClock clock) {
         return (clock.nanos() - lastEventNanos) / Deadline.NANOS_PER_MILLI;
     }
