Learn no completion times from requests during which the process stalled

Cause: the time of an answer is taken when its end is handled. Answers that were open during the stall counted as 3 s slower, and the slowest recent one sets the longest time of all others: rejected_by_stop said longest_millis=10000 (the deadline) where it says 5,300 to 6,000 otherwise.

Ruled out: slow engines (the same engines' answers took 1 to 3 s at the other routers in those seconds).

A request during which a stall ended, or ends now, is not recorded. CompletionTimesTest.learnsNothingFromARequestDuringWhichTheProcessStalled failed without this (longest time not less than 1,500 ms).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/time/StallDetector.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/time/StallDetector.java
@@ -63,13 +63,14 @@
     }
 
     /**
-     * Returns whether the process stalled after a point in time.
+     * Returns whether the process stalled in a period that ends now.
      *
-     * @param sinceMillis the point in time
-     * @return whether a stall has ended since then
+     * @param sinceMillis the begin of the period
+     * @param nowMillis the current time
+     * @return whether a stall has ended since then, or ends now
      */
-    public boolean stalledSince(long sinceMillis) {
-        return endMillis > sinceMillis;
+    public boolean stalledSince(long sinceMillis, long nowMillis) {
+        return endMillis > sinceMillis || isStall(nowMillis);
     }
 
     private boolean isStall(long nowMillis) {
--- a/apricotstack-core/src/test/java/org/apricotstack/core/time/StallDetectorTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/time/StallDetectorTest.java
@@ -53,9 +53,10 @@
     @Test
     void tellsWhetherAStallHasEndedSinceAPointInTime() {
         runUntil(6_000);
-        assertThat(stalls.stalledSince(START_MILLIS)).isFalse();
+        assertThat(stalls.stalledSince(START_MILLIS, 6_050)).isFalse();
+        assertThat(stalls.stalledSince(START_MILLIS, 9_000)).isTrue();
         stalls.running(9_000);
-        assertThat(stalls.stalledSince(8_999)).isTrue();
-        assertThat(stalls.stalledSince(9_000)).isFalse();
+        assertThat(stalls.stalledSince(8_999, 9_001)).isTrue();
+        assertThat(stalls.stalledSince(9_000, 9_001)).isFalse();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -81,7 +81,7 @@
     private RouterIdentity identity;
     private GossipServer gossipServer;
     private HeartbeatPort heartbeatPort;
-    private StallDetector stalls;
+    private final StallDetector stalls;
 
     /**
      * Creates a router that is not started.
@@ -95,6 +95,7 @@
         this.loop = loop;
         this.options = options;
         this.log = log;
+        this.stalls = new StallDetector(loop.nowMillis());
         this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         UniformRandomProvider random = random(options.identity().process());
         OutlierDetector outlierDetector = new OutlierDetector();
@@ -120,7 +121,7 @@
                 new OwnReadiness(),
                 follower::isFollowing,
                 follower::restartIfSilent);
-        StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable);
+        StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable, stalls);
         ServingContext context = new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
@@ -144,14 +145,19 @@
                 log,
                 metrics);
         runs = new RequestDispatcher(context);
-        hub.suspects().onCrashReported(runs::upstreamCrashReported);
-        state.onDrainEnded(runs::drainEnded);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, callers, runs, hub, stopGate, log);
+        addListeners();
         addGauges(loadTable, ports.unknown());
     }
 
+    /** Registers the requests in flight as listeners for news of their upstreams. */
+    private void addListeners() {
+        hub.suspects().onCrashReported(runs::upstreamCrashReported);
+        state.onDrainEnded(runs::drainEnded);
+    }
+
     /**
      * Creates the random number generator of this process. The library's factory would load the classes of all its
      * generators first.
@@ -213,8 +219,8 @@
                 configured.capacityPercent());
         heartbeatPort = new HeartbeatPort(loop, identity.peerAddress());
         options.seeds().forEach(peers::addAddress);
-        stalls = new StallDetector(loop.nowMillis());
         loop.execute(() -> {
+            stalls.running(loop.nowMillis());
             follower.start();
             hub.start(identity, heartbeatPort);
             loop.scheduleWithFixedDelay(SWEEP_INTERVAL_MILLIS, this::sweep);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -7,6 +7,7 @@
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.time.StallDetector;
 
 /**
  * Estimates how long requests take at most.
@@ -38,20 +39,26 @@
     private static final double MICROS_PER_MILLI = 1_000;
 
     private final EngineLoadTable loadTable;
+    private final StallDetector stalls;
     private final Map<ServiceId, SlidingWindowReservoir> recordedMicros = new HashMap<>();
     private final Map<ServiceId, SlidingWindowReservoir> shortMicros = new HashMap<>();
 
     /** Creates estimates without records. */
-    CompletionTimes(EngineLoadTable loadTable) {
+    CompletionTimes(EngineLoadTable loadTable, StallDetector stalls) {
         this.loadTable = loadTable;
+        this.stalls = stalls;
     }
 
     /**
      * Records a request that one attempt completed; that of an engine relative to the limit of its answer, unless the
-     * answer is short: most of its time is not spent on tokens.
+     * answer is short: most of its time is not spent on tokens. A request during which this process stalled tells
+     * nothing about its upstream.
      */
-    void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
-        double millis = Math.max(0, tookMillis - predictedMillis);
+    void completed(RequestFacts facts, double predictedMillis, long startMillis, long nowMillis) {
+        if (stalls.stalledSince(startMillis, nowMillis)) {
+            return;
+        }
+        double millis = Math.max(0, nowMillis - startMillis - predictedMillis);
         if (isShort(facts)) {
             record(shortMicros, facts, millis);
         } else {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -288,7 +288,7 @@
         long now = context.nowMillis();
         log.answered(event, attempt, status, now);
         if (attempts.sent() == 1) {
-            context.stop().completed(facts, attempt.choice().predictedMillis(), now - attempt.startMillis());
+            context.stop().completed(facts, attempt.choice().predictedMillis(), attempt.startMillis(), now);
         }
         suspectTracker.served();
         sender.end(attempt);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
+import org.apricotstack.core.time.StallDetector;
 
 /** Rejects requests that a stopping router could not complete before its process ends, and counts them. */
 public final class StopGate {
@@ -22,11 +23,12 @@
      * @param policy the policy of this router's stop
      * @param others the other routers
      * @param loadTable placements and load of the engines
+     * @param stalls the stalls of this process
      */
-    public StopGate(StopPolicy policy, Supplier<OtherRouters> others, EngineLoadTable loadTable) {
+    public StopGate(StopPolicy policy, Supplier<OtherRouters> others, EngineLoadTable loadTable, StallDetector stalls) {
         this.policy = policy;
         this.others = others;
-        this.times = new CompletionTimes(loadTable);
+        this.times = new CompletionTimes(loadTable, stalls);
     }
 
     /**
@@ -44,8 +46,8 @@
     }
 
     /** Records a completed request, for the estimates. */
-    void completed(RequestFacts facts, double predictedMillis, long tookMillis) {
-        times.completed(facts, predictedMillis, tookMillis);
+    void completed(RequestFacts facts, double predictedMillis, long startMillis, long nowMillis) {
+        times.completed(facts, predictedMillis, startMillis, nowMillis);
     }
 
     /** Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -23,6 +23,7 @@
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -85,8 +86,13 @@
             () -> {});
     private final RequestDispatcher runs = new RequestDispatcher(context());
     private final CallerServer callers = new CallerServer(loop, head -> null, runs, () -> CallerLimits.DEFAULT, 1);
-    private final StopSequence sequence =
-            new StopSequence(loop, callers, runs, hub, new StopGate(policy, () -> OtherRouters.NONE, loadTable), log);
+    private final StopSequence sequence = new StopSequence(
+            loop,
+            callers,
+            runs,
+            hub,
+            new StopGate(policy, () -> OtherRouters.NONE, loadTable, new StallDetector(0)),
+            log);
     private final List<Heartbeat> received = new ArrayList<>();
     private DatagramSocket receiver;
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -21,6 +21,7 @@
 import org.apricotstack.core.route.ServiceProfile;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.route.WeightedService;
+import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerRequest;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,9 @@
             new UpstreamId("engine", 1), SERVICE, new Address("10.0.0.1", 1), new DataCentreId("east"), 8, false, 1);
 
     private final EngineLoadTable loadTable = new EngineLoadTable();
-    private final CompletionTimes times = new CompletionTimes(loadTable);
+    private long nowMillis;
+    private final StallDetector stalls = new StallDetector(0);
+    private final CompletionTimes times = new CompletionTimes(loadTable, stalls);
 
     private static RequestFacts facts(boolean engine, long answerTokens) {
         Route route = new Route(
@@ -80,10 +83,34 @@
 
     private void record(RequestFacts facts, int count, double predictedMillis, long tookMillis) {
         for (int i = 0; i < count; i++) {
-            times.completed(facts, predictedMillis, tookMillis);
+            long startMillis = nowMillis;
+            run(tookMillis);
+            times.completed(facts, predictedMillis, startMillis, nowMillis);
         }
     }
 
+    private void run(long millis) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            nowMillis = Math.min(endMillis, nowMillis + StallDetector.INTERVAL_MILLIS);
+            stalls.running(nowMillis);
+        }
+    }
+
+    /** Guards against a router that rejects, while it stops, all requests that are longer than its own last stall. */
+    @Test
+    void learnsNothingFromARequestDuringWhichTheProcessStalled() {
+        record(facts(true, 1_000), 1, 100, 600);
+        long startMillis = nowMillis;
+        run(500);
+        nowMillis += 3_000;
+        times.completed(facts(true, 1_000), 100, startMillis, nowMillis);
+        stalls.running(nowMillis);
+        run(100);
+        times.completed(facts(true, 1_000), 100, startMillis, nowMillis);
+        assertThat(times.longestMillis(facts(true, 1_000), choice(100), 0)).isLessThan(1_500);
+    }
+
     @Test
     void assumesThePredictedPaceOfTheEngineUpToTheLimitOfTheAnswer() {
         double millisPerToken = 1.25 * (1 + 0.01 + 5 * 0.004);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
@@ -30,6 +30,7 @@
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.CallerRequest;
@@ -64,7 +65,8 @@
     private final ServingMetrics metrics = new ServingMetrics();
     private final EngineLoadTable loadTable = new EngineLoadTable();
     private final StopPolicy policy = new StopPolicy(STOP_MILLIS, new AddressLifetime(1));
-    private final StopGate gate = new StopGate(policy, () -> new OtherRouters(true, List.of()), loadTable);
+    private final StopGate gate =
+            new StopGate(policy, () -> new OtherRouters(true, List.of()), loadTable, new StallDetector(0));
     private final RequestDispatcher dispatcher = new RequestDispatcher(context());
     private final CallerServer server =
             new CallerServer(loop, StopRejectionTest::readRequest, dispatcher, () -> CallerLimits.DEFAULT, 10);
