Reject fewer requests while callers have no other router to go to

Cause: the longest time of a request assumes an answer of the full length at the pace of the slowest of 512 recent ones. Where the caller can go elsewhere that costs it a repeat; where it cannot, it costs it the answer.

While no other router is ready a request is taken if 99 of 100 recent answers would have been completed, in proportion to their limits; with fewer than 100 known answers, and for plain services, nothing changes.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -30,8 +30,11 @@
     /** Factor of the predicted pace of an engine that covers the prefill of other prompts meanwhile. */
     private static final double PREFILL_FACTOR = 1.25;
 
-    /** Share of the recent answers of a plain service that are faster than the slowest one that counts. */
-    private static final double PLAIN_SHARE = 0.99;
+    /** Share of the recent answers that are faster than the slowest one that counts, except for engines. */
+    private static final double SLOWEST_SHARE = 0.99;
+
+    /** Answers of engines below which the slowest ones are not told from the others. */
+    private static final int MIN_ANSWERS = 100;
 
     /** Answers whose limit is below the usual length divided by this count as short. */
     private static final int SHORT_DIVISOR = 4;
@@ -98,6 +101,21 @@
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
+    /**
+     * Estimates the time in which nearly all such requests are completed at the chosen upstream, in milliseconds. Few
+     * answers reach the limit of their length, which the longest time assumes of each.
+     */
+    long usualMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        long longestMillis = longestMillis(facts, choice, nowMillis);
+        Map<ServiceId, SlidingWindowReservoir> records = isShort(facts) ? shortMicros : recordedMicros;
+        SlidingWindowReservoir recorded = records.get(facts.service());
+        if (!facts.runsOnEngines() || recorded == null || recorded.size() < MIN_ANSWERS) {
+            return longestMillis;
+        }
+        double decodeMillis = slowestMillis(recorded, SLOWEST_SHARE) * (isShort(facts) ? 1 : facts.answerTokens());
+        return Math.min(longestMillis, Math.round(choice.predictedMillis() + decodeMillis));
+    }
+
     /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
     private double decodeMillis(RequestFacts facts, UpstreamChoice choice) {
         double millisPerToken = PREFILL_FACTOR
@@ -119,10 +137,14 @@
                 : PLAIN_LATENCY_TARGETS * facts.route().targetLatencyMillis();
     }
 
+    /** Returns the given quantile of the records, in milliseconds; 0 without records. */
+    private static double slowestMillis(SlidingWindowReservoir recorded, double share) {
+        return recorded == null ? 0 : recorded.getSnapshot().getValue(share) / MICROS_PER_MILLI;
+    }
+
     /** Returns the slowest record of the request's service that counts, in milliseconds; 0 without records. */
     private static double slowestMillis(Map<ServiceId, SlidingWindowReservoir> records, RequestFacts facts) {
         SlidingWindowReservoir recorded = records.get(facts.service());
-        double share = facts.runsOnEngines() ? 1 : PLAIN_SHARE;
-        return recorded == null ? 0 : recorded.getSnapshot().getValue(share) / MICROS_PER_MILLI;
+        return slowestMillis(recorded, facts.runsOnEngines() ? 1 : SLOWEST_SHARE);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -50,9 +50,17 @@
         times.completed(facts, predictedMillis, startMillis, nowMillis);
     }
 
-    /** Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none. */
+    /**
+     * Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none.
+     * While no other router is ready, the slowest answers do not count: a rejected caller would have nowhere to go.
+     */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return choice == null ? times.leastMillis(facts, nowMillis) : times.longestMillis(facts, choice, nowMillis);
+        if (choice == null) {
+            return times.leastMillis(facts, nowMillis);
+        }
+        return others.get().ready()
+                ? times.longestMillis(facts, choice, nowMillis)
+                : times.usualMillis(facts, choice, nowMillis);
     }
 
     /** Returns whether a request of the given longest time is completed before the process ends. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -21,10 +21,15 @@
 import org.apricotstack.core.route.ServiceProfile;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.route.WeightedService;
+import org.apricotstack.core.stop.AddressLifetime;
+import org.apricotstack.core.stop.OtherRouters;
+import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerRequest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -125,6 +130,35 @@
         assertThat(times.longestMillis(facts(true, 2_000), choice(300), 0)).isEqualTo(300 + 4_000);
     }
 
+    @Test
+    void countsNotTheSlowestHundredthOfTheAnswersForTheUsualTime() {
+        record(facts(true, 1_000), 1, 100, 5_100);
+        record(facts(true, 1_000), 198, 100, 600);
+        assertThat(times.usualMillis(facts(true, 1_000), choice(100), 0)).isEqualTo(600);
+        assertThat(times.longestMillis(facts(true, 1_000), choice(100), 0)).isEqualTo(5_100);
+    }
+
+    /** Guards against callers that are rejected and have nowhere to go though nearly all would be served in time. */
+    @ParameterizedTest
+    @CsvSource({"true, 5100", "false, 600"})
+    void expectsTheUsualTimeOnlyWhileNoOtherRouterIsReady(boolean ready, long expectedMillis) {
+        StopPolicy policy = new StopPolicy(8_000, new AddressLifetime(1));
+        StopGate gate = new StopGate(policy, () -> new OtherRouters(ready, List.of()), loadTable, stalls);
+        for (int i = 0; i < 200; i++) {
+            long startMillis = nowMillis;
+            run(i == 0 ? 5_100 : 600);
+            gate.completed(facts(true, 1_000), 100, startMillis, nowMillis);
+        }
+        assertThat(gate.longestMillis(facts(true, 1_000), choice(100), 0)).isEqualTo(expectedMillis);
+    }
+
+    @Test
+    void assumesTheLongestTimeForTheUsualOneWhileFewAnswersAreKnown() {
+        record(facts(true, 1_000), 99, 100, 600);
+        assertThat(times.usualMillis(facts(true, 1_000), choice(100), 0))
+                .isEqualTo(times.longestMillis(facts(true, 1_000), choice(100), 0));
+    }
+
     /** A delay of a short answer counted for each token of a long one. */
     @Test
     void learnsNoPaceFromShortAnswers() {
