Keep the last router of a data centre up while callers there have nobody to ask

What callers saw: after a rejection, or once their addresses had expired, they asked the routers of their data centre for new ones. All of these had ended, so they went on with the old addresses and were refused a connection.

Cause: a stopping router ended as soon as no caller used its own address any more. Callers also need it as the one that tells them where the ready routers are: they ask the nearest ones only.

Now the last router of a data centre, by the time at which its stop ends and then by host name, stays while it has time, others of its data centre are expected back, and a router elsewhere is ready.

The simulated callers cached answers that name stopping routers for a second or more; the product states a lifetime of 0 for these, and the simulation now does too.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -51,6 +51,12 @@
      */
     private static final long STOP_SPREAD_MILLIS = 500;
 
+    /**
+     * Routers whose stops end at most this long after each other count as stopped at the same time, in milliseconds:
+     * the time that a heartbeat takes is not known.
+     */
+    private static final long SAME_STOP_MILLIS = 100;
+
     private final Map<HostId, LastHeartbeat> lastHeartbeats = new HashMap<>();
     private final Set<Address> addresses = new HashSet<>();
     private final EntryWeights weights = new EntryWeights();
@@ -192,6 +198,40 @@
                         .toList());
     }
 
+    /**
+     * Returns whether a stopping router is the last one of its data centre that can tell callers of the ready routers
+     * elsewhere, until another one there is back. Of routers that stop at the same time, the last one by host name is.
+     *
+     * @param own the stopping router
+     * @param nowMillis the current time
+     * @return whether callers would find nobody to ask if it ended
+     */
+    public boolean isLastOfDataCentre(Peer own, long nowMillis) {
+        boolean readyElsewhere = false;
+        boolean restarts = false;
+        for (LastHeartbeat last : lastHeartbeats.values()) {
+            Peer peer = last.peer();
+            boolean near = peer.dataCentre().equals(own.dataCentre());
+            boolean suspected = nowMillis - last.atMillis() >= last.suspectMillis();
+            if (near && !suspected && (peer.ready() || endsAfter(last, own, nowMillis))) {
+                return false;
+            }
+            readyElsewhere |= !near && !suspected && peer.ready();
+            restarts |= near && !peer.ready() && nowMillis - last.atMillis() < last.deadMillis();
+        }
+        return readyElsewhere && restarts;
+    }
+
+    /** Returns whether a stopping router ends after another one. */
+    private static boolean endsAfter(LastHeartbeat last, Peer other, long nowMillis) {
+        long laterMillis = last.stopLeftMillis(nowMillis) - other.stopLeftMillis();
+        if (Math.abs(laterMillis) > SAME_STOP_MILLIS) {
+            return laterMillis > 0;
+        }
+        return last.stopLeftMillis(nowMillis) > 0
+                && last.peer().process().host().compareTo(other.process().host()) > 0;
+    }
+
     /** Returns the stopping routers that still take requests and are not suspected. */
     private List<LastHeartbeat> stopping(long nowMillis) {
         return lastHeartbeats.values().stream()
--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -110,10 +110,11 @@
      * Returns whether the process ends.
      *
      * @param open number of requests in flight and of connections that must not be closed yet
+     * @param lastOfDataCentre whether callers would find nobody to ask for addresses until another router is back
      * @param nowMillis the current time
      * @return whether no caller needs it any more, or no time is left
      */
-    public boolean ends(int open, long nowMillis) {
-        return closesIdle(nowMillis) && open == 0 || timeline.leftMillis(nowMillis) <= 0;
+    public boolean ends(int open, boolean lastOfDataCentre, long nowMillis) {
+        return closesIdle(nowMillis) && open == 0 && !lastOfDataCentre || timeline.leftMillis(nowMillis) <= 0;
     }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/PeerTableTest.java
@@ -119,6 +119,59 @@
         assertThat(callerIps(EAST, 1_000)).isEmpty();
     }
 
+    /** Guards against a longer time without any ready router. */
+    @Test
+    void takesNoRouterForTheLastOneWhileNoneIsReadyElsewhere() {
+        table.recordHeartbeat(stopping(2, 0), 0);
+        table.recordHeartbeat(peer(3, 1, WEST, false), 0);
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), 0)).isFalse();
+        table.recordHeartbeat(peer(3, 1, WEST, true), 0);
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), 0)).isTrue();
+    }
+
+    @Test
+    void findsTheLastRouterOfADataCentreThatCallersCanAsk() {
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), 0))
+                .as("the only one")
+                .isFalse();
+        table.recordHeartbeat(stopping(2, 6_000), 0);
+        table.recordHeartbeat(peer(3, 1, WEST, true), 0);
+        assertThat(table.isLastOfDataCentre(stopping(1, 5_000), 0))
+                .as("another one ends later")
+                .isFalse();
+        assertThat(table.isLastOfDataCentre(stopping(1, 7_000), 0))
+                .as("the other one ends before")
+                .isTrue();
+        table.recordHeartbeat(stopping(2, 0), 100);
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), 100))
+                .as("the other one has ended")
+                .isTrue();
+        table.recordHeartbeat(peer(2, 2, EAST, true), 1_000);
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), 1_000))
+                .as("the other one is back")
+                .isFalse();
+    }
+
+    /** Guards against routers that all end at once, as each counts the time of the others' heartbeats as theirs. */
+    @Test
+    void takesOneOfTheRoutersThatStopAtTheSameTimeForTheLastOne() {
+        table.recordHeartbeat(peer(4, 1, WEST, true), 0);
+        table.recordHeartbeat(stopping(2, 6_000), 5);
+        assertThat(table.isLastOfDataCentre(stopping(1, 5_995), 5)).isFalse();
+        assertThat(table.isLastOfDataCentre(stopping(3, 5_995), 5)).isTrue();
+    }
+
+    /** Guards against a stop that waits for a router that is not coming back. */
+    @Test
+    void waitsForNoRouterThatEndedLongAgo() {
+        table.recordHeartbeat(stopping(2, 0), 0);
+        table.recordHeartbeat(peer(3, 1, WEST, true), PeerTable.DEAD_MILLIS - 1);
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), PeerTable.DEAD_MILLIS - 1))
+                .isTrue();
+        assertThat(table.isLastOfDataCentre(stopping(1, 3_000), PeerTable.DEAD_MILLIS))
+                .isFalse();
+    }
+
     @Test
     void tellsAStoppingRouterWhereItsCallersCanGo() {
         assertThat(table.others(0)).isEqualTo(OtherRouters.NONE);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCaller.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopCaller.java
@@ -68,7 +68,7 @@
             counts.emptyAnswers += asked.up && answer.isEmpty() ? 1 : 0;
             if (!answer.isEmpty()) {
                 addresses = answer;
-                cachedUntilMillis = time.nowMillis() + cacheFactor * 1_000 * simulation.addressLifetime.seconds();
+                cachedUntilMillis = time.nowMillis() + cacheFactor * asked.addressLifetimeMillis();
                 return;
             }
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -97,8 +97,8 @@
     void doesNotEndWhileCallersMaySendRequestsThoughNoneIsOpen() {
         policy.timeline().begin(0, 0);
         long forgottenMillis = new AddressLifetime(1).longestMillis();
-        assertThat(policy.ends(0, forgottenMillis - 1)).isFalse();
-        assertThat(policy.ends(0, forgottenMillis)).isTrue();
+        assertThat(policy.ends(0, false, forgottenMillis - 1)).isFalse();
+        assertThat(policy.ends(0, false, forgottenMillis)).isTrue();
     }
 
     /** Guards against a router that ends while callers still cache its address, as nobody was told during its stall. */
@@ -118,11 +118,19 @@
         assertThat(policy.closesIdle(4_000 + 1_800)).isTrue();
     }
 
+    /** Guards against callers of a data centre whose routers have all ended, and who find nobody to ask. */
+    @Test
+    void doesNotEndAsTheLastOneOfItsDataCentreWhileItHasTime() {
+        policy.timeline().begin(0, 0);
+        assertThat(policy.ends(0, true, 7_599)).isFalse();
+        assertThat(policy.ends(0, true, 7_600)).isTrue();
+    }
+
     @Test
     void doesNotEndWhileARequestIsOpenThatTheTimeoutAllows() {
         policy.timeline().begin(0, 0);
-        assertThat(policy.ends(1, 7_599)).isFalse();
-        assertThat(policy.ends(1, 7_600)).isTrue();
+        assertThat(policy.ends(1, false, 7_599)).isFalse();
+        assertThat(policy.ends(1, false, 7_600)).isTrue();
     }
 
     /** The others would send callers to it for as long as its timeout would have allowed. */
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopSimulation.java
@@ -42,6 +42,7 @@
     /** Longest lifetime of an answer that callers accept, in seconds. */
     private static final int MAX_LIFETIME_SECONDS = 5;
 
+    private static final long MILLIS_PER_SECOND = 1_000;
     private static final long MEAN_ANSWER_MILLIS = 1_700;
     private static final long LONGEST_ANSWER_MILLIS = 5_200;
     private static final long PLAIN_ANSWER_MILLIS = 20;
@@ -252,6 +253,12 @@
             return peers.callerAddresses(peer(), callers, MAX_ADDRESSES, time.nowMillis());
         }
 
+        /** Returns the lifetime of an answer with addresses; callers cache none that names stopping routers. */
+        long addressLifetimeMillis() {
+            boolean anyReady = ready() || peers.others(time.nowMillis()).ready();
+            return anyReady ? MILLIS_PER_SECOND * addressLifetime.seconds() : 0;
+        }
+
         private void stopSignal() {
             if (!up || timeline.stopping()) {
                 return;
@@ -292,7 +299,7 @@
             if (!up || mine != incarnation) {
                 return;
             }
-            if (policy.ends(open, time.nowMillis())) {
+            if (policy.ends(open, peers.isLastOfDataCentre(peer(), time.nowMillis()), time.nowMillis())) {
                 counts.stopMillis.add(timeline.elapsedMillis(time.nowMillis()));
                 timeline.end();
                 sendHeartbeat(true);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -147,7 +147,7 @@
         runs = new RequestDispatcher(context);
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, callers, runs, hub, stopGate, log);
+        stop = new StopSequence(loop, callers, runs, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
         addGauges(loadTable, ports.unknown());
     }
@@ -261,6 +261,11 @@
         }
     }
 
+    /** Returns whether this router is the last one of its data centre that callers can ask for addresses. */
+    private boolean lastOfDataCentre() {
+        return peers.isLastOfDataCentre(hub.ownPeer(), loop.nowMillis());
+    }
+
     /** Logs that a request was found to be the cause of upstream crashes. */
     private void causeFound(SuspectedRequest suspect) {
         log.line("cause_found")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -1,5 +1,7 @@
 package org.apricotstack.serving;
 
+import java.util.function.BooleanSupplier;
+
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.serving.gossip.GossipHub;
@@ -15,7 +17,8 @@
  * <p>Callers learn of the stop only when they ask for addresses again, and use their connections until then. So the
  * router is first removed from the addresses for callers and closes each connection after its response; later it closes
  * idle connections. All the while it rejects requests that it could not complete. It ends when no request is open or
- * arriving and all responses are written, and in any case shortly before the process would be killed.
+ * arriving, all responses are written and callers of its data centre have another router to ask for addresses, and in
+ * any case shortly before the process would be killed.
  */
 final class StopSequence {
 
@@ -32,7 +35,9 @@
     private final StopTimeline timeline;
     private final StopPolicy policy;
     private final StopGate gate;
+    private final BooleanSupplier lastOfDataCentre;
     private boolean idleClosed;
+    private boolean waitsForOthers;
     private Runnable whenDone;
 
     /** Creates a sequence that has not started. */
@@ -42,12 +47,14 @@
             RequestDispatcher runs,
             GossipHub hub,
             StopGate gate,
+            BooleanSupplier lastOfDataCentre,
             DecisionLog log) {
         this.loop = loop;
         this.callers = callers;
         this.runs = runs;
         this.hub = hub;
         this.gate = gate;
+        this.lastOfDataCentre = lastOfDataCentre;
         this.policy = gate.policy();
         this.timeline = policy.timeline();
         this.log = log;
@@ -71,7 +78,7 @@
     }
 
     /** Runs the steps that are due, and schedules the next check. */
-    private void runDueSteps() {
+    void runDueSteps() {
         long now = loop.nowMillis();
         long elapsedMillis = timeline.elapsedMillis(now);
         if (policy.closesIdle(now) && !idleClosed) {
@@ -79,7 +86,13 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        if (policy.ends(runs.open() + callers.unsettled(), now)) {
+        int open = runs.open() + callers.unsettled();
+        boolean last = lastOfDataCentre.getAsBoolean();
+        if (last && !waitsForOthers && policy.ends(open, false, now)) {
+            waitsForOthers = true;
+            phase("waits_for_others", elapsedMillis);
+        }
+        if (policy.ends(open, last, now)) {
             end(elapsedMillis);
         } else {
             long untilEndMillis = Math.max(1, timeline.leftMillis(now));
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -62,6 +62,7 @@
             NewsFrame.newBuilder().addEnded(1).build().toByteArray();
 
     private volatile long nowMillis;
+    private volatile boolean last;
     private final AddressLifetime lifetime = new AddressLifetime(1);
     private final StopPolicy policy = new StopPolicy(STOP_MILLIS, lifetime);
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
@@ -92,6 +93,7 @@
             runs,
             hub,
             new StopGate(policy, () -> OtherRouters.NONE, loadTable, new StallDetector(0)),
+            () -> last,
             log);
     private final List<Heartbeat> received = new ArrayList<>();
     private DatagramSocket receiver;
@@ -203,6 +205,24 @@
         assertThat(last.getStopLeftMillis()).isZero();
     }
 
+    /** Otherwise callers of its data centre would find nobody to ask where the ready routers are. */
+    @Test
+    void endsOnlyOnceAnotherRouterOfItsDataCentreIsBack() throws IOException {
+        last = true;
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        onLoop(() -> sequence.begin(nowMillis, () -> {
+            sendLast();
+            ended.complete(null);
+        }));
+        nowMillis = lifetime.longestMillis();
+        for (int check = 0; check < 3; check++) {
+            onLoop(sequence::runDueSteps);
+        }
+        assertThat(ended).isNotDone();
+        last = false;
+        assertThat(lastHeartbeat().getStopLeftMillis()).isZero();
+    }
+
     @Test
     void ignoresASecondSignal() throws IOException {
         onLoop(() -> sequence.begin(nowMillis, this::sendLast));
