--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -21,7 +21,7 @@
     /** Number of recent requests of a service that are kept. */
     private static final int WINDOW = 512;
 
-    /** Requests of a plain service below which its latency target is used instead. */
+    /** Requests of a service below which its latency target, or the predicted pace of an engine, is used instead. */
     private static final int MIN_RECORDED = 32;
 
     /** Assumed longest answer of a plain service without enough records, in latency targets. */
@@ -33,9 +33,6 @@
     /** Share of the recent answers that are faster than the slowest one that counts, except for engines. */
     private static final double SLOWEST_SHARE = 0.99;
 
-    /** Answers of engines below which the slowest ones are not told from the others. */
-    private static final int MIN_ANSWERS = 100;
-
     /** Answers whose limit is below the usual length divided by this count as short. */
     private static final int SHORT_DIVISOR = 4;
 
@@ -109,7 +106,7 @@
         long longestMillis = longestMillis(facts, choice, nowMillis);
         Map<ServiceId, SlidingWindowReservoir> records = isShort(facts) ? shortMicros : recordedMicros;
         SlidingWindowReservoir recorded = records.get(facts.service());
-        if (!facts.runsOnEngines() || recorded == null || recorded.size() < MIN_ANSWERS) {
+        if (!facts.runsOnEngines() || recorded == null || recorded.size() < MIN_RECORDED) {
             return longestMillis;
         }
         double decodeMillis = slowestMillis(recorded, SLOWEST_SHARE) * (isShort(facts) ? 1 : facts.answerTokens());
