Assume less interference for the usual time of a router that knows few answers

Most rejected requests had no try left: their first one had met a router that stalled, so no Retry-After helps them.

Without records the usual time now assumes half of the margin for the prefill of other prompts. An answer that ends before its limit, as 95 of 100 do, has time to spare for it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -30,6 +30,9 @@
     /** Factor of the predicted pace of an engine that covers the prefill of other prompts meanwhile. */
     private static final double PREFILL_FACTOR = 1.25;
 
+    /** The same for the usual time; an answer that ends before its limit has time to spare. */
+    private static final double USUAL_PREFILL_FACTOR = (1 + PREFILL_FACTOR) / 2;
+
     /** Share of the recent answers that are faster than the slowest one that counts, except for engines. */
     private static final double SLOWEST_SHARE = 0.99;
 
@@ -104,21 +107,26 @@
      */
     long usualMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
         long longestMillis = longestMillis(facts, choice, nowMillis);
-        Map<ServiceId, SlidingWindowReservoir> records = isShort(facts) ? shortMicros : recordedMicros;
-        SlidingWindowReservoir recorded = records.get(facts.service());
-        if (!facts.runsOnEngines() || recorded == null || recorded.size() < MIN_RECORDED) {
+        if (!facts.runsOnEngines() || isShort(facts)) {
             return longestMillis;
         }
-        double decodeMillis = slowestMillis(recorded, SLOWEST_SHARE) * (isShort(facts) ? 1 : facts.answerTokens());
-        return Math.min(longestMillis, Math.round(choice.predictedMillis() + decodeMillis));
+        SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
+        double millisPerToken = recorded != null && recorded.size() >= MIN_RECORDED
+                ? slowestMillis(recorded, SLOWEST_SHARE)
+                : USUAL_PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
+        return Math.min(longestMillis, Math.round(choice.predictedMillis() + facts.answerTokens() * millisPerToken));
+    }
+
+    /** Returns the predicted pace of the chosen engine, in milliseconds per token. */
+    private double predictedMillisPerToken(RequestFacts facts, UpstreamChoice choice) {
+        return loadTable
+                .load(choice.upstream().id())
+                .decodeMillisPerToken(facts.request().promptTokens());
     }
 
     /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
     private double decodeMillis(RequestFacts facts, UpstreamChoice choice) {
-        double millisPerToken = PREFILL_FACTOR
-                * loadTable
-                        .load(choice.upstream().id())
-                        .decodeMillisPerToken(facts.request().promptTokens());
+        double millisPerToken = PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
         double predicted = facts.answerTokens() * millisPerToken;
         double recorded = isShort(facts)
                 ? slowestMillis(shortMicros, facts)
