Say not_run of a call with a ticket only if its ticket is unspent

What callers saw: a call that must not be repeated was run, its caller lost the answer and repeated it with the same ticket. If the router was stopping by then, or the account at its limit, the answer was not_run: a false word, found by reading (own interface).

Cause: these checks come before the ledger of tickets is asked, and answered for the present try alone. A router that did not issue the ticket cannot know either.

Such a refusal is now of unknown outcome unless the ledger knows the ticket as unspent; the call may be repeated with its ticket as before.

TicketedRunCountTest.refusesARepeatWithUnknownOutcomeWhileItStops failed before.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/entry/EntryService.java
@@ -10,6 +10,7 @@
 import org.apricotstack.core.configuration.FleetConfiguration;
 import org.apricotstack.core.configuration.Service;
 import org.apricotstack.core.dispatch.Work;
+import org.apricotstack.core.failure.Outcome;
 import org.apricotstack.core.failure.Refusal;
 import org.apricotstack.core.failure.RefusalReason;
 import org.apricotstack.core.failure.RefusedException;
@@ -143,11 +144,18 @@
                 limiter.release(account.id(), 0);
             });
         } catch (RefusedException e) {
-            metrics.requestRefused(e.refusal());
-            return Flux.error(e);
+            Refusal refusal = withKnownOutcome(request, e.refusal());
+            metrics.requestRefused(refusal);
+            return Flux.error(refusal.toException());
         }
     }
 
+    /** Returns the refusal of a request before its run; an earlier try with its ticket may have been run. */
+    private Refusal withKnownOutcome(EntryRequest request, Refusal refusal) {
+        Ticket ticket = request.ticketText() == null ? null : Ticket.parse(request.ticketText());
+        return ticket == null || ledger.isUnspent(ticket) ? refusal : refusal.withOutcome(Outcome.UNKNOWN);
+    }
+
     /** Returns the ticket of a request, or {@code null}. */
     private static Ticket ticket(EntryRequest request) {
         if (request.ticketText() == null) {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ticket/TicketLedger.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ticket/TicketLedger.java
@@ -92,6 +92,17 @@
         return new SpendDecision.Run(ticket.serial());
     }
 
+    /**
+     * Returns whether no request with a ticket has been run.
+     *
+     * @param ticket the ticket
+     * @return {@code false} if it was spent, or is not known here
+     */
+    public synchronized boolean isUnspent(Ticket ticket) {
+        removeExpired();
+        return isSealedHere(ticket) && clock.millis() < ticket.expiresMillis() && !spent.containsKey(ticket.serial());
+    }
+
     /** Decides about a ticket that was already spent. */
     private static SpendDecision spentBefore(Entry entry) {
         if (entry.running) {
--- a/apricotstack-core/src/test/java/org/apricotstack/core/fleet/TicketedRunCountTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/fleet/TicketedRunCountTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.apricotstack.core.failure.Outcome;
 import org.apricotstack.core.failure.Refusal;
 import org.apricotstack.core.failure.RefusalReason;
 import org.apricotstack.core.failure.RefusedException;
@@ -60,6 +61,35 @@
         assertThat(fleet.upstreams().runs(BODY)).isZero();
     }
 
+    private Refusal refusalOf(FleetNode node) {
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        node.entry().submit(SeededFleet.request(BODY, ticket)).answer().subscribe(signal -> {}, failure::set);
+        fleet.time().advanceTimeBy(LedgerUpstreams.longestLimit());
+        return ((RefusedException) failure.get()).refusal();
+    }
+
+    /** Guards against a caller that is told that a call was not run though an earlier try with its ticket was. */
+    @Test
+    void refusesARepeatWithUnknownOutcomeWhileItStops() {
+        send(issuer);
+        advanceUntilTheUpstreamRuns();
+        issuer.stop();
+        assertThat(refusalOf(issuer)).satisfies(refusal -> {
+            assertThat(refusal.reason()).isEqualTo(RefusalReason.STOPPING);
+            assertThat(refusal.outcome()).isEqualTo(Outcome.UNKNOWN);
+        });
+        other.stop();
+        assertThat(refusalOf(other).outcome())
+                .as("at a router that did not issue the ticket")
+                .isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void refusesTheFirstTryWithATicketAsNotRunWhileItStops() {
+        issuer.stop();
+        assertThat(refusalOf(issuer).outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
     @Test
     void countsARequestWhoseCallerDisconnected() {
         Disposable answer = send(issuer);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/ticket/TicketLedgerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ticket/TicketLedgerTest.java
@@ -49,6 +49,21 @@
         assertRefused(ledger.spend(ticket, "d"), RefusalReason.TICKET_SPENT, Outcome.UNKNOWN);
     }
 
+    @Test
+    void knowsWhetherATicketIsUnspent() {
+        Ticket ticket = ledger.issue(VALID_MILLIS);
+        assertThat(ledger.isUnspent(ticket)).isTrue();
+        assertThat(new TicketLedger(SELF, new byte[] {4}, clock).isUnspent(ticket))
+                .as("a ticket of another process")
+                .isFalse();
+        ledger.spend(ticket, "d");
+        assertThat(ledger.isUnspent(ticket)).isFalse();
+        ledger.endNotRun(ticket.serial());
+        assertThat(ledger.isUnspent(ticket)).isTrue();
+        clock.advanceMillis(VALID_MILLIS);
+        assertThat(ledger.isUnspent(ticket)).isFalse();
+    }
+
     @Test
     void reportsUnknownOutcomeAfterTheTicketHasExpired() {
         Ticket ticket = ledger.issue(VALID_MILLIS);
