--- a/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
+++ b/apricotstack-cli/src/main/java/org/apricotstack/cli/Main.java
@@ -90,6 +90,7 @@
         commands.put("stand-in", new StandInCommand());
         commands.put("trace-request", new TraceRequestCommand());
         commands.put("lost-worth", new LostValueCommand());
+        commands.put("stop-report", new StopReportCommand());
         return commands;
     }
 }
