Parse and hash prompts off the event loops in the stand-in engine

The tests run stand-in engines and routers in one process on shared event loops. While an engine parsed and hashed a long prompt, the routers read nothing: with -Xint a loop was busy for up to 1,751 ms on end in StandInEngine.complete (sampled every 40 ms), and requests ended as upstream_silent, which is no event for 1,000 ms. Real engines are other processes.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
@@ -84,7 +84,9 @@
                     .header(EngineProtocol.LEAVING, "true")
                     .send();
         }
-        return request.receive().aggregate().asByteArray().flatMap(body -> {
+        // The event loops are shared with the routers of the process, and long prompts take long to parse and hash.
+        Mono<byte[]> received = request.receive().aggregate().asByteArray().publishOn(Schedulers.boundedElastic());
+        return received.flatMap(body -> {
             try {
                 JsonNode document = Json.STRICT.readTree(body);
                 return Mono.from(stream(response, job(request, document)));
