Test the return of callers of a stopped data centre, and of late rejections

Both sides are tested now: 1,000 ms for the first rejected callers, 1,700 and 1,050 ms for later ones. One data centre of three joins the scenarios whose repeats must all be taken. GroupOwnerTest uses the metrics that other tests have.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/owner/GroupOwnerTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/owner/GroupOwnerTest.java
@@ -16,7 +16,7 @@
 import org.apricotstack.core.dispatch.ResponseRatioQueueOrder;
 import org.apricotstack.core.dispatch.SchedulerOptions;
 import org.apricotstack.core.dispatch.Work;
-import org.apricotstack.core.failure.RefusalReason;
+import org.apricotstack.core.fleet.NoMetrics;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.AttemptId;
 import org.apricotstack.core.id.ClientAccountId;
@@ -27,7 +27,6 @@
 import org.apricotstack.core.order.DesiredUpstreamState;
 import org.apricotstack.core.stream.AttemptEvent;
 import org.apricotstack.core.stream.AttemptSignal;
-import org.apricotstack.core.stream.StreamVerdict;
 import org.apricotstack.core.time.Deadline;
 import org.apricotstack.core.time.TestClock;
 import org.junit.jupiter.api.Test;
@@ -87,24 +86,6 @@
         }
     }
 
-    /** Counts nothing. */
-    private static final class NoMetrics implements OwnerMetrics {
-        @Override
-        public void attemptRefused(RefusalReason reason) {}
-
-        @Override
-        public void ownerEventDropped(StreamVerdict verdict) {}
-
-        @Override
-        public void promptServed(long promptTokens, long cachedTokens) {}
-
-        @Override
-        public void memoryReleased() {}
-
-        @Override
-        public void orderSent(boolean accepted) {}
-    }
-
     private List<AttemptSignal> dispatch(String id) {
         Work work = new Work(
                 new ClientAccountId("a"), new ServiceId("s"), PROMPT_TOKENS, 10, List.of(), new byte[0], null, true, 1);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopPolicyTest.java
@@ -57,6 +57,8 @@
                 arguments("a stopping one takes it", 5_000, stopping(4_100L, 1_000L), 100),
                 arguments("a stopping one takes it now but not later", 5_000, stopping(4_099L, 1_000L), 1_000),
                 arguments("none is known, after its own restart", 3_600, stopping(), 1_000),
+                arguments("the same, rejected 1,400 ms later than the first ones", 5_000, stopping(), 1_700),
+                arguments("the same with one that still stops", 5_000, stopping(3_900L), 1_050),
                 arguments("none is known, once idle connections are closed", 2_000, stopping(), 2_200),
                 arguments("it restarts while others still stop", 3_600, stopping(3_800L, 3_900L), 1_000),
                 arguments("another stopping one takes it too", 2_500, ready(5_100L), 100),
--- a/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/stop/StopScheduleTest.java
@@ -148,7 +148,9 @@
     static Stream<StopScenario> scenariosWhoseRepeatsAreTaken() {
         return Stream.of(
                 series("all routers but two", new Series(5_000, 5, 0, 2)),
-                series("pairs, and one that is not stopped", new Series(5_000, 2, 1_000, 1)));
+                series("pairs, and one that is not stopped", new Series(5_000, 2, 1_000, 1)),
+                series("one data centre of three", new Series(5_000, 3, 0, 4))
+                        .with(Conditions.NONE.dataCentreByDataCentre()));
     }
 
     @ParameterizedTest
