Log the retry budget's balance and the arrivals of each request's attempts

The logs did not tell which of the hypotheses of the repeats beyond the budget holds: a line attempt_failed said that a retry was made or refused, not what was left of the budget, and a line sent counted no attempt that a draining upstream had rejected, although it had arrived. Now attempt_failed has retries_left and sent has arrivals. No decision has changed; the tests of core, serving and platform pass.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/retry/WindowedRetryBudget.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/retry/WindowedRetryBudget.java
@@ -54,14 +54,24 @@
      * @return whether the budget allows it
      */
     public boolean trySpend(long nowMillis) {
-        evictExpired(nowMillis);
-        if (retries.size() + 1 > SAFETY_FACTOR * (ratio * requests.size() + slackShare.getAsDouble())) {
+        if (left(nowMillis) < 1) {
             return false;
         }
         retries.addLast(nowMillis);
         return true;
     }
 
+    /**
+     * Returns the retries that may be made now.
+     *
+     * @param nowMillis the time
+     * @return retries, with fractions
+     */
+    public double left(long nowMillis) {
+        evictExpired(nowMillis);
+        return SAFETY_FACTOR * (ratio * requests.size() + slackShare.getAsDouble()) - retries.size();
+    }
+
     /** Removes entries that are older than the window. */
     private void evictExpired(long nowMillis) {
         while (!requests.isEmpty() && requests.peekFirst() <= nowMillis - windowMillis) {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -68,6 +68,15 @@
         return mayHaveRun;
     }
 
+    /**
+     * Tells whether the request may have reached an upstream, also one that rejected it.
+     *
+     * @return {@code false} only if nothing was sent
+     */
+    public boolean arrives() {
+        return this != NO_CONNECTION && this != WITHHELD && this != NOT_RESERVED;
+    }
+
     /**
      * Tells whether the outlier detector counts the failure against the upstream.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -39,6 +39,7 @@
     private final Route route;
     private int sent;
     private int uncounted;
+    private int arrivals;
     private boolean connectionLostOnce;
     private boolean mayHaveRun;
 
@@ -64,6 +65,9 @@
     /** Records how an attempt failed, and whether it is not counted. */
     void failed(FailureKind kind, boolean isUncounted) {
         mayHaveRun |= kind.mayHaveRun();
+        if (kind.arrives()) {
+            arrivals++;
+        }
         if (isUncounted) {
             connectionLostOnce |= CONNECTION_LOST.contains(kind);
             sent--;
@@ -81,6 +85,11 @@
         return sent;
     }
 
+    /** Returns the number of failed attempts that may have reached an upstream, counted as attempts or not. */
+    int arrivals() {
+        return arrivals;
+    }
+
     /** Returns whether an upstream may have run the request. */
     boolean mayHaveRun() {
         return mayHaveRun;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -83,6 +83,7 @@
         count(PassedOverCause.BACK_OFF, skipped.backingOff());
         DecisionLog.Line line = line("sent")
                 .put("attempt", attempts.sent())
+                .put("arrivals", attempts.arrivals())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
                 .put("limits_used_up", names(skipped.rateLimited()))
@@ -145,6 +146,8 @@
                 .put("after_millis", nowMillis - attempt.startMillis())
                 .put("last_event", progress.lastEventId())
                 .put("next", cause == null ? "send" : cause.code())
+                .put("retries_left", (long)
+                        context.budgets().of(facts.service()).left(nowMillis))
                 .write();
     }
 
