Keep no record of spent retries that a restart could erase

Callers' requests reached upstreams more often than the retry budget allows once routers were killed amid failures: 515 arrivals beyond the first in 10 s where 451 are allowed. Each router kept a window of the retries that it had sent. The window ended with the process, and the next one began with a whole share of the slack and of the ratio: 112 and 66 retries in the seconds in which the windows of the new processes began, against 30 to 40 a second before.

Now the budget is a token bucket that starts empty: each request adds its ratio, half of the router's share of the slack is the capacity, the other half refills evenly. In any window a host then sends at most the capacity, one refill and the ratio of its requests, whatever processes it had; no memory is needed. What was ruled out: a window that is kept by the other routers, as nobody has it when all are killed; a window that begins as if spent, as its ratio part still counts the requests of two windows, or forbids all retries for ten seconds after each stop.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/retry/RetryBudgetSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/retry/RetryBudgetSimulation.java
@@ -197,7 +197,7 @@
 
         private final Host host;
         private final PeerTable peers = new PeerTable();
-        private final WindowedRetryBudget budget;
+        private final FleetRetryBudget budget;
         private final long startedMillis = nowMillis;
         private long nextHeartbeatMillis = nowMillis;
         private int nextAddress;
@@ -208,7 +208,7 @@
             for (int i = 0; i < Math.min(SEEDS, hosts.size()); i++) {
                 peers.addAddress(hosts.get(i).address);
             }
-            budget = new WindowedRetryBudget(RATIO, WINDOW_MILLIS, slackShare());
+            budget = new FleetRetryBudget(RATIO, WINDOW_MILLIS, slackShare());
         }
 
         private DoubleSupplier slackShare() {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RetryBudgets.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RetryBudgets.java
@@ -5,7 +5,7 @@
 import java.util.function.IntSupplier;
 
 import org.apricotstack.core.id.ServiceId;
-import org.apricotstack.core.retry.WindowedRetryBudget;
+import org.apricotstack.core.retry.FleetRetryBudget;
 
 /** This router's share of each service's retry budget. */
 public final class RetryBudgets {
@@ -14,7 +14,7 @@
     private final long windowMillis;
     private final double slack;
     private final IntSupplier routers;
-    private final Map<ServiceId, WindowedRetryBudget> byService = new HashMap<>();
+    private final Map<ServiceId, FleetRetryBudget> byService = new HashMap<>();
 
     /**
      * Creates the budgets.
@@ -37,9 +37,9 @@
      * @param service the service
      * @return its budget
      */
-    public WindowedRetryBudget of(ServiceId service) {
+    public FleetRetryBudget of(ServiceId service) {
         return byService.computeIfAbsent(
                 service,
-                id -> new WindowedRetryBudget(ratio, windowMillis, () -> slack / Math.max(1, routers.getAsInt())));
+                id -> new FleetRetryBudget(ratio, windowMillis, () -> slack / Math.max(1, routers.getAsInt())));
     }
 }
