Take a share of the retry slack only once the fleet's size is known

A router divided the fleet's slack by the addresses that it knew. After 120 s of a partition each part would also have forgotten the others.

Now a router takes no share of the slack in its first 3 s, none while it has not heard from one of its seeds (for up to 120 s, when the seed counts as gone), and never assumes fewer routers than it once knew. Only one part of a partitioned fleet can hear all seeds. The ratio of its own requests is open to it always.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -167,6 +167,17 @@
         return Collections.unmodifiableSet(addresses);
     }
 
+    /**
+     * Returns whether a heartbeat of a router has arrived and is not yet forgotten.
+     *
+     * @param peerAddress its address for other routers
+     * @return whether it is known by more than its address
+     */
+    public boolean hasHeartbeatFrom(Address peerAddress) {
+        return lastHeartbeats.values().stream()
+                .anyMatch(last -> last.peer().peerAddress().equals(peerAddress));
+    }
+
     /**
      * Returns the routers with recent heartbeats.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -10,6 +10,7 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
+import org.apricotstack.core.peer.FleetSize;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitTable;
 import org.apricotstack.core.route.CallerLimits;
@@ -67,6 +68,7 @@
     private final DecisionLog log;
     private final ServingMetrics metrics = new ServingMetrics();
     private final PeerTable peers = new PeerTable();
+    private final FleetSize fleetSize;
     private final SuspectTable suspects;
     private final LimitTable limits = new LimitTable();
     private final UpstreamTable upstreams = new UpstreamTable();
@@ -96,6 +98,7 @@
         this.options = options;
         this.log = log;
         this.stalls = new StallDetector(loop.nowMillis());
+        this.fleetSize = new FleetSize(peers, loop.nowMillis());
         this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         UniformRandomProvider random = random(options.identity().process());
         OutlierDetector outlierDetector = new OutlierDetector();
@@ -138,8 +141,7 @@
                 hub.suspects(),
                 limits,
                 hub.limits(),
-                new RetryBudgets(
-                        options.retryRatio(), options.retryWindowMillis(), options.retrySlack(), hub::knownRouters),
+                new RetryBudgets(options.retryRatio(), options.retryWindowMillis(), this::retrySlackShare),
                 new ByteBudget((long) (options.memoryBytes() * BODY_SHARE)),
                 stopGate,
                 log,
@@ -186,6 +188,7 @@
         metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
         metrics.gauge("documents.rejected", state::rejected);
         metrics.gauge("routers.known", hub::knownRouters);
+        metrics.gauge("retries.slack_share", () -> (long) retrySlackShare());
         metrics.gauge("routers.told_of_placements", hub::placementReceivers);
         metrics.gauge("placements.heard", hub::placementsReceived);
         metrics.gauge("suspects.known", suspects::size);
@@ -218,7 +221,7 @@
                 new Address(configured.peerAddress().ip(), gossipServer.port()),
                 configured.capacityPercent());
         heartbeatPort = new HeartbeatPort(loop, identity.peerAddress());
-        options.seeds().forEach(peers::addAddress);
+        addSeedAddresses(options.seeds());
         loop.execute(() -> {
             stalls.running(loop.nowMillis());
             follower.start();
@@ -229,6 +232,11 @@
         return identity;
     }
 
+    /** Returns the retries in a window that this router may make in addition to the ratio of its requests. */
+    private double retrySlackShare() {
+        return fleetSize.share(options.retrySlack(), loop.nowMillis());
+    }
+
     /** Returns the approximate number of routers that follow the platform at the same time. */
     private int platformReaders() {
         return hub.platformReaders();
@@ -354,6 +362,9 @@
      */
     public void addSeedAddresses(List<Address> addresses) {
         addresses.forEach(peers::addAddress);
+        fleetSize.addSeeds(addresses.stream()
+                .filter(address -> !address.equals(identity.peerAddress()))
+                .toList());
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RetryBudgets.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RetryBudgets.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
 
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.retry.FleetRetryBudget;
@@ -12,8 +12,7 @@
 
     private final double ratio;
     private final long windowMillis;
-    private final double slack;
-    private final IntSupplier routers;
+    private final DoubleSupplier slackShare;
     private final Map<ServiceId, FleetRetryBudget> byService = new HashMap<>();
 
     /**
@@ -21,14 +20,12 @@
      *
      * @param ratio retries allowed for each request
      * @param windowMillis length of the sliding window, in milliseconds
-     * @param slack retries in a window that all routers together may make in addition to the ratio
-     * @param routers number of routers that share the slack
+     * @param slackShare retries in a window that this router may make in addition to the ratio
      */
-    public RetryBudgets(double ratio, long windowMillis, double slack, IntSupplier routers) {
+    public RetryBudgets(double ratio, long windowMillis, DoubleSupplier slackShare) {
         this.ratio = ratio;
         this.windowMillis = windowMillis;
-        this.slack = slack;
-        this.routers = routers;
+        this.slackShare = slackShare;
     }
 
     /**
@@ -38,8 +35,6 @@
      * @return its budget
      */
     public FleetRetryBudget of(ServiceId service) {
-        return byService.computeIfAbsent(
-                service,
-                id -> new FleetRetryBudget(ratio, windowMillis, () -> slack / Math.max(1, routers.getAsInt())));
+        return byService.computeIfAbsent(service, id -> new FleetRetryBudget(ratio, windowMillis, slackShare));
     }
 }
