Take a retry from the budget for each arrival after the first, when it is sent

Upstreams got more of one request than the retry budget knew of: an attempt that a draining upstream rejects counts as no attempt, and its retry took nothing from the budget, although it had arrived; up to twelve such sends a request. And a retry was taken when the attempt before it failed, while the next one may wait seconds for capacity, a permit or a trial, so that the sends of many windows could come in one.

Now the budget is asked when an attempt fails, and a retry is taken when the next one is sent, if any earlier attempt of the request may have reached an upstream. One that reached none after all (no connection, withheld) is returned.

RetryBudgetTest.takesARetryForEachArrivalAfterTheFirst failed before: a request went to four draining upstreams with a budget of none (upstreams_draining instead of retry_budget); it passes, and refused connections still take no retry. Tests of attempts, faulty answers, announced drains and restarts pass unchanged.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/retry/FleetRetryBudget.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/retry/FleetRetryBudget.java
@@ -64,6 +64,16 @@
         return true;
     }
 
+    /**
+     * Returns one retry that reached no upstream.
+     *
+     * @param nowMillis the time
+     */
+    public void refund(long nowMillis) {
+        refill(nowMillis);
+        balance = Math.min(capacity(), balance + 1);
+    }
+
     /**
      * Returns the retries that may be made now.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -35,6 +35,7 @@
     private ScheduledFuture<?> watchdog;
     private long silenceMillis;
     private int watchdogGeneration;
+    private boolean takesRetry;
     private boolean finished;
     private ResponseHead head;
     private HttpResponse raw;
@@ -55,6 +56,16 @@
         }
     }
 
+    /** Records whether this attempt is charged to the retry budget. */
+    void takesRetry(boolean taken) {
+        takesRetry = taken;
+    }
+
+    /** Returns whether this attempt is charged to the retry budget. */
+    boolean takesRetry() {
+        return takesRetry;
+    }
+
     /** Restarts the watchdog, which fires if nothing arrives within the limit; 0 stops it. */
     final void watchdog(long limitMillis) {
         if (watchdog != null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.retry.FleetRetryBudget;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.http.CallerExchange;
@@ -94,7 +95,7 @@
         bodyBytes = whole.readableBytes();
         body = whole;
         sender.body(whole);
-        context.budgets().of(facts.service()).request(context.nowMillis());
+        retries().request(context.nowMillis());
         sender.send();
     }
 
@@ -119,6 +120,9 @@
             return;
         }
         sender.end(attempt);
+        if (attempt.takesRetry() && !kind.arrives()) {
+            retries().refund(context.nowMillis());
+        }
         UpstreamId responsible = kind == FailureKind.HELPER_GONE
                 ? attempt.faultyHelper()
                 : attempt.upstream().id();
@@ -139,6 +143,11 @@
         }
     }
 
+    /** Returns the retry budget of the service. */
+    private FleetRetryBudget retries() {
+        return context.budgets().of(facts.service());
+    }
+
     /** Retries the request after a failure, or refuses it. */
     private void retryOrRefuse(Attempt attempt, FailureKind kind, boolean isUncounted) {
         if (finished) {
@@ -149,9 +158,7 @@
         if (cause == null && !exchange.answerStarted() && !sender.mayComplete(now)) {
             cause = RefusalCause.STOPPING;
         }
-        if (cause == null
-                && !isUncounted
-                && !context.budgets().of(facts.service()).trySpend(now)) {
+        if (cause == null && attempts.arrivals() > 0 && retries().left(now) < 1) {
             cause = RefusalCause.RETRY_BUDGET;
         }
         log.failed(attempt, kind, cause, now);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -316,12 +316,26 @@
             return;
         }
         SuspectDecision decision = suspectTracker.decide();
-        if (decision.sends()) {
-            forward(attempt, decision);
-        } else {
+        if (!decision.sends()) {
             cancel();
             holdOrRefuse(decision, context.nowMillis());
+        } else if (takesRetryIfNeeded(attempt)) {
+            forward(attempt, decision);
+        } else {
+            run.endWithRefusal(RefusalCause.RETRY_BUDGET);
+        }
+    }
+
+    /**
+     * Takes a retry from the budget if an earlier attempt may have reached an upstream, whether or not it was counted.
+     */
+    private boolean takesRetryIfNeeded(Attempt attempt) {
+        if (attempts.arrivals() == 0) {
+            return true;
         }
+        boolean taken = context.budgets().of(facts.service()).trySpend(context.nowMillis());
+        attempt.takesRetry(taken);
+        return taken;
     }
 
     /** Creates an attempt of the route's kind. */
