--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -20,22 +20,25 @@
 import org.apricotstack.core.suspect.SuspectedRequest;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.OutlierDetector;
-import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.gossip.GossipGauges;
 import org.apricotstack.serving.gossip.GossipHub;
 import org.apricotstack.serving.gossip.GossipServer;
 import org.apricotstack.serving.gossip.HeartbeatPort;
 import org.apricotstack.serving.gossip.Readiness;
 import org.apricotstack.serving.gossip.RouterIdentity;
 import org.apricotstack.serving.http.CallerServer;
+import org.apricotstack.serving.http.ConnectionOpener;
 import org.apricotstack.serving.http.HttpCalls;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.http.TcpConnectionOpener;
 import org.apricotstack.serving.http.UpstreamConnections;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.ServingMetrics;
 import org.apricotstack.serving.observe.UnknownFields;
 import org.apricotstack.serving.publication.PublicationFollower;
+import org.apricotstack.serving.publication.PublicationGauges;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.run.RequestDispatcher;
 import org.apricotstack.serving.run.RetryBudgets;
@@ -94,6 +97,20 @@
      * @param log receives decisions and changes of state
      */
     public ServingRouter(ServingLoop loop, RouterOptions options, RouterPorts ports, DecisionLog log) {
+        this(loop, options, ports, log, new TcpConnectionOpener(loop));
+    }
+
+    /**
+     * Creates a router that is not started, with its own way to open connections.
+     *
+     * @param loop the event loop
+     * @param options the startup options
+     * @param ports the adapters to the platform
+     * @param log receives decisions and changes of state
+     * @param opener opens connections to upstreams and the platform
+     */
+    public ServingRouter(
+            ServingLoop loop, RouterOptions options, RouterPorts ports, DecisionLog log, ConnectionOpener opener) {
         this.loop = loop;
         this.options = options;
         this.log = log;
@@ -105,7 +122,7 @@
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
         state.onUpstreamRemoved(this::onUpstreamRemoved);
-        connections = new UpstreamConnections(loop);
+        connections = new UpstreamConnections(loop, opener);
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(
                 loop, ports.source().apply(calls), state, log, random, this::platformReaders, this::mustReadPlatform);
@@ -171,36 +188,20 @@
 
     /** Registers the gauges. */
     private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
+        PublicationGauges.register(metrics, follower, state);
+        GossipGauges.register(metrics, hub);
         metrics.gauge("fields.unknown", unknown::size);
         metrics.gauge("fields.unknown_met", unknown::count);
         metrics.gauge("requests.open", runs::open);
         metrics.gauge("requests.not_proper", callers::malformedRequests);
         metrics.gauge("engines.placements", loadTable::size);
         metrics.gauge("upstreams.connections_opened", connections::opened);
-        metrics.gauge("platform.calls", follower::calls);
-        metrics.gauge("platform.faults", follower::faults);
-        metrics.gauge("platform.history", follower::history);
-        metrics.gauge("platform.histories_begun", follower::historyChanges);
-        metrics.gauge("platform.followed", () -> follower.isFollowing() ? 1 : 0);
-        metrics.gauge("upstreams.listed", state::upstreamsListed);
-        metrics.gauge("configuration.revision", () -> Revisions.inHistory(state.configurationRevision()));
-        metrics.gauge("configuration.version", state::configurationVersion);
-        metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
-        metrics.gauge("documents.rejected", state::rejected);
-        metrics.gauge("routers.known", hub::knownRouters);
         metrics.gauge("retries.slack_share", () -> (long) retrySlackShare());
-        metrics.gauge("routers.told_of_placements", hub::placementReceivers);
-        metrics.gauge("placements.heard", hub::placementsReceived);
         metrics.gauge("suspects.known", suspects::size);
         metrics.gauge("suspects.causes", suspects::causes);
         metrics.gauge("suspects.dropped", suspects::dropped);
-        metrics.gauge("suspects.ends_heard", hub.suspects()::received);
-        metrics.gauge("suspects.news_dropped", hub.suspects()::dropped);
         metrics.gauge("drains.in_force", () -> upstreams.drains().all().size());
         metrics.gauge("limits.in_force", () -> limits.all().size());
-        metrics.gauge("limits.kept", hub.limits()::kept);
-        metrics.gauge("limits.questions_unanswered", hub.limits()::unanswered);
-        metrics.gauge("limits.news_dropped", hub.limits()::dropped);
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> gossipServer == null ? 0 : gossipServer.malformed());
         metrics.gauge("log.lines_dropped", log::dropped);
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
@@ -0,0 +1,17 @@
+package org.apricotstack.serving.http;
+
+import io.netty.channel.ChannelFuture;
+import org.apricotstack.core.id.Address;
+
+/** Opens TCP connections to upstreams and the platform. */
+public interface ConnectionOpener {
+
+    /**
+     * Opens a connection without handlers.
+     *
+     * @param address the address to connect to
+     * @param timeoutMillis time after which the attempt fails, in milliseconds
+     * @return completes on the event loop
+     */
+    ChannelFuture open(Address address, int timeoutMillis);
+}
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/TcpConnectionOpener.java
@@ -0,0 +1,45 @@
+package org.apricotstack.serving.http;
+
+import java.net.InetSocketAddress;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollSocketChannel;
+import org.apricotstack.core.id.Address;
+
+/** Opens connections from the event loop of a router. */
+public final class TcpConnectionOpener implements ConnectionOpener {
+
+    /** Time after which a connection with unacknowledged bytes is closed, in milliseconds. */
+    private static final int TCP_USER_TIMEOUT_MILLIS = 3_000;
+
+    private final Bootstrap bootstrap;
+
+    /**
+     * Creates an opener.
+     *
+     * @param loop the event loop
+     */
+    public TcpConnectionOpener(ServingLoop loop) {
+        this.bootstrap = new Bootstrap()
+                .group(loop.group())
+                .channel(loop.clientChannel())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true);
+        if (loop.clientChannel() == EpollSocketChannel.class) {
+            bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLIS);
+        }
+    }
+
+    @Override
+    public ChannelFuture open(Address address, int timeoutMillis) {
+        return bootstrap
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(new InetSocketAddress(address.ip(), address.port()));
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -1,6 +1,5 @@
 package org.apricotstack.serving.http;
 
-import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,17 +8,11 @@
 import java.util.List;
 import java.util.Map;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -48,9 +41,6 @@
      */
     private static final int REFUSAL_TIMEOUT_MILLIS = 60;
 
-    /** Time after which a connection with unacknowledged bytes is closed, in milliseconds. */
-    private static final int TCP_USER_TIMEOUT_MILLIS = 3_000;
-
     /** Time for which an idle connection is kept if the upstream does not specify one, in milliseconds. */
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
@@ -64,7 +54,7 @@
     private static final int HEADER_BYTES = 32 * 1024;
 
     private final ServingLoop loop;
-    private final Bootstrap bootstrap;
+    private final ConnectionOpener opener;
     private final Map<Address, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long opened;
 
@@ -72,18 +62,11 @@
      * Creates an empty pool.
      *
      * @param loop the event loop
+     * @param opener opens connections
      */
-    public UpstreamConnections(ServingLoop loop) {
+    public UpstreamConnections(ServingLoop loop, ConnectionOpener opener) {
         this.loop = loop;
-        this.bootstrap = new Bootstrap()
-                .group(loop.group())
-                .channel(loop.clientChannel())
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-        if (loop.clientChannel() == EpollSocketChannel.class) {
-            bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLIS);
-        }
+        this.opener = opener;
     }
 
     /**
@@ -132,20 +115,7 @@
     /** Opens a connection for a call. */
     private void connect(Address address, UpstreamCall call) {
         opened++;
-        UpstreamConnection connection = new UpstreamConnection(this, address);
-        ChannelFuture connecting = bootstrap
-                .clone()
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpRequestEncoder(),
-                                        new HttpResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)),
-                                        connection);
-                    }
-                })
-                .connect(new InetSocketAddress(address.ip(), address.port()));
+        ChannelFuture connecting = opener.open(address, CONNECT_TIMEOUT_MILLIS);
         call.connecting(connecting);
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
@@ -156,11 +126,22 @@
                 connecting.channel().close();
                 call.fail(FailureKind.WITHHELD);
             } else {
-                connection.start(call);
+                start(address, connecting.channel(), call);
             }
         });
     }
 
+    /** Sends a call over a new connection. */
+    private void start(Address address, Channel channel, UpstreamCall call) {
+        UpstreamConnection connection = new UpstreamConnection(this, address);
+        channel.pipeline()
+                .addLast(
+                        new HttpRequestEncoder(),
+                        new HttpResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)),
+                        connection);
+        connection.start(call);
+    }
+
     /**
      * Checks whether a process listens at an address; the host of an exited process refuses a new connection at once.
      *
@@ -170,15 +151,10 @@
     public Mono<Boolean> isConnectionRefused(Address address) {
         return Mono.create(result -> {
             opened++;
-            bootstrap
-                    .clone()
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, REFUSAL_TIMEOUT_MILLIS)
-                    .handler(new ChannelInboundHandlerAdapter())
-                    .connect(new InetSocketAddress(address.ip(), address.port()))
-                    .addListener((ChannelFutureListener) done -> {
-                        done.channel().close();
-                        result.success(!done.isSuccess() && isRefusal(done.cause()));
-                    });
+            opener.open(address, REFUSAL_TIMEOUT_MILLIS).addListener((ChannelFutureListener) done -> {
+                done.channel().close();
+                result.success(!done.isSuccess() && isRefusal(done.cause()));
+            });
         });
     }
 
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -0,0 +1,30 @@
+package org.apricotstack.serving.publication;
+
+import org.apricotstack.core.upstream.Revisions;
+import org.apricotstack.serving.observe.ServingMetrics;
+
+/** Gauges of the platform and of the documents that were read from it. */
+public final class PublicationGauges {
+
+    private PublicationGauges() {}
+
+    /**
+     * Registers the gauges.
+     *
+     * @param metrics receives them
+     * @param follower follows the platform
+     * @param state the documents in force
+     */
+    public static void register(ServingMetrics metrics, PublicationFollower follower, PublishedState state) {
+        metrics.gauge("platform.calls", follower::calls);
+        metrics.gauge("platform.faults", follower::faults);
+        metrics.gauge("platform.history", follower::history);
+        metrics.gauge("platform.histories_begun", follower::historyChanges);
+        metrics.gauge("platform.followed", () -> follower.isFollowing() ? 1 : 0);
+        metrics.gauge("upstreams.listed", state::upstreamsListed);
+        metrics.gauge("configuration.revision", () -> Revisions.inHistory(state.configurationRevision()));
+        metrics.gauge("configuration.version", state::configurationVersion);
+        metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
+        metrics.gauge("documents.rejected", state::rejected);
+    }
+}
