Open connections to upstreams through another router where the own link is lost

Now a connection to an upstream that is not established within 100 ms, or fails, is also opened through another router, and the first one established is used. If another router reaches the upstream while this one fails to, the link of this one is lost: following connections lead through others, in turn and in the own data centre first; every 500 ms one is tried directly as well, so that the link is used again once it is back. Idle connections of a silent link are dropped, requests that wait on one are given up after a second failure, and the other upstreams are checked as soon as the first link is lost. Failures of a lost link no longer count against the upstream.

The relaying router forwards bytes between the two connections and decides nothing: attempts, budgets, quotas, permits, placements, reservations, suspects and deadlines stay with the router that has the request, and a cancel is a closed connection as before. It relays only to upstreams that it lists, for addresses of known routers, over its own links, on the port for other routers; so a detour is one hop and cannot loop. A response without a length counts as cut when it comes through another router, whose end could not be told from its end.

Ruled out: leaving the answers with addresses (callers keep them for up to three lifetimes, and each rejection is a failed try), forwarding whole requests (each of the decisions above would have to be made twice or handed over), and deciding by silence of all upstreams together (half-lost links, one service).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -19,6 +19,10 @@
      * is healthy.
      */
     WITHDRAWN(true, false, false),
+    /**
+     * The router has lost its own link to the upstream, which is healthy; nothing more arrives on the connection.
+     */
+    LINK_LOST(true, false, false),
     /** The response violates the protocol or lacks its seal. */
     SPOILED(true, true, false),
     /** The upstream reported an error. */
@@ -68,6 +72,15 @@
         return mayHaveRun;
     }
 
+    /**
+     * Tells whether another attempt at the same upstream would probably fail too.
+     *
+     * @return {@code false} if the upstream only accepts nothing now, or another connection to it may work
+     */
+    public boolean concernsUpstream() {
+        return this != WITHHELD && this != BACK_OFF && this != LINK_LOST;
+    }
+
     /**
      * Tells whether the request may have reached an upstream, also one that rejected it.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -17,7 +17,6 @@
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.suspect.SuspectTable;
-import org.apricotstack.core.suspect.SuspectedRequest;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -40,6 +39,7 @@
 import org.apricotstack.serving.publication.PublicationFollower;
 import org.apricotstack.serving.publication.PublicationGauges;
 import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.serving.relay.RouterLinks;
 import org.apricotstack.serving.run.RequestDispatcher;
 import org.apricotstack.serving.run.RetryBudgets;
 import org.apricotstack.serving.run.ServingContext;
@@ -54,15 +54,15 @@
     /** Interval between two checks for expired state, in milliseconds. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
 
-    /** Length of a stall above which this router resynchronizes with the platform, in milliseconds. */
-    private static final long LONG_STALL_MILLIS = 1_000;
-
     /** Share of the process memory for request bodies. */
     private static final double BODY_SHARE = 0.1;
 
     /** Share of the sockets for callers. */
     private static final double CALLER_SHARE = 0.6;
 
+    /** Share of the sockets that connections relayed for other routers may use, each with two. */
+    private static final double RELAY_SHARE = 0.1;
+
     /** Maximum number of addresses in a response to a caller. */
     private static final int MAX_ADDRESSES = 64;
 
@@ -77,6 +77,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final PublishedState state;
     private final PublicationFollower follower;
+    private final RouterLinks links;
     private final UpstreamConnections connections;
     private final GossipHub hub;
     private final RequestDispatcher runs;
@@ -122,11 +123,20 @@
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
         state.onUpstreamRemoved(this::onUpstreamRemoved);
-        connections = new UpstreamConnections(loop, opener);
+        links = new RouterLinks(
+                loop,
+                opener,
+                options.identity().dataCentre(),
+                peers,
+                upstreams,
+                outlierDetector,
+                (int) (options.maxSockets() * RELAY_SHARE),
+                log);
+        connections = new UpstreamConnections(loop, links.opener(), links.table());
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(
                 loop, ports.source().apply(calls), state, log, random, this::platformReaders, this::mustReadPlatform);
-        suspects = new SuspectTable(options.identity().process(), this::causeFound);
+        suspects = new SuspectTable(options.identity().process(), new CauseLog(loop, log));
         hub = new GossipHub(
                 loop,
                 peers,
@@ -142,7 +152,22 @@
                 follower::isFollowing,
                 follower::restartIfSilent);
         StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable, stalls);
-        ServingContext context = new ServingContext(
+        runs = new RequestDispatcher(context(ports, outlierDetector, loadTable, calls, stopGate));
+        callers = new CallerServer(
+                loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
+        stop = new StopSequence(loop, callers, runs, hub, stopGate, this::lastOfDataCentre, log);
+        addListeners();
+        addGauges(loadTable, ports.unknown());
+    }
+
+    /** Creates what all requests share. */
+    private ServingContext context(
+            RouterPorts ports,
+            OutlierDetector outlierDetector,
+            EngineLoadTable loadTable,
+            HttpCalls calls,
+            StopGate stopGate) {
+        return new ServingContext(
                 options.identity().process(),
                 options.identity().dataCentre(),
                 loop,
@@ -163,18 +188,13 @@
                 stopGate,
                 log,
                 metrics);
-        runs = new RequestDispatcher(context);
-        callers = new CallerServer(
-                loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, callers, runs, hub, stopGate, this::lastOfDataCentre, log);
-        addListeners();
-        addGauges(loadTable, ports.unknown());
     }
 
     /** Registers the requests in flight as listeners for news of their upstreams. */
     private void addListeners() {
         hub.suspects().onCrashReported(runs::upstreamCrashReported);
         state.onDrainEnded(runs::drainEnded);
+        links.onSilentLink(runs::linkSilent);
     }
 
     /**
@@ -190,6 +210,7 @@
     private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
         PublicationGauges.register(metrics, follower, state);
         GossipGauges.register(metrics, hub);
+        links.register(metrics);
         metrics.gauge("fields.unknown", unknown::size);
         metrics.gauge("fields.unknown_met", unknown::count);
         metrics.gauge("requests.open", runs::open);
@@ -214,7 +235,7 @@
      */
     public RouterIdentity start() {
         RouterIdentity configured = options.identity();
-        gossipServer = new GossipServer(loop, configured.peerAddress(), hub);
+        gossipServer = new GossipServer(loop, configured.peerAddress(), hub, links.server());
         identity = new RouterIdentity(
                 configured.process(),
                 configured.dataCentre(),
@@ -224,11 +245,10 @@
         heartbeatPort = new HeartbeatPort(loop, identity.peerAddress());
         addSeedAddresses(options.seeds());
         loop.execute(() -> {
-            stalls.running(loop.nowMillis());
             follower.start();
             hub.start(identity, heartbeatPort);
             loop.scheduleWithFixedDelay(SWEEP_INTERVAL_MILLIS, this::sweep);
-            loop.scheduleWithFixedDelay(StallDetector.INTERVAL_MILLIS, this::detectStall);
+            new StallWatch(loop, stalls, metrics, log, follower::resync).start();
         });
         return identity;
     }
@@ -275,30 +295,6 @@
         return peers.isLastOfDataCentre(hub.ownPeer(), loop.nowMillis());
     }
 
-    /** Logs that a request was found to be the cause of upstream crashes. */
-    private void causeFound(SuspectedRequest suspect) {
-        log.line("cause_found")
-                .put("content", suspect.request().toString())
-                .put("ends", suspect.crashes().size())
-                .put("upstreams", suspect.upstreams())
-                .put("since_millis", loop.nowMillis() - suspect.sinceMillis())
-                .put("refused_millis", SuspectTable.REFUSED_MILLIS)
-                .write();
-    }
-
-    /** Looks for a stall of the process, and resynchronizes with the platform after a long one. */
-    private void detectStall() {
-        long stalledMillis = stalls.running(loop.nowMillis());
-        if (stalledMillis == 0) {
-            return;
-        }
-        metrics.stalled(stalledMillis);
-        log.line("process_stalled").put("millis", stalledMillis).write();
-        if (stalledMillis > LONG_STALL_MILLIS) {
-            follower.resync();
-        }
-    }
-
     /** Removes expired state. */
     private void sweep() {
         long now = loop.nowMillis();
@@ -310,6 +306,7 @@
         hub.reportPlatformChanges();
         callers.closeTimedOut();
         connections.closeExpired();
+        links.expire();
     }
 
     /** Returns the limits for requests of callers. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipFraming.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipFraming.java
@@ -34,12 +34,17 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                ChannelPipeline pipeline = channel.pipeline();
-                pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-                pipeline.addLast(new ProtobufDecoder(messageType));
-                pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-                pipeline.addLast(handler.get());
+                addHandlers(channel, messageType, handler.get());
             }
         };
     }
+
+    /** Adds the handlers of a connection that receives messages of one type. */
+    static void addHandlers(Channel channel, MessageLite messageType, ChannelInboundHandler handler) {
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new ProtobufDecoder(messageType));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addLast(handler);
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
@@ -16,9 +17,10 @@
 import org.apricotstack.core.failure.ErrorCode;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.relay.RelayServer;
 import org.apricotstack.wire.news.NewsFrame;
 
-/** Accepts the gossip streams of other routers. */
+/** Accepts the gossip streams of other routers, and the connections that they ask this one to relay. */
 public final class GossipServer implements AutoCloseable {
 
     private static final byte[] EMPTY_REPLY = {};
@@ -34,9 +36,10 @@
      * @param loop the event loop
      * @param address the address to listen on
      * @param handler receives the frames
+     * @param relays serves the connections that are to be relayed to upstreams
      * @throws ApricotException with {@link ErrorCode#ENVIRONMENT} if the address cannot be used
      */
-    public GossipServer(ServingLoop loop, Address address, GossipHandler handler) {
+    public GossipServer(ServingLoop loop, Address address, GossipHandler handler, RelayServer relays) {
         this.handler = handler;
         streams = new DefaultChannelGroup(loop.loop());
         ChannelFuture bound = new ServerBootstrap()
@@ -45,7 +48,13 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
-                .childHandler(GossipFraming.initializer(NewsFrame.getDefaultInstance(), Receiver::new))
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new ConnectionKindDetector(relays));
+                        GossipFraming.addHandlers(channel, NewsFrame.getDefaultInstance(), new Receiver());
+                    }
+                })
                 .bind(new InetSocketAddress(address.ip(), address.port()))
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
@@ -1,6 +1,6 @@
 package org.apricotstack.serving.http;
 
-import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
 
 /** Opens TCP connections to upstreams and the platform. */
@@ -11,7 +11,7 @@
      *
      * @param address the address to connect to
      * @param timeoutMillis time after which the attempt fails, in milliseconds
-     * @return completes on the event loop
+     * @return completes on the event loop; may be cancelled
      */
-    ChannelFuture open(Address address, int timeoutMillis);
+    Future<OpenedConnection> open(Address address, int timeoutMillis);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/TcpConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/TcpConnectionOpener.java
@@ -8,6 +8,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import org.apricotstack.core.id.Address;
 
 /** Opens connections from the event loop of a router. */
@@ -16,6 +18,7 @@
     /** Time after which a connection with unacknowledged bytes is closed, in milliseconds. */
     private static final int TCP_USER_TIMEOUT_MILLIS = 3_000;
 
+    private final ServingLoop loop;
     private final Bootstrap bootstrap;
 
     /**
@@ -24,6 +27,7 @@
      * @param loop the event loop
      */
     public TcpConnectionOpener(ServingLoop loop) {
+        this.loop = loop;
         this.bootstrap = new Bootstrap()
                 .group(loop.group())
                 .channel(loop.clientChannel())
@@ -35,11 +39,25 @@
     }
 
     @Override
-    public ChannelFuture open(Address address, int timeoutMillis) {
-        return bootstrap
+    public Future<OpenedConnection> open(Address address, int timeoutMillis) {
+        Promise<OpenedConnection> opened = loop.loop().newPromise();
+        ChannelFuture connecting = bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(new InetSocketAddress(address.ip(), address.port()));
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                opened.tryFailure(done.cause());
+            } else if (!opened.trySuccess(new OpenedConnection(connecting.channel(), null))) {
+                connecting.channel().close();
+            }
+        });
+        opened.addListener(done -> {
+            if (done.isCancelled()) {
+                connecting.cancel(false);
+            }
+        });
+        return opened;
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
@@ -1,9 +1,9 @@
 package org.apricotstack.serving.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import org.apricotstack.core.upstream.FailureKind;
 
 /** A request to an upstream, from the choice of a connection to the end of the response. */
@@ -14,7 +14,7 @@
     private final HttpRequest head;
     private final UpstreamListener listener;
     private ByteBuf body;
-    private ChannelFuture connecting;
+    private Future<?> connecting;
     private UpstreamConnection connection;
     private boolean finished;
 
@@ -29,7 +29,7 @@
     }
 
     /** Sets the connection that is being opened. */
-    void connecting(ChannelFuture future) {
+    void connecting(Future<?> future) {
         connecting = future;
     }
 
@@ -106,6 +106,19 @@
         return body == null ? null : takeBody();
     }
 
+    /**
+     * Returns whether the call waits on a direct connection for bytes that are overdue.
+     *
+     * @param silentSinceMillis the time since which nothing may have arrived, in milliseconds
+     * @return {@code false} if it is not sent yet, or leads through another router
+     */
+    public boolean isSilentDirectly(long silentSinceMillis) {
+        return !finished
+                && connection != null
+                && !connection.isRelayed()
+                && connection.lastActiveMillis() < silentSinceMillis;
+    }
+
     /**
      * Pauses or resumes reading the response, for a caller that reads slowly.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -18,13 +18,14 @@
  * A connection to an upstream, for one request at a time.
  *
  * <p>A response to an earlier request may arrive late, bytes may follow a complete response, and a response without a
- * length may end with a reset. The echoed request id identifies a late response, which is skipped. After any of these
- * the connection is not reused.
+ * length may end with a reset, or with the end of the router that relays it. The echoed request id identifies a late
+ * response, which is skipped. After any of these the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
     private final UpstreamConnections pool;
     private final Address address;
+    private final boolean relayed;
     private ChannelHandlerContext context;
     private UpstreamCall call;
     private ResponseHead answer;
@@ -35,11 +36,13 @@
     private boolean broken;
     private ChannelFuture writeFuture;
     private long reusableUntilMillis;
+    private long lastActiveMillis;
 
     /** Creates a connection that is being opened. */
-    UpstreamConnection(UpstreamConnections pool, Address address) {
+    UpstreamConnection(UpstreamConnections pool, Address address, boolean relayed) {
         this.pool = pool;
         this.address = address;
+        this.relayed = relayed;
     }
 
     @Override
@@ -52,6 +55,16 @@
         return address;
     }
 
+    /** Returns whether the connection leads through another router. */
+    boolean isRelayed() {
+        return relayed;
+    }
+
+    /** Returns when bytes last arrived, or the request was sent, in milliseconds. */
+    long lastActiveMillis() {
+        return lastActiveMillis;
+    }
+
     /** Sets the time until which the idle connection may be reused. */
     void reusableUntil(long millis) {
         reusableUntilMillis = millis;
@@ -65,6 +78,7 @@
     /** Sends a request. */
     void start(UpstreamCall next) {
         call = next;
+        lastActiveMillis = pool.nowMillis();
         answer = null;
         skippingLateResponse = false;
         next.attachTo(this);
@@ -91,6 +105,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        lastActiveMillis = pool.nowMillis();
         try {
             if (message instanceof HttpResponse head) {
                 head(head);
@@ -147,11 +162,16 @@
             call.listener().data(data);
         }
         if (last && call != null) {
-            if (broken && !framed) {
-                fail(FailureKind.CUT);
-            } else {
-                finish();
-            }
+            finishOrFail();
+        }
+    }
+
+    /** Ends the call at the end of its response; without a length, the end may be that of the connection alone. */
+    private void finishOrFail() {
+        if (!framed && (broken || relayed)) {
+            fail(FailureKind.CUT);
+        } else {
+            finish();
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -9,15 +9,14 @@
 import java.util.Map;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.link.LinkTable;
 import org.apricotstack.core.upstream.FailureKind;
 import reactor.core.publisher.Mono;
 
@@ -55,6 +54,7 @@
 
     private final ServingLoop loop;
     private final ConnectionOpener opener;
+    private final LinkTable links;
     private final Map<Address, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long opened;
 
@@ -63,10 +63,12 @@
      *
      * @param loop the event loop
      * @param opener opens connections
+     * @param links tells which idle connections may be reused
      */
-    public UpstreamConnections(ServingLoop loop, ConnectionOpener opener) {
+    public UpstreamConnections(ServingLoop loop, ConnectionOpener opener, LinkTable links) {
         this.loop = loop;
         this.opener = opener;
+        this.links = links;
     }
 
     /**
@@ -104,7 +106,7 @@
         Deque<UpstreamConnection> idleConnections = idle.get(address);
         while (idleConnections != null && !idleConnections.isEmpty()) {
             UpstreamConnection connection = idleConnections.pollLast();
-            if (connection.usable(loop.nowMillis())) {
+            if (connection.usable(loop.nowMillis()) && links.mayReuse(address, connection.isRelayed())) {
                 return connection;
             }
             connection.close();
@@ -115,30 +117,34 @@
     /** Opens a connection for a call. */
     private void connect(Address address, UpstreamCall call) {
         opened++;
-        ChannelFuture connecting = opener.open(address, CONNECT_TIMEOUT_MILLIS);
+        Future<OpenedConnection> connecting = opener.open(address, CONNECT_TIMEOUT_MILLIS);
         call.connecting(connecting);
-        connecting.addListener(done -> {
+        connecting.addListener((Future<OpenedConnection> done) -> {
             if (!done.isSuccess()) {
                 call.fail(FailureKind.NO_CONNECTION);
             } else if (call.finished()) {
-                connecting.channel().close();
+                done.getNow().channel().close();
             } else if (!call.listener().mayBeSent()) {
-                connecting.channel().close();
+                done.getNow().channel().close();
                 call.fail(FailureKind.WITHHELD);
             } else {
-                start(address, connecting.channel(), call);
+                start(address, done.getNow(), call);
             }
         });
     }
 
     /** Sends a call over a new connection. */
-    private void start(Address address, Channel channel, UpstreamCall call) {
-        UpstreamConnection connection = new UpstreamConnection(this, address);
-        channel.pipeline()
+    private void start(Address address, OpenedConnection opened, UpstreamCall call) {
+        UpstreamConnection connection = new UpstreamConnection(this, address, opened.isRelayed());
+        opened.channel()
+                .pipeline()
                 .addLast(
                         new HttpRequestEncoder(),
                         new HttpResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)),
                         connection);
+        if (opened.isRelayed()) {
+            call.listener().relayed(opened.relay());
+        }
         connection.start(call);
     }
 
@@ -151,8 +157,10 @@
     public Mono<Boolean> isConnectionRefused(Address address) {
         return Mono.create(result -> {
             opened++;
-            opener.open(address, REFUSAL_TIMEOUT_MILLIS).addListener((ChannelFutureListener) done -> {
-                done.channel().close();
+            opener.open(address, REFUSAL_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
+                if (done.isSuccess()) {
+                    done.getNow().channel().close();
+                }
                 result.success(!done.isSuccess() && isRefusal(done.cause()));
             });
         });
@@ -166,6 +174,11 @@
         return !(failure instanceof ConnectTimeoutException) && !(failure instanceof NoRouteToHostException);
     }
 
+    /** Returns the time of the event loop. */
+    long nowMillis() {
+        return loop.nowMillis();
+    }
+
     /** Adds an idle connection to the pool. */
     void addIdle(UpstreamConnection connection, long keepAliveMillis) {
         long idleMillis = keepAliveMillis > 0 ? Math.max(0, keepAliveMillis - IDLE_MARGIN_MILLIS) : DEFAULT_IDLE_MILLIS;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.apricotstack.core.id.Address;
 import org.apricotstack.core.upstream.FailureKind;
 
 /** Receives the response to one request; called on the event loop, and not after {@link #end} or {@link #failed}. */
@@ -16,6 +17,13 @@
         return true;
     }
 
+    /**
+     * Called before the request is sent through another router.
+     *
+     * @param relay the address of that router
+     */
+    default void relayed(Address relay) {}
+
     /**
      * Called with the head of the response.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -48,6 +48,7 @@
             counters(AdvertisedBackOff.Kind.class, kind -> "back_offs." + lower(kind));
     private final Counter arrivedWhileStopping = registry.counter("stops.requests_arrived");
     private final Counter cutByStop = registry.counter("stops.requests_cut");
+    private final Counter relayed = registry.counter("attempts.relayed");
     private final Counter stalls = registry.counter("process.stalls");
     private final Counter stalledMillis = registry.counter("process.stalled_millis");
     private volatile int backOffsInForce;
@@ -184,6 +185,11 @@
         drainsUnreadable.inc();
     }
 
+    /** Counts an attempt that was sent through another router. */
+    public void relayed() {
+        relayed.inc();
+    }
+
     /** Counts a request that arrived while this router was stopping. */
     public void arrivedWhileStopping() {
         arrivedWhileStopping.inc();
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
@@ -0,0 +1,30 @@
+package org.apricotstack.serving.relay;
+
+import org.apricotstack.core.id.Address;
+
+/** Is told how this router's links to upstreams change; called on the event loop. */
+public interface LinkListener {
+
+    /**
+     * Called when a link is lost.
+     *
+     * @param upstream the upstream that only another router reaches
+     * @param relay that router
+     * @param silent whether connections time out instead of being refused
+     */
+    void lost(Address upstream, Address relay, boolean silent);
+
+    /**
+     * Called when a silent link was found lost again, so that requests on open connections wait in vain.
+     *
+     * @param upstream the upstream
+     */
+    void confirmedSilent(Address upstream);
+
+    /**
+     * Called when this router reaches an upstream again.
+     *
+     * @param upstream the upstream
+     */
+    void restored(Address upstream);
+}
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -0,0 +1,213 @@
+package org.apricotstack.serving.relay;
+
+import java.util.List;
+
+import io.netty.util.concurrent.Future;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.link.LinkTable;
+import org.apricotstack.core.link.RelaySelector;
+import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.upstream.OutlierDetector;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ConnectionOpener;
+import org.apricotstack.serving.http.OpenedConnection;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.ServingMetrics;
+
+/** The links of a router to its upstreams, and what it does when they are lost and restored. */
+public final class RouterLinks implements LinkListener {
+
+    /** Connect timeout of a check, in milliseconds. */
+    private static final int CHECK_TIMEOUT_MILLIS = 450;
+
+    /** Maximum number of other links that are checked when the first one is lost. */
+    private static final int MAX_CHECKS = 32;
+
+    private final ServingLoop loop;
+    private final UpstreamTable upstreams;
+    private final OutlierDetector outlierDetector;
+    private final DecisionLog log;
+    private final LinkTable table = new LinkTable();
+    private final RoutedConnectionOpener opener;
+    private final RelayServer server;
+    private SilentLinkHandler silentLinkHandler = upstream -> {};
+
+    /** Gives up requests that wait on open connections of a silent link. */
+    @FunctionalInterface
+    public interface SilentLinkHandler {
+
+        /**
+         * Called when a silent link is found lost again.
+         *
+         * @param upstream the upstream
+         */
+        void linkSilent(Address upstream);
+    }
+
+    /**
+     * Creates the links of a router that has lost none.
+     *
+     * @param loop the event loop
+     * @param direct opens connections from this router
+     * @param dataCentre the data centre of this router
+     * @param peers the other routers
+     * @param upstreams the known upstreams
+     * @param outlierDetector forgets failures that were caused by a lost link
+     * @param maxRelays maximum number of connections that are relayed for other routers at a time
+     * @param log receives changes of links
+     */
+    public RouterLinks(
+            ServingLoop loop,
+            ConnectionOpener direct,
+            DataCentreId dataCentre,
+            PeerTable peers,
+            UpstreamTable upstreams,
+            OutlierDetector outlierDetector,
+            int maxRelays,
+            DecisionLog log) {
+        this.loop = loop;
+        this.upstreams = upstreams;
+        this.outlierDetector = outlierDetector;
+        this.log = log;
+        this.opener = new RoutedConnectionOpener(
+                loop,
+                direct,
+                table,
+                new RelaySelector(dataCentre),
+                () -> peers.alive(loop.nowMillis()),
+                this::isUpstream);
+        this.server = new RelayServer(
+                direct,
+                table,
+                this::isUpstream,
+                ip -> peers.addresses().stream().anyMatch(router -> router.ip().equals(ip)),
+                maxRelays);
+        opener.listener(this);
+    }
+
+    /**
+     * Sets the handler of silent links.
+     *
+     * @param handler gives up requests
+     */
+    public void onSilentLink(SilentLinkHandler handler) {
+        silentLinkHandler = handler;
+    }
+
+    /**
+     * Returns the opener of connections to upstreams.
+     *
+     * @return opens connections directly or through another router
+     */
+    public ConnectionOpener opener() {
+        return opener;
+    }
+
+    /**
+     * Returns the lost links.
+     *
+     * @return the table
+     */
+    public LinkTable table() {
+        return table;
+    }
+
+    /**
+     * Returns the server that relays connections for other routers.
+     *
+     * @return the server
+     */
+    public RelayServer server() {
+        return server;
+    }
+
+    /**
+     * Registers the gauges.
+     *
+     * @param metrics receives them
+     */
+    public void register(ServingMetrics metrics) {
+        metrics.gauge("links.lost", table::lost);
+        metrics.gauge("links.connections_through_others", opener::relayed);
+        metrics.gauge("relays.open", server::open);
+        metrics.gauge("relays.accepted", server::relayed);
+    }
+
+    /** Forgets lost links that were not used for a while. */
+    public void expire() {
+        table.expire(loop.nowMillis()).forEach(upstream -> line("link_forgotten", upstream));
+    }
+
+    /** Returns whether an address is one of a known upstream. */
+    private boolean isUpstream(Address address) {
+        return upstreams.all().stream().anyMatch(entry -> entry.address().equals(address));
+    }
+
+    @Override
+    public void lost(Address upstream, Address relay, boolean silent) {
+        log.line("link_lost")
+                .put("address", upstream.toString())
+                .put("through", relay.toString())
+                .put("silent", silent)
+                .put("lost", table.lost())
+                .write();
+        for (UpstreamEntry entry : upstreams.all()) {
+            if (entry.address().equals(upstream)) {
+                outlierDetector.succeeded(entry.id());
+            }
+        }
+        if (silent) {
+            loop.schedule(LinkTable.PROBE_MILLIS, () -> checkIfLost(upstream));
+        }
+        if (table.lost() == 1) {
+            checkOthers(upstream);
+        }
+    }
+
+    /** Checks the links to other upstreams, before requests find them lost one by one. */
+    private void checkOthers(Address first) {
+        List<Address> others = upstreams.all().stream()
+                .map(UpstreamEntry::address)
+                .filter(address -> !address.equals(first))
+                .limit(MAX_CHECKS)
+                .toList();
+        others.forEach(this::check);
+    }
+
+    /** Checks a link again unless it is restored. */
+    private void checkIfLost(Address upstream) {
+        if (table.isLost(upstream)) {
+            check(upstream);
+        }
+    }
+
+    /** Opens a connection only to see which way leads to the upstream. */
+    private void check(Address upstream) {
+        opener.open(upstream, CHECK_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
+            if (done.isSuccess()) {
+                done.getNow().channel().close();
+            }
+        });
+    }
+
+    @Override
+    public void confirmedSilent(Address upstream) {
+        silentLinkHandler.linkSilent(upstream);
+    }
+
+    @Override
+    public void restored(Address upstream) {
+        line("link_restored", upstream);
+    }
+
+    /** Logs a change of a link. */
+    private void line(String event, Address upstream) {
+        log.line(event)
+                .put("address", upstream.toString())
+                .put("lost", table.lost())
+                .write();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.AdvertisedBackOff;
 import org.apricotstack.core.notice.AdvertisedDrain;
@@ -147,6 +148,18 @@
         }
     }
 
+    /** Gives up the attempt if nothing has arrived on its direct connection since the given time. */
+    final void linkSilent(long silentSinceMillis) {
+        if (!finished && call != null && call.isSilentDirectly(silentSinceMillis)) {
+            abandon(FailureKind.LINK_LOST);
+        }
+    }
+
+    @Override
+    public final void relayed(Address relay) {
+        run.relayed(this, relay);
+    }
+
     /** Returns the upstreams chosen for this attempt. */
     final UpstreamChoice choice() {
         return choice;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.link.LinkTable;
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
@@ -150,6 +152,17 @@
         List.copyOf(running).forEach(run -> run.upstreamRestarted(ended.id()));
     }
 
+    /**
+     * Gives up the attempts that wait on connections of a link that fell silent, so that their requests are sent
+     * through another router.
+     *
+     * @param upstream the address of the upstream
+     */
+    public void linkSilent(Address upstream) {
+        long silentSinceMillis = context.nowMillis() - LinkTable.PROBE_MILLIS;
+        List.copyOf(running).forEach(run -> run.linkSilent(upstream, silentSinceMillis));
+    }
+
     /**
      * Processes another router's report that an upstream crashed with a request in flight.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
+import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.stop.StopTimeline;
@@ -162,6 +163,15 @@
                 .write();
     }
 
+    /** Logs and counts that an attempt is sent through another router. */
+    void relayed(Attempt attempt, Address relay) {
+        context.metrics().relayed();
+        line("relayed")
+                .put("upstream", attempt.upstream().id().value())
+                .put("through", relay.toString())
+                .write();
+    }
+
     /** Logs the first event of an attempt. */
     void firstEvent(Attempt attempt, boolean firstOfAll, long nowMillis) {
         long seen = nowMillis - attempt.startMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.retry.FleetRetryBudget;
 import org.apricotstack.core.suspect.RequestDigest;
@@ -128,7 +129,7 @@
                 : attempt.upstream().id();
         boolean isUncounted = attempts.isUncounted(kind, context.upstreams().isDraining(responsible));
         attempts.failed(kind, isUncounted);
-        if (kind != FailureKind.WITHHELD && kind != FailureKind.BACK_OFF) {
+        if (kind.concernsUpstream()) {
             sender.exclude(responsible);
         }
         chooser.failed(responsible, kind);
@@ -182,6 +183,19 @@
         }
     }
 
+    /** Records that an attempt is sent through another router. */
+    void relayed(Attempt attempt, Address relay) {
+        log.relayed(attempt, relay);
+    }
+
+    /** Gives up the current attempt if it may be retried and nothing arrives on its direct connection. */
+    void linkSilent(Address upstream, long silentSinceMillis) {
+        Attempt attempt = sender.current();
+        if (attempt != null && attempt.upstream().address().equals(upstream) && mayRetry(FailureKind.LINK_LOST)) {
+            attempt.linkSilent(silentSinceMillis);
+        }
+    }
+
     /**
      * Re-evaluates the current attempt after more became known about a request that was in flight when upstreams
      * crashed. If this run has that request and the upstream has not started to respond, the attempt is withdrawn: the
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
@@ -30,7 +30,8 @@
             .build();
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
-    private final GossipServer server = new GossipServer(loop, new Address("127.0.0.1", 0), new DocumentHandler());
+    private final GossipServer server =
+            new GossipServer(loop, new Address("127.0.0.1", 0), new DocumentHandler(), TestRelays.none());
 
     @AfterEach
     void stop() {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
@@ -30,7 +30,8 @@
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final BlockingQueue<NewsFrame> received = new LinkedBlockingQueue<>();
-    private final GossipServer server = new GossipServer(loop, new Address("127.0.0.1", 0), new RecordingHandler());
+    private final GossipServer server =
+            new GossipServer(loop, new Address("127.0.0.1", 0), new RecordingHandler(), TestRelays.none());
     private final List<Long> inFlight = new ArrayList<>();
     private final OutboundGossipStream stream = new OutboundGossipStream(
             loop, new Address("127.0.0.1", server.port()), new RecordingHandler(), this::fullState, () -> {});
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/WithheldRequestTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/WithheldRequestTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.link.LinkTable;
 import org.apricotstack.core.upstream.FailureKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -68,7 +69,8 @@
     void sendsNothingIfTheUpstreamBecomesUnavailableWhileConnecting() throws IOException {
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             Address address = new Address("127.0.0.1", serverSocket.getLocalPort());
-            UpstreamConnections connections = new UpstreamConnections(loop, new TcpConnectionOpener(loop));
+            UpstreamConnections connections =
+                    new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
             RejectingListener listener = new RejectingListener();
             loop.execute(() ->
