Test a lost link until it is back

Once the links were back, requests went on through other routers: a connection through another router that is kept open was reused without a test of the link, which only new connections made.

Now a lost link is tested by a direct connection every 500 ms until it is back; the route of a connection no longer depends on the time.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
@@ -1,7 +1,6 @@
 package org.apricotstack.core.link;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 import org.apricotstack.core.id.Address;
@@ -15,53 +14,18 @@
  */
 public final class LinkTable {
 
-    /** Interval at which a new connection is also tried directly while the link is lost, in milliseconds. */
+    /** Interval between direct connections that test whether a lost link is back, in milliseconds. */
     public static final long PROBE_MILLIS = 500;
 
     /** Failed direct connections in a row after which requests that are silent on open connections are given up. */
     private static final int CONFIRMING_FAILURES = 2;
 
-    /** Time without a connection after which nothing is known of a link any more, in milliseconds. */
-    private static final long FORGET_MILLIS = 10_000;
-
     private final Map<Address, LostLink> lost = new HashMap<>();
 
     /** A lost link. */
     private static final class LostLink {
         private int failures;
         private boolean silent;
-        private long lastProbeMillis;
-        private long lastUseMillis;
-    }
-
-    /** What the failure of a direct connection showed. */
-    public enum Change {
-        /** The link was not known to be lost. */
-        LOST,
-        /** The link was known to be lost, and connections on it are given up from now on. */
-        CONFIRMED,
-        /** Nothing new. */
-        NONE
-    }
-
-    /**
-     * Returns how the next connection to an upstream is opened.
-     *
-     * @param upstream its address
-     * @param nowMillis the current time
-     * @return the route
-     */
-    public LinkRoute next(Address upstream, long nowMillis) {
-        LostLink link = lost.get(upstream);
-        if (link == null) {
-            return LinkRoute.DIRECT;
-        }
-        link.lastUseMillis = nowMillis;
-        if (nowMillis - link.lastProbeMillis < PROBE_MILLIS) {
-            return LinkRoute.RELAYED;
-        }
-        link.lastProbeMillis = nowMillis;
-        return LinkRoute.BOTH;
     }
 
     /**
@@ -79,20 +43,31 @@
      *
      * @param upstream its address
      * @param silent whether the direct connection timed out; open connections may then be silent too
-     * @param nowMillis the current time
-     * @return what is new
+     * @return whether the link was not known to be lost
      */
-    public Change onlyRelayed(Address upstream, boolean silent, long nowMillis) {
+    public boolean onlyRelayed(Address upstream, boolean silent) {
         boolean isNew = !lost.containsKey(upstream);
         LostLink link = lost.computeIfAbsent(upstream, address -> new LostLink());
         link.failures++;
         link.silent = silent;
-        link.lastUseMillis = nowMillis;
-        if (isNew) {
-            link.lastProbeMillis = nowMillis;
-            return Change.LOST;
+        return isNew;
+    }
+
+    /**
+     * Records that a test of a lost link failed.
+     *
+     * @param upstream its address
+     * @param silent whether the direct connection timed out
+     * @return whether requests that wait on open connections of the link are to be given up now
+     */
+    public boolean probeFailed(Address upstream, boolean silent) {
+        LostLink link = lost.get(upstream);
+        if (link == null) {
+            return false;
         }
-        return silent && link.failures == CONFIRMING_FAILURES ? Change.CONFIRMED : Change.NONE;
+        link.failures++;
+        link.silent = silent;
+        return silent && link.failures == CONFIRMING_FAILURES;
     }
 
     /**
@@ -127,17 +102,11 @@
     }
 
     /**
-     * Forgets lost links that were not used for a while.
+     * Forgets the link to an address that no upstream has any more.
      *
-     * @param nowMillis the current time
-     * @return their addresses
+     * @param upstream the address
      */
-    public List<Address> expire(long nowMillis) {
-        List<Address> expired = lost.entrySet().stream()
-                .filter(entry -> nowMillis - entry.getValue().lastUseMillis > FORGET_MILLIS)
-                .map(Map.Entry::getKey)
-                .toList();
-        expired.forEach(lost::remove);
-        return expired;
+    public void forget(Address upstream) {
+        lost.remove(upstream);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -306,7 +306,6 @@
         hub.reportPlatformChanges();
         callers.closeTimedOut();
         connections.closeExpired();
-        links.expire();
     }
 
     /** Returns the limits for requests of callers. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
@@ -14,13 +14,6 @@
      */
     void lost(Address upstream, Address relay, boolean silent);
 
-    /**
-     * Called when a silent link was found lost again, so that requests on open connections wait in vain.
-     *
-     * @param upstream the upstream
-     */
-    void confirmedSilent(Address upstream);
-
     /**
      * Called when this router reaches an upstream again.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
@@ -9,7 +9,6 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import org.apricotstack.core.id.Address;
-import org.apricotstack.core.link.LinkRoute;
 import org.apricotstack.core.link.LinkTable;
 import org.apricotstack.core.link.RelaySelector;
 import org.apricotstack.core.peer.Peer;
@@ -112,16 +111,13 @@
             this.timeoutMillis = timeoutMillis;
         }
 
-        /** Starts the attempts of the route. */
+        /** Starts the first attempt. */
         private void start() {
-            LinkRoute route = links.next(upstream, loop.nowMillis());
-            if (route != LinkRoute.RELAYED) {
+            if (links.isLost(upstream)) {
+                askOtherRouters();
+            } else {
                 connectDirectly();
-            }
-            if (route == LinkRoute.DIRECT) {
                 loop.schedule(HEAD_START_MILLIS, this::askOtherRouters);
-            } else {
-                askOtherRouters();
             }
             loop.schedule(timeoutMillis, () -> opened.tryFailure(timeout()));
             opened.addListener(done -> {
@@ -239,11 +235,8 @@
         /** Records that only another router reaches the upstream. */
         private void lostLink() {
             boolean silent = directFailure instanceof ConnectTimeoutException;
-            LinkTable.Change change = links.onlyRelayed(upstream, silent, loop.nowMillis());
-            if (change == LinkTable.Change.LOST) {
+            if (links.onlyRelayed(upstream, silent)) {
                 listener.lost(upstream, usedRelay, silent);
-            } else if (change == LinkTable.Change.CONFIRMED) {
-                listener.confirmedSilent(upstream);
             }
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
@@ -27,6 +28,7 @@
     private static final int MAX_CHECKS = 32;
 
     private final ServingLoop loop;
+    private final ConnectionOpener direct;
     private final UpstreamTable upstreams;
     private final OutlierDetector outlierDetector;
     private final DecisionLog log;
@@ -69,6 +71,7 @@
             int maxRelays,
             DecisionLog log) {
         this.loop = loop;
+        this.direct = direct;
         this.upstreams = upstreams;
         this.outlierDetector = outlierDetector;
         this.log = log;
@@ -136,11 +139,6 @@
         metrics.gauge("relays.accepted", server::relayed);
     }
 
-    /** Forgets lost links that were not used for a while. */
-    public void expire() {
-        table.expire(loop.nowMillis()).forEach(upstream -> line("link_forgotten", upstream));
-    }
-
     /** Returns whether an address is one of a known upstream. */
     private boolean isUpstream(Address address) {
         return upstreams.all().stream().anyMatch(entry -> entry.address().equals(address));
@@ -159,9 +157,7 @@
                 outlierDetector.succeeded(entry.id());
             }
         }
-        if (silent) {
-            loop.schedule(LinkTable.PROBE_MILLIS, () -> checkIfLost(upstream));
-        }
+        loop.schedule(LinkTable.PROBE_MILLIS, () -> probe(upstream));
         if (table.lost() == 1) {
             checkOthers(upstream);
         }
@@ -177,13 +173,6 @@
         others.forEach(this::check);
     }
 
-    /** Checks a link again unless it is restored. */
-    private void checkIfLost(Address upstream) {
-        if (table.isLost(upstream)) {
-            check(upstream);
-        }
-    }
-
     /** Opens a connection only to see which way leads to the upstream. */
     private void check(Address upstream) {
         opener.open(upstream, CHECK_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
@@ -193,19 +182,33 @@
         });
     }
 
-    @Override
-    public void confirmedSilent(Address upstream) {
-        silentLinkHandler.linkSilent(upstream);
+    /** Tests whether a lost link is back, and again later if it is not. */
+    private void probe(Address upstream) {
+        if (!table.isLost(upstream)) {
+            return;
+        }
+        if (!isUpstream(upstream)) {
+            table.forget(upstream);
+            return;
+        }
+        direct.open(upstream, CHECK_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
+            if (done.isSuccess()) {
+                done.getNow().channel().close();
+                if (table.connected(upstream)) {
+                    restored(upstream);
+                }
+                return;
+            }
+            if (table.probeFailed(upstream, done.cause() instanceof ConnectTimeoutException)) {
+                silentLinkHandler.linkSilent(upstream);
+            }
+            loop.schedule(LinkTable.PROBE_MILLIS, () -> probe(upstream));
+        });
     }
 
     @Override
     public void restored(Address upstream) {
-        line("link_restored", upstream);
-    }
-
-    /** Logs a change of a link. */
-    private void line(String event, Address upstream) {
-        log.line(event)
+        log.line("link_restored")
                 .put("address", upstream.toString())
                 .put("lost", table.lost())
                 .write();
