Let a stopping router complete the responses that it relays

A router that relays connections for others ended as soon as its own requests were done, and cut the responses of theirs: a request that may not be repeated would have been lost by a planned stop of a router that never had it.

A stopping router now relays no new connections, closes those that are not in use, and counts the others as open until its end.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -155,7 +155,7 @@
         runs = new RequestDispatcher(context(ports, outlierDetector, loadTable, calls, stopGate));
         callers = new CallerServer(
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
-        stop = new StopSequence(loop, callers, runs, hub, stopGate, this::lastOfDataCentre, log);
+        stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
         addGauges(loadTable, ports.unknown());
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
@@ -30,6 +31,7 @@
     private final ServingLoop loop;
     private final CallerServer callers;
     private final RequestDispatcher runs;
+    private final IntSupplier relays;
     private final GossipHub hub;
     private final DecisionLog log;
     private final StopTimeline timeline;
@@ -40,11 +42,15 @@
     private boolean waitsForOthers;
     private Runnable whenDone;
 
-    /** Creates a sequence that has not started. */
+    /**
+     * Creates a sequence that has not started; the supplier closes the relayed connections that are not in use and
+     * returns the number of the others.
+     */
     StopSequence(
             ServingLoop loop,
             CallerServer callers,
             RequestDispatcher runs,
+            IntSupplier relays,
             GossipHub hub,
             StopGate gate,
             BooleanSupplier lastOfDataCentre,
@@ -52,6 +58,7 @@
         this.loop = loop;
         this.callers = callers;
         this.runs = runs;
+        this.relays = relays;
         this.hub = hub;
         this.gate = gate;
         this.lastOfDataCentre = lastOfDataCentre;
@@ -86,7 +93,7 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        int open = runs.open() + callers.unsettled();
+        int open = runs.open() + callers.unsettled() + relays.getAsInt();
         boolean last = lastOfDataCentre.getAsBoolean();
         if (last && !waitsForOthers && policy.ends(open, false, now)) {
             waitsForOthers = true;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayPipe.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayPipe.java
@@ -14,15 +14,18 @@
 final class RelayPipe extends ChannelInboundHandlerAdapter {
 
     private final Channel other;
+    private final Runnable onBytes;
     private boolean reset;
 
-    /** Creates a pipe to another channel. */
-    RelayPipe(Channel other) {
+    /** Creates a pipe to another channel; the action runs whenever bytes are forwarded. */
+    RelayPipe(Channel other, Runnable onBytes) {
         this.other = other;
+        this.onBytes = onBytes;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        onBytes.run();
         other.write(message, other.voidPromise());
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
@@ -1,6 +1,8 @@
 package org.apricotstack.serving.relay;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
@@ -15,6 +17,7 @@
 import org.apricotstack.core.link.LinkTable;
 import org.apricotstack.serving.http.ConnectionOpener;
 import org.apricotstack.serving.http.OpenedConnection;
+import org.apricotstack.serving.http.ServingLoop;
 
 /**
  * Opens connections to upstreams for other routers, and relays their bytes.
@@ -27,17 +30,23 @@
     /** Connect timeout, in milliseconds; the other router has others to ask. */
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
+    /** Pause in a response after which a stopping router takes it for complete, in milliseconds. */
+    private static final long PAUSE_MILLIS = 1_000;
+
+    private final ServingLoop loop;
     private final ConnectionOpener direct;
     private final LinkTable links;
     private final Predicate<Address> isUpstream;
     private final Predicate<String> isRouter;
     private final int maxRelays;
-    private int open;
+    private final Set<RelayedConnection> connections = new HashSet<>();
     private long relayed;
+    private boolean stopping;
 
     /**
      * Creates a server without relayed connections.
      *
+     * @param loop the event loop
      * @param direct opens connections from this router
      * @param links the lost links of this router
      * @param isUpstream tells whether an address is one of a known upstream
@@ -45,11 +54,13 @@
      * @param maxRelays maximum number of relayed connections at a time
      */
     public RelayServer(
+            ServingLoop loop,
             ConnectionOpener direct,
             LinkTable links,
             Predicate<Address> isUpstream,
             Predicate<String> isRouter,
             int maxRelays) {
+        this.loop = loop;
         this.direct = direct;
         this.links = links;
         this.isUpstream = isUpstream;
@@ -73,7 +84,22 @@
      * @return connections
      */
     public int open() {
-        return open;
+        return connections.size();
+    }
+
+    /**
+     * Relays no new connections, closes those that are not in use, and returns how many are; called repeatedly by a
+     * stopping router.
+     *
+     * @return connections on which a response may be outstanding
+     */
+    public int drain() {
+        stopping = true;
+        long now = loop.nowMillis();
+        List.copyOf(connections).stream()
+                .filter(connection -> !connection.inUse(PAUSE_MILLIS, now))
+                .forEach(RelayedConnection::close);
+        return connections.size();
     }
 
     /**
@@ -90,7 +116,9 @@
         if (!isRouter.test(remoteIp) || !isUpstream.test(upstream)) {
             return RelayReply.UNKNOWN_UPSTREAM;
         }
-        return links.isLost(upstream) || open >= maxRelays ? RelayReply.NO_LINK : RelayReply.CONNECTED;
+        return stopping || links.isLost(upstream) || connections.size() >= maxRelays
+                ? RelayReply.NO_LINK
+                : RelayReply.CONNECTED;
     }
 
     /** Reads a request and opens the connection to the upstream. */
@@ -138,12 +166,13 @@
 
         /** Joins both connections. */
         private void join(ChannelHandlerContext context, Channel upstream) {
-            open++;
-            relayed++;
             Channel router = context.channel();
-            router.closeFuture().addListener(closed -> open--);
-            upstream.pipeline().addLast(new RelayPipe(router));
-            router.pipeline().addLast(new RelayPipe(upstream));
+            RelayedConnection connection = new RelayedConnection(router, upstream, loop.nowMillis());
+            connections.add(connection);
+            relayed++;
+            router.closeFuture().addListener(closed -> connections.remove(connection));
+            upstream.pipeline().addLast(new RelayPipe(router, () -> connection.responseRelayed(loop.nowMillis())));
+            router.pipeline().addLast(new RelayPipe(upstream, () -> connection.requestRelayed(loop.nowMillis())));
             router.writeAndFlush(reply(RelayReply.CONNECTED));
             router.pipeline().remove(this);
             router.config().setAutoRead(true);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -83,6 +83,7 @@
                 () -> peers.alive(loop.nowMillis()),
                 this::isUpstream);
         this.server = new RelayServer(
+                loop,
                 direct,
                 table,
                 this::isUpstream,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -87,10 +87,12 @@
             () -> {});
     private final RequestDispatcher runs = new RequestDispatcher(context());
     private final CallerServer callers = new CallerServer(loop, head -> null, runs, () -> CallerLimits.DEFAULT, 1);
+    private volatile int relaysInUse;
     private final StopSequence sequence = new StopSequence(
             loop,
             callers,
             runs,
+            () -> relaysInUse,
             hub,
             new StopGate(policy, () -> OtherRouters.NONE, loadTable, new StallDetector(0)),
             () -> last,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/TestRelays.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/TestRelays.java
@@ -10,6 +10,6 @@
 
     /** Returns a server that relays nothing. */
     static RelayServer none() {
-        return new RelayServer(null, new LinkTable(), address -> false, ip -> false, 0);
+        return new RelayServer(null, null, new LinkTable(), address -> false, ip -> false, 0);
     }
 }
