Fail connections at once to upstreams that no router reaches

While no router reached a service, a request waited up to 450 ms for each upstream in turn, up to twelve times, although all of them had just failed that way; one for engines then waited for capacity that it could not use.

An upstream that neither this router nor the others that it asked could connect to in time is remembered as unreachable, and tested every 500 ms; until a test succeeds, connections to it fail at once. A request no longer waits for capacity when all usable upstreams are excluded for it. Refused connections are not remembered, as they cost the next attempt no time.

triesNoUpstreamAgainThatNoRouterReaches failed before (no upstream was remembered) and passes.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
@@ -1,7 +1,9 @@
 package org.apricotstack.core.link;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.apricotstack.core.id.Address;
 
@@ -10,7 +12,7 @@
  *
  * <p>A connection that fails from here does not show whether the link or the upstream failed. Only if another router
  * opens a connection to the same upstream at the same time, the link of this router is lost; otherwise the upstream is
- * unreachable, which is not recorded here.
+ * unreachable, and no request waits for a connection to it until one was opened again.
  */
 public final class LinkTable {
 
@@ -21,6 +23,7 @@
     private static final int CONFIRMING_FAILURES = 2;
 
     private final Map<Address, LostLink> lost = new HashMap<>();
+    private final Set<Address> unreachable = new HashSet<>();
 
     /** A lost link. */
     private static final class LostLink {
@@ -35,6 +38,7 @@
      * @return whether its link was lost until now
      */
     public boolean connected(Address upstream) {
+        unreachable.remove(upstream);
         return lost.remove(upstream) != null;
     }
 
@@ -46,6 +50,7 @@
      * @return whether the link was not known to be lost
      */
     public boolean onlyRelayed(Address upstream, boolean silent) {
+        unreachable.remove(upstream);
         boolean isNew = !lost.containsKey(upstream);
         LostLink link = lost.computeIfAbsent(upstream, address -> new LostLink());
         link.failures++;
@@ -53,6 +58,45 @@
         return isNew;
     }
 
+    /**
+     * Records that neither this router nor another one opened a connection to an upstream.
+     *
+     * @param upstream its address
+     * @return whether it was not known to be unreachable
+     */
+    public boolean unreachable(Address upstream) {
+        lost.remove(upstream);
+        return unreachable.add(upstream);
+    }
+
+    /**
+     * Records that a connection to an upstream was opened by some router.
+     *
+     * @param upstream its address
+     */
+    public void reached(Address upstream) {
+        unreachable.remove(upstream);
+    }
+
+    /**
+     * Returns whether a connection to an upstream would fail.
+     *
+     * @param upstream its address
+     * @return whether no router reached it when it was last tried
+     */
+    public boolean isUnreachable(Address upstream) {
+        return unreachable.contains(upstream);
+    }
+
+    /**
+     * Returns the number of unreachable upstreams.
+     *
+     * @return upstreams that no router reaches
+     */
+    public int unreachable() {
+        return unreachable.size();
+    }
+
     /**
      * Records that a test of a lost link failed.
      *
@@ -108,5 +152,6 @@
      */
     public void forget(Address upstream) {
         lost.remove(upstream);
+        unreachable.remove(upstream);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
@@ -14,6 +14,13 @@
      */
     void lost(Address upstream, Address relay, boolean silent);
 
+    /**
+     * Called when neither this router nor another one reaches an upstream.
+     *
+     * @param upstream the upstream
+     */
+    void unreachable(Address upstream);
+
     /**
      * Called when this router reaches an upstream again.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
@@ -89,7 +89,15 @@
         if (!isUpstream.test(address)) {
             return direct.open(address, timeoutMillis);
         }
-        Race race = new Race(address, timeoutMillis);
+        if (links.isUnreachable(address)) {
+            return loop.loop().newFailedFuture(new ConnectTimeoutException("No router reaches " + address + " now."));
+        }
+        return test(address, timeoutMillis);
+    }
+
+    /** Opens a connection even if the upstream was unreachable when it was last tried. */
+    Future<OpenedConnection> test(Address upstream, int timeoutMillis) {
+        Race race = new Race(upstream, timeoutMillis);
         race.start();
         return race.opened;
     }
@@ -158,7 +166,7 @@
             if (usedRelay != null) {
                 lostLink();
             } else if (relaysFailed) {
-                opened.tryFailure(cause);
+                unreachable();
             } else {
                 askOtherRouters();
             }
@@ -175,7 +183,7 @@
 
         /** Asks the next router, if there is one. */
         private void askNextRouter() {
-            if (opened.isDone()) {
+            if (opened.isSuccess() || opened.isCancelled()) {
                 return;
             }
             if (!candidates.hasNext()) {
@@ -217,12 +225,20 @@
         private void allRelaysFailed() {
             relaysFailed = true;
             if (directFailure != null) {
-                opened.tryFailure(directFailure);
+                unreachable();
             } else if (directly == null) {
                 connectDirectly();
             }
         }
 
+        /** Fails the attempts; a refused connection costs the next one no time, so only silence is remembered. */
+        private void unreachable() {
+            opened.tryFailure(directFailure);
+            if (directFailure instanceof ConnectTimeoutException && links.unreachable(upstream)) {
+                listener.unreachable(upstream);
+            }
+        }
+
         /** Hands a connection over; closes it if another one was faster. */
         private boolean useOrClose(OpenedConnection connection) {
             boolean used = opened.trySuccess(connection);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -135,6 +135,7 @@
      */
     public void register(ServingMetrics metrics) {
         metrics.gauge("links.lost", table::lost);
+        metrics.gauge("links.unreachable", table::unreachable);
         metrics.gauge("links.connections_through_others", opener::relayed);
         metrics.gauge("relays.open", server::open);
         metrics.gauge("relays.accepted", server::relayed);
@@ -207,11 +208,42 @@
         });
     }
 
+    @Override
+    public void unreachable(Address upstream) {
+        line("upstream_unreachable", upstream);
+        loop.schedule(LinkTable.PROBE_MILLIS, () -> testUnreachable(upstream));
+    }
+
+    /** Tests whether some router reaches an upstream again, and again later if none does. */
+    private void testUnreachable(Address upstream) {
+        if (!table.isUnreachable(upstream)) {
+            return;
+        }
+        if (!isUpstream(upstream)) {
+            table.forget(upstream);
+            return;
+        }
+        opener.test(upstream, CHECK_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
+            if (done.isSuccess()) {
+                done.getNow().channel().close();
+                table.reached(upstream);
+            } else {
+                loop.schedule(LinkTable.PROBE_MILLIS, () -> testUnreachable(upstream));
+            }
+        });
+    }
+
     @Override
     public void restored(Address upstream) {
-        log.line("link_restored")
+        line("link_restored", upstream);
+    }
+
+    /** Logs a change of a link. */
+    private void line(String event, Address upstream) {
+        log.line(event)
                 .put("address", upstream.toString())
                 .put("lost", table.lost())
+                .put("unreachable", table.unreachable())
                 .write();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -251,7 +251,8 @@
     /** Returns whether capacity may become free before the caller gives up; only while no event was forwarded. */
     private boolean mayWaitForCapacity(long now) {
         return facts.runsOnEngines()
-                && !context.upstreams().usable(facts.service()).isEmpty()
+                && context.upstreams().usable(facts.service()).stream()
+                        .anyMatch(entry -> !excluded.contains(entry.id()))
                 && facts.mayWait(0, now)
                 && !progress.answerStarted();
     }
