Check the other links only when a second one is lost

A lost packet can make a single connection time out. The router then took the link for lost until the next test, which costs one detour, but it also opened a connection to every other upstream. Now two links have to be lost at a time.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -24,7 +24,10 @@
     /** Connect timeout of a check, in milliseconds. */
     private static final int CHECK_TIMEOUT_MILLIS = 450;
 
-    /** Maximum number of other links that are checked when the first one is lost. */
+    /** Links lost at a time after which the others are checked; a single one may be due to lost packets. */
+    private static final int LOST_TO_CHECK_OTHERS = 2;
+
+    /** Maximum number of other links that are checked. */
     private static final int MAX_CHECKS = 32;
 
     private final ServingLoop loop;
@@ -160,16 +163,16 @@
             }
         }
         loop.schedule(LinkTable.PROBE_MILLIS, () -> probe(upstream));
-        if (table.lost() == 1) {
-            checkOthers(upstream);
+        if (table.lost() == LOST_TO_CHECK_OTHERS) {
+            checkOthers();
         }
     }
 
     /** Checks the links to other upstreams, before requests find them lost one by one. */
-    private void checkOthers(Address first) {
+    private void checkOthers() {
         List<Address> others = upstreams.all().stream()
                 .map(UpstreamEntry::address)
-                .filter(address -> !address.equals(first))
+                .filter(address -> !table.isLost(address))
                 .limit(MAX_CHECKS)
                 .toList();
         others.forEach(this::check);
