--- a/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
@@ -16,9 +16,12 @@
  */
 public final class LinkTable {
 
-    /** Interval between direct connections that test whether a lost link is back, in milliseconds. */
+    /** Least interval between tests of the same upstream, in milliseconds. */
     public static final long PROBE_MILLIS = 500;
 
+    /** Least time between any two tests of lost links or of unreachable upstreams, in milliseconds. */
+    private static final long MIN_GAP_MILLIS = 10;
+
     /** Failed direct connections in a row after which requests that are silent on open connections are given up. */
     private static final int CONFIRMING_FAILURES = 2;
 
@@ -97,6 +100,16 @@
         return unreachable.size();
     }
 
+    /**
+     * Returns the time until the next test of a lost link or of an unreachable upstream; the more there are, the rarer
+     * is each tested.
+     *
+     * @return the interval, in milliseconds
+     */
+    public long probeIntervalMillis() {
+        return Math.max(PROBE_MILLIS, MIN_GAP_MILLIS * Math.max(lost.size(), unreachable.size()));
+    }
+
     /**
      * Records that a test of a lost link failed.
      *
--- a/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
@@ -72,6 +72,19 @@
         assertThat(links.unreachable()).isZero();
     }
 
+    /** Guards against a flood of tests from a router that has lost the links to thousands of upstreams. */
+    @Test
+    void testsEachLinkLessOftenTheMoreAreLost() {
+        for (int port = 1; port <= 50; port++) {
+            links.onlyRelayed(new Address("10.0.0.1", port), true);
+        }
+        assertThat(links.probeIntervalMillis()).isEqualTo(LinkTable.PROBE_MILLIS);
+        for (int port = 1; port <= 5_500; port++) {
+            links.onlyRelayed(new Address("10.0.0.1", port), true);
+        }
+        assertThat(links.probeIntervalMillis()).isEqualTo(55_000);
+    }
+
     @Test
     void forgetsRemovedUpstreams() {
         links.onlyRelayed(FIRST, true);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -162,7 +162,7 @@
                 outlierDetector.succeeded(entry.id());
             }
         }
-        loop.schedule(LinkTable.PROBE_MILLIS, () -> probe(upstream));
+        loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
         if (table.lost() == LOST_TO_CHECK_OTHERS) {
             checkOthers();
         }
@@ -207,14 +207,14 @@
             if (table.probeFailed(upstream, done.cause() instanceof ConnectTimeoutException)) {
                 silentLinkHandler.linkSilent(upstream);
             }
-            loop.schedule(LinkTable.PROBE_MILLIS, () -> probe(upstream));
+            loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
         });
     }
 
     @Override
     public void unreachable(Address upstream) {
         line("upstream_unreachable", upstream);
-        loop.schedule(LinkTable.PROBE_MILLIS, () -> testUnreachable(upstream));
+        loop.schedule(table.probeIntervalMillis(), () -> testUnreachable(upstream));
     }
 
     /** Tests whether some router reaches an upstream again, and again later if none does. */
@@ -231,7 +231,7 @@
                 done.getNow().channel().close();
                 table.reached(upstream);
             } else {
-                loop.schedule(LinkTable.PROBE_MILLIS, () -> testUnreachable(upstream));
+                loop.schedule(table.probeIntervalMillis(), () -> testUnreachable(upstream));
             }
         });
     }
