Confirm a silent link by its first failed test

Requests that waited on a silent link were given up only by chance: the loss was confirmed by the second failure in a row, and connections that had been opened together with the one that showed the loss counted as failures too, so that the count could pass two before the first test and no request was given up at all. They then waited for as long as a slow upstream may take.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
@@ -22,15 +22,12 @@
     /** Least time between any two tests of lost links or of unreachable upstreams, in milliseconds. */
     private static final long MIN_GAP_MILLIS = 10;
 
-    /** Failed direct connections in a row after which requests that are silent on open connections are given up. */
-    private static final int CONFIRMING_FAILURES = 2;
-
     private final Map<Address, LostLink> lost = new HashMap<>();
     private final Set<Address> unreachable = new HashSet<>();
 
     /** A lost link. */
     private static final class LostLink {
-        private int failures;
+        private int failedTests;
         private boolean silent;
     }
 
@@ -56,7 +53,6 @@
         unreachable.remove(upstream);
         boolean isNew = !lost.containsKey(upstream);
         LostLink link = lost.computeIfAbsent(upstream, address -> new LostLink());
-        link.failures++;
         link.silent = silent;
         return isNew;
     }
@@ -111,7 +107,8 @@
     }
 
     /**
-     * Records that a test of a lost link failed.
+     * Records that a test of a lost link failed. The first one confirms the loss: connections that were opened at the
+     * same time as the one that showed it may all have failed for the same reason.
      *
      * @param upstream its address
      * @param silent whether the direct connection timed out
@@ -122,9 +119,9 @@
         if (link == null) {
             return false;
         }
-        link.failures++;
+        link.failedTests++;
         link.silent = silent;
-        return silent && link.failures == CONFIRMING_FAILURES;
+        return silent && link.failedTests == 1;
     }
 
     /**
--- a/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
@@ -37,6 +37,7 @@
     void givesUpOpenConnectionsOnlyAfterASecondSilentFailure() {
         assertThat(links.probeFailed(FIRST, true)).isFalse();
         links.onlyRelayed(FIRST, true);
+        links.onlyRelayed(FIRST, true);
         assertThat(links.probeFailed(FIRST, true)).isTrue();
         assertThat(links.probeFailed(FIRST, true)).isFalse();
     }
