Check the other links when a single lost one is confirmed

With two upstreams and one found lost, the link to the other one was checked only when a request opened a connection to it, and requests that waited on it were not given up. The other links are now also checked when a single loss is confirmed. givesUpRequestsThatWaitOnASilentLink failed before and passes; all 25 tests of lost links pass.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -206,6 +206,9 @@
             }
             if (table.probeFailed(upstream, done.cause() instanceof ConnectTimeoutException)) {
                 silentLinkHandler.linkSilent(upstream);
+                if (table.lost() < LOST_TO_CHECK_OTHERS) {
+                    checkOthers();
+                }
             }
             loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
         });
