Take no upstream for unreachable, or a link for lost, on a single short or lone failure

The check for a crash gives a connection 60 ms. When such a check timed out, and at a router that knows no others, a sound upstream was remembered as unreachable and got no connection until the next test, half a second or more. A lone failure says nothing about the upstream.

Now only a direct connection that had 400 ms counts as silent, and an upstream is unreachable only if another router tried and failed as well. Links that are lost again while their last test is pending are no longer tested twice as often.

takesNoUpstreamForUnreachableOnItsOwnWord (60 and 450 ms) failed before and passes; all tests of lost links pass.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
@@ -30,6 +30,9 @@
     /** Time for one router to answer, in milliseconds. */
     private static final int RELAY_TIMEOUT_MILLIS = 250;
 
+    /** Shortest time after which a direct connection that is not established shows that the link is silent. */
+    private static final int SILENCE_MILLIS = 400;
+
     private final ServingLoop loop;
     private final ConnectionOpener direct;
     private final RelayClient relays;
@@ -113,6 +116,7 @@
         private Throwable directFailure;
         private Address usedRelay;
         private boolean relaysFailed;
+        private boolean othersFailed;
 
         private Race(Address upstream, int timeoutMillis) {
             this.upstream = upstream;
@@ -215,7 +219,9 @@
         /** Continues after a router could not help. */
         private void relayFailed(Address relay, Throwable cause) {
             boolean reached = cause instanceof RelayRefusedException refused && refused.reply() != RelayReply.NO_LINK;
-            if (!reached) {
+            if (reached) {
+                othersFailed = true;
+            } else {
                 selector.leaveOut(relay, loop.nowMillis());
             }
             askNextRouter();
@@ -231,14 +237,22 @@
             }
         }
 
-        /** Fails the attempts; a refused connection costs the next one no time, so only silence is remembered. */
+        /**
+         * Fails the attempts. The upstream is remembered as unreachable if another router failed too; a refused
+         * connection is not, as it costs the next one no time.
+         */
         private void unreachable() {
             opened.tryFailure(directFailure);
-            if (directFailure instanceof ConnectTimeoutException && links.unreachable(upstream)) {
+            if (othersFailed && isSilent() && links.unreachable(upstream)) {
                 listener.unreachable(upstream);
             }
         }
 
+        /** Returns whether the direct connection had enough time and got no answer. */
+        private boolean isSilent() {
+            return directFailure instanceof ConnectTimeoutException && timeoutMillis >= SILENCE_MILLIS;
+        }
+
         /** Hands a connection over; closes it if another one was faster. */
         private boolean useOrClose(OpenedConnection connection) {
             boolean used = opened.trySuccess(connection);
@@ -248,11 +262,14 @@
             return used;
         }
 
-        /** Records that only another router reaches the upstream. */
+        /** Records that only another router reaches the upstream, unless this one had too little time. */
         private void lostLink() {
-            boolean silent = directFailure instanceof ConnectTimeoutException;
-            if (links.onlyRelayed(upstream, silent)) {
-                listener.lost(upstream, usedRelay, silent);
+            boolean timedOut = directFailure instanceof ConnectTimeoutException;
+            if (timedOut && !isSilent()) {
+                return;
+            }
+            if (links.onlyRelayed(upstream, timedOut)) {
+                listener.lost(upstream, usedRelay, timedOut);
             }
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -1,6 +1,8 @@
 package org.apricotstack.serving.relay;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.util.concurrent.Future;
@@ -38,6 +40,7 @@
     private final LinkTable table = new LinkTable();
     private final RoutedConnectionOpener opener;
     private final RelayServer server;
+    private final Set<Address> tested = new HashSet<>();
     private SilentLinkHandler silentLinkHandler = upstream -> {};
 
     /** Gives up requests that wait on open connections of a silent link. */
@@ -162,7 +165,9 @@
                 outlierDetector.succeeded(entry.id());
             }
         }
-        loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
+        if (tested.add(upstream)) {
+            loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
+        }
         if (table.lost() == LOST_TO_CHECK_OTHERS) {
             checkOthers();
         }
@@ -189,16 +194,17 @@
 
     /** Tests whether a lost link is back, and again later if it is not. */
     private void probe(Address upstream) {
-        if (!table.isLost(upstream)) {
-            return;
-        }
         if (!isUpstream(upstream)) {
             table.forget(upstream);
+        }
+        if (!table.isLost(upstream)) {
+            tested.remove(upstream);
             return;
         }
         direct.open(upstream, CHECK_TIMEOUT_MILLIS).addListener((Future<OpenedConnection> done) -> {
             if (done.isSuccess()) {
                 done.getNow().channel().close();
+                tested.remove(upstream);
                 if (table.connected(upstream)) {
                     restored(upstream);
                 }
