Test that a stopping router waits for the responses that it relays

The test over loopback passed without the wait: the routers of the test end later than the answer comes. The new one asks the sequence itself, on a clock of its own, and fails without the wait.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -185,6 +185,20 @@
         return NewsFrame.parseFrom(ByteString.copyFrom(packet.getData(), 0, packet.getLength()));
     }
 
+    /** Guards against responses of other routers' requests that are cut by the stop of the router that relays them. */
+    @Test
+    void endsOnlyOnceTheResponsesThatItRelaysAreComplete() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        relaysInUse = 1;
+        onLoop(() -> sequence.begin(nowMillis, () -> done.complete(null)));
+        nowMillis += policy.timeline().durationMillis() / 2;
+        onLoop(sequence::runDueSteps);
+        assertThat(done).isNotDone();
+        relaysInUse = 0;
+        onLoop(sequence::runDueSteps);
+        assertThat(done).isDone();
+    }
+
     @Test
     void tellsTheOtherRoutersOfAStopAtOnce() throws IOException {
         onLoop(() -> {
