Name the counts of links as counts

LinkTable had two methods of one name each for marking and counting, and one that looked like a list. Renamed only; the tests of links pass.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/link/LinkTable.java
@@ -63,7 +63,7 @@
      * @param upstream its address
      * @return whether it was not known to be unreachable
      */
-    public boolean unreachable(Address upstream) {
+    public boolean markUnreachable(Address upstream) {
         lost.remove(upstream);
         return unreachable.add(upstream);
     }
@@ -92,7 +92,7 @@
      *
      * @return upstreams that no router reaches
      */
-    public int unreachable() {
+    public int unreachableCount() {
         return unreachable.size();
     }
 
@@ -151,7 +151,7 @@
      *
      * @return upstreams that only other routers reach
      */
-    public int lost() {
+    public int lostCount() {
         return lost.size();
     }
 
--- a/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/link/LinkTableTest.java
@@ -21,7 +21,7 @@
         assertThat(links.onlyRelayed(FIRST, silent)).isFalse();
         assertThat(links.isLost(FIRST)).isTrue();
         assertThat(links.isLost(SECOND)).isFalse();
-        assertThat(links.lost()).isEqualTo(1);
+        assertThat(links.lostCount()).isEqualTo(1);
     }
 
     @Test
@@ -29,7 +29,7 @@
         links.onlyRelayed(FIRST, true);
         assertThat(links.connected(FIRST)).isTrue();
         assertThat(links.connected(FIRST)).isFalse();
-        assertThat(links.lost()).isZero();
+        assertThat(links.lostCount()).isZero();
     }
 
     /** Guards against streams that are sent again because one packet was lost. */
@@ -62,15 +62,15 @@
     @Test
     void remembersUnreachableUpstreamsUntilSomeRouterReachesThem() {
         links.onlyRelayed(FIRST, true);
-        assertThat(links.unreachable(FIRST)).isTrue();
-        assertThat(links.unreachable(FIRST)).isFalse();
+        assertThat(links.markUnreachable(FIRST)).isTrue();
+        assertThat(links.markUnreachable(FIRST)).isFalse();
         assertThat(links.isLost(FIRST)).isFalse();
         assertThat(links.isUnreachable(FIRST)).isTrue();
         links.onlyRelayed(FIRST, true);
         assertThat(links.isUnreachable(FIRST)).isFalse();
-        links.unreachable(SECOND);
+        links.markUnreachable(SECOND);
         links.connected(SECOND);
-        assertThat(links.unreachable()).isZero();
+        assertThat(links.unreachableCount()).isZero();
     }
 
     /** Guards against a flood of tests from a router that has lost the links to thousands of upstreams. */
@@ -89,10 +89,10 @@
     @Test
     void forgetsRemovedUpstreams() {
         links.onlyRelayed(FIRST, true);
-        links.unreachable(SECOND);
+        links.markUnreachable(SECOND);
         links.forget(FIRST);
         links.forget(SECOND);
-        assertThat(links.lost()).isZero();
-        assertThat(links.unreachable()).isZero();
+        assertThat(links.lostCount()).isZero();
+        assertThat(links.unreachableCount()).isZero();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/LinkListener.java
@@ -2,7 +2,7 @@
 
 import org.apricotstack.core.id.Address;
 
-/** Is told how this router's links to upstreams change; called on the event loop. */
+/** Receives the changes of this router's links to upstreams; called on the event loop. */
 public interface LinkListener {
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
@@ -243,7 +243,7 @@
          */
         private void unreachable() {
             opened.tryFailure(directFailure);
-            if (othersFailed && isSilent() && links.unreachable(upstream)) {
+            if (othersFailed && isSilent() && links.markUnreachable(upstream)) {
                 listener.unreachable(upstream);
             }
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RouterLinks.java
@@ -140,8 +140,8 @@
      * @param metrics receives them
      */
     public void register(ServingMetrics metrics) {
-        metrics.gauge("links.lost", table::lost);
-        metrics.gauge("links.unreachable", table::unreachable);
+        metrics.gauge("links.lost", table::lostCount);
+        metrics.gauge("links.unreachable", table::unreachableCount);
         metrics.gauge("links.connections_through_others", opener::relayed);
         metrics.gauge("relays.open", server::open);
         metrics.gauge("relays.accepted", server::relayed);
@@ -158,7 +158,7 @@
                 .put("address", upstream.toString())
                 .put("through", relay.toString())
                 .put("silent", silent)
-                .put("lost", table.lost())
+                .put("lost", table.lostCount())
                 .write();
         for (UpstreamEntry entry : upstreams.all()) {
             if (entry.address().equals(upstream)) {
@@ -168,7 +168,7 @@
         if (tested.add(upstream)) {
             loop.schedule(table.probeIntervalMillis(), () -> probe(upstream));
         }
-        if (table.lost() == LOST_TO_CHECK_OTHERS) {
+        if (table.lostCount() == LOST_TO_CHECK_OTHERS) {
             checkOthers();
         }
     }
@@ -212,7 +212,7 @@
             }
             if (table.probeFailed(upstream, done.cause() instanceof ConnectTimeoutException)) {
                 silentLinkHandler.linkSilent(upstream);
-                if (table.lost() < LOST_TO_CHECK_OTHERS) {
+                if (table.lostCount() < LOST_TO_CHECK_OTHERS) {
                     checkOthers();
                 }
             }
@@ -254,8 +254,8 @@
     private void line(String event, Address upstream) {
         log.line(event)
                 .put("address", upstream.toString())
-                .put("lost", table.lost())
-                .put("unreachable", table.unreachable())
+                .put("lost", table.lostCount())
+                .put("unreachable", table.unreachableCount())
                 .write();
     }
 }
