Build the gossip measurements with the relay server

The module with the measurements did not compile since connections are relayed: it makes a GossipServer of its own, whose constructor had got a parameter. A router without upstreams now takes RelayServer.none, which also replaces a fixture.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
@@ -31,6 +31,7 @@
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.serving.relay.RelayServer;
 import reactor.core.publisher.Mono;
 
 /** The gossip component of a router, without callers, upstreams and a platform. */
@@ -83,7 +84,7 @@
                 () -> true,
                 () -> true,
                 () -> {});
-        server = new GossipServer(loop, ANY_PORT, hub);
+        server = new GossipServer(loop, ANY_PORT, hub, RelayServer.none(loop));
         identity = new RouterIdentity(
                 process, new DataCentreId("dc"), ANY_PORT, new Address(ANY_PORT.ip(), server.port()), capacityPercent);
         heartbeats = new HeartbeatPort(loop, identity.peerAddress());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
@@ -18,6 +18,7 @@
 import org.apricotstack.serving.http.ConnectionOpener;
 import org.apricotstack.serving.http.OpenedConnection;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.http.TcpConnectionOpener;
 
 /**
  * Opens connections to upstreams for other routers, and relays their bytes.
@@ -68,6 +69,16 @@
         this.maxRelays = maxRelays;
     }
 
+    /**
+     * Creates a server that relays nothing, for routers without upstreams.
+     *
+     * @param loop the event loop
+     * @return the server
+     */
+    public static RelayServer none(ServingLoop loop) {
+        return new RelayServer(loop, new TcpConnectionOpener(loop), new LinkTable(), address -> false, ip -> false, 0);
+    }
+
     /**
      * Creates the handler of a connection that begins with a request.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
@@ -9,6 +9,7 @@
 
 import org.apricotstack.core.id.Address;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.relay.RelayServer;
 import org.apricotstack.wire.news.DocumentRequest;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
@@ -31,7 +32,7 @@
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final GossipServer server =
-            new GossipServer(loop, new Address("127.0.0.1", 0), new DocumentHandler(), TestRelays.none());
+            new GossipServer(loop, new Address("127.0.0.1", 0), new DocumentHandler(), RelayServer.none(loop));
 
     @AfterEach
     void stop() {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
@@ -9,6 +9,7 @@
 
 import org.apricotstack.core.id.Address;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.relay.RelayServer;
 import org.apricotstack.wire.news.DocumentRequest;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.NewsFrame;
@@ -31,7 +32,7 @@
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final BlockingQueue<NewsFrame> received = new LinkedBlockingQueue<>();
     private final GossipServer server =
-            new GossipServer(loop, new Address("127.0.0.1", 0), new RecordingHandler(), TestRelays.none());
+            new GossipServer(loop, new Address("127.0.0.1", 0), new RecordingHandler(), RelayServer.none(loop));
     private final List<Long> inFlight = new ArrayList<>();
     private final OutboundGossipStream stream = new OutboundGossipStream(
             loop, new Address("127.0.0.1", server.port()), new RecordingHandler(), this::fullState, () -> {});
