Give up no attempt for a retry that the budget does not allow

Now an attempt is given up, and an upstream's error is dropped, only if the budget allows the retry too. forwardsAnErrorWhileNoRetryIsLeft failed before (502 instead of the upstream's 500) and passes.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -105,9 +105,11 @@
         return sender.wouldBeFasterElsewhere(attempt);
     }
 
-    /** Returns whether the current attempt may be retried after a failure. */
+    /** Returns whether the current attempt may be retried after a failure; otherwise it is not given up for one. */
     boolean mayRetry(FailureKind kind) {
-        return attempts.retryRefusal(kind, false, facts.remainingMillis(context.nowMillis())) == null;
+        long now = context.nowMillis();
+        return attempts.retryRefusal(kind, false, facts.remainingMillis(now)) == null
+                && retries().left(now) >= 1;
     }
 
     /** Returns whether an attempt may still be sent to the upstreams chosen for it. */
