Ask for a retry in the moment in which an attempt is given up for one

The engine was asked why it is silent after the check for a retry; when its answer came, other streams had taken the last one.

Now an attempt is given up only if a retry is possible in that moment, and checked again after the next silence otherwise: the budget refills, while attempts that are used up stay so.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -77,7 +77,7 @@
         if (limitMillis <= 0) {
             watchdog = null;
         } else if (choice.placement() == null) {
-            watchdog = run.context().loop().schedule(limitMillis, this::abandonIfRetryAllowed);
+            watchdog = run.context().loop().schedule(limitMillis, this::abandonAsSilent);
         } else {
             watchdog = run.context().loop().schedule((long) (limitMillis * PROBE_SHARE), this::probeEngine);
         }
@@ -85,7 +85,11 @@
 
     /** Abandons the attempt if its engine is dead; otherwise waits for the rest of the allowed silence. */
     private void probeEngine() {
-        if (finished || !run.mayRetry(FailureKind.SILENT)) {
+        if (finished) {
+            return;
+        }
+        if (!run.mayRetry(FailureKind.SILENT)) {
+            watchdog(silenceMillis);
             return;
         }
         int generation = watchdogGeneration;
@@ -104,7 +108,11 @@
 
     /** Abandons the attempt if the cause of the silence or the load of other engines justifies a retry. */
     private void checkSilenceCause() {
-        if (finished || !run.mayRetry(FailureKind.SILENT)) {
+        if (finished) {
+            return;
+        }
+        if (!run.mayRetry(FailureKind.SILENT)) {
+            watchdog(silenceMillis);
             return;
         }
         int generation = watchdogGeneration;
@@ -122,17 +130,24 @@
         });
     }
 
-    /** Abandons the attempt at a plain service if the request may be retried. */
-    private void abandonIfRetryAllowed() {
-        if (!finished && run.mayRetry(FailureKind.SILENT)) {
+    /** Abandons the attempt at a plain service. */
+    private void abandonAsSilent() {
+        if (!finished) {
             abandon(FailureKind.SILENT);
         }
     }
 
-    /** Cancels the call and reports the failure. */
+    /**
+     * Cancels the call and reports the failure if the request may be retried now; otherwise waits for another silence,
+     * as the retry budget may allow it then.
+     */
     private void abandon(FailureKind kind) {
-        call.cancel();
-        failed(kind);
+        if (run.mayRetry(kind)) {
+            call.cancel();
+            failed(kind);
+        } else {
+            watchdog(silenceMillis);
+        }
     }
 
     /** Returns whether events of the response have arrived. */
