Log the parts of each prompt

The logs of the incident show account, route and length of the prompts at crashed engines, but not their parts, so a part that crashes engines could not be told from the load of an account that sends a quarter of the requests. The line arrived now has the parts; broke_off, suspected and cause_found lead to it by request id and content.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequest.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequest.java
@@ -1,6 +1,9 @@
 package org.apricotstack.serving.http;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpRequest;
+import org.apricotstack.core.id.PromptPartId;
 
 /**
  * A request of a caller.
@@ -13,6 +16,8 @@
  * @param lastEventId id of the last event that the caller has of the stream, or {@code null}
  * @param promptTokens length of the prompt, in tokens; 0 if unknown
  * @param maxAnswerTokens longest answer, in tokens; 0 if unknown
+ * @param promptParts parts of the prompt in order, the last of which belongs to the request or its session alone; empty
+ *     if unknown
  * @param head the request line and headers, as received
  */
 public record CallerRequest(
@@ -24,8 +29,14 @@
         String lastEventId,
         long promptTokens,
         long maxAnswerTokens,
+        List<PromptPartId> promptParts,
         HttpRequest head) {
 
     /** The caller specifies no timeout. */
     public static final long NO_TIMEOUT = Long.MAX_VALUE / 4;
+
+    /** Creates a request with a copy of the list. */
+    public CallerRequest {
+        promptParts = List.copyOf(promptParts);
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -49,7 +49,8 @@
                 .put("target_millis", facts.route().targetLatencyMillis())
                 .put("pause_target_millis", facts.route().tokenGapTargetMillis())
                 .put("prompt_tokens", facts.request().promptTokens())
-                .put("answer_tokens", facts.request().maxAnswerTokens());
+                .put("answer_tokens", facts.request().maxAnswerTokens())
+                .put("parts", join(facts.request().promptParts()));
         if (stop.stopping()) {
             line.put("caller", callerIp)
                     .put("stopping_millis", stop.elapsedMillis(facts.arrivedMillis()))
@@ -129,9 +130,12 @@
 
     /** Joins the names of upstreams; {@code null} if there are none. */
     private static String names(List<UpstreamEntry> upstreams) {
-        return upstreams.isEmpty()
-                ? null
-                : upstreams.stream().map(entry -> entry.id().value()).collect(Collectors.joining(","));
+        return join(upstreams.stream().map(entry -> entry.id().value()).toList());
+    }
+
+    /** Joins names with commas; {@code null} if there are none. */
+    private static String join(List<?> names) {
+        return names.isEmpty() ? null : names.stream().map(Object::toString).collect(Collectors.joining(","));
     }
 
     /** Logs a failed attempt; the cause says why it is not retried and is {@code null} if it is. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/IdleConnectionCloseTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/IdleConnectionCloseTest.java
@@ -5,6 +5,7 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +42,7 @@
     }
 
     private static CallerRequest readRequest(HttpRequest head) {
-        return new CallerRequest("", "", head.uri(), null, CallerRequest.NO_TIMEOUT, null, 0, 0, head);
+        return new CallerRequest("", "", head.uri(), null, CallerRequest.NO_TIMEOUT, null, 0, 0, List.of(), head);
     }
 
     private CallerRequestListener open(CallerRequest request, CallerExchange exchange) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -70,6 +70,7 @@
                 null,
                 5_000,
                 answerTokens,
+                List.of(),
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
         ServiceProfile profile = new ServiceProfile(SERVICE, 10, engine ? Optional.of(ENGINE) : Optional.empty());
         ServingConfiguration configuration = new ServingConfiguration(
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/RequestFactsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/RequestFactsTest.java
@@ -68,6 +68,7 @@
                 null,
                 45_000,
                 800,
+                List.of(),
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
         ServingConfiguration configuration = new ServingConfiguration(
                 1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULT, new AccountKeys(Map.of()));
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
@@ -120,7 +120,7 @@
     }
 
     private static CallerRequest readRequest(HttpRequest head) {
-        return new CallerRequest("id", "h", head.uri(), null, CallerRequest.NO_TIMEOUT, null, 0, 0, head);
+        return new CallerRequest("id", "h", head.uri(), null, CallerRequest.NO_TIMEOUT, null, 0, 0, List.of(), head);
     }
 
     @BeforeEach
