--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
@@ -20,6 +20,7 @@
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.suspect.ObservedCrash;
 import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -32,6 +33,7 @@
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.relay.RelayServer;
+import org.apricotstack.serving.run.CrashReport;
 import reactor.core.publisher.Mono;
 
 /** The gossip component of a router, without callers, upstreams and a platform. */
@@ -126,7 +128,7 @@
     }
 
     /** Sets the callback for requests under which other routers reported a crash. */
-    void onCrashReported(Consumer<RequestDigest> action) {
+    void onCrashReported(Consumer<RequestTrait> action) {
         loop.execute(() -> hub.suspects().onCrashReported(action));
     }
 
@@ -138,7 +140,7 @@
         loop.execute(() -> {
             long now = loop.nowMillis();
             suspects.upstreamCrashed(request, new ObservedCrash(upstream, false, now), identity.process(), now);
-            hub.suspects().upstreamCrashed(upstream, List.of(request), List.of(), toAll);
+            hub.suspects().upstreamCrashed(new CrashReport(upstream, List.of(request), List.of(), List.of()), toAll);
             if (toAll) {
                 hub.suspects().broadcast(suspects.find(request, now));
             }
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/SuspectGossipMeasurement.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/SuspectGossipMeasurement.java
@@ -7,6 +7,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.serving.gossip.GossipHub;
 import reactor.core.publisher.Mono;
 
@@ -24,7 +25,7 @@
     private static final int CAPACITY_PERCENT = 100;
 
     private final List<Sample> samples = new ArrayList<>();
-    private final PropagationTimes<RequestDigest> times = new PropagationTimes<>();
+    private final PropagationTimes<RequestTrait> times = new PropagationTimes<>();
 
     /** Runs all measurements. */
     List<Sample> run() {
--- a/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/SuspectGossipTest.java
+++ b/apricotstack-bench/src/test/java/org/apricotstack/bench/measure/SuspectGossipTest.java
@@ -10,6 +10,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.serving.gossip.GossipHub;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,7 +29,7 @@
     private final List<GossipNode> fleet = new ArrayList<>();
 
     /** The routers that received a crash under each request; each router adds itself on a thread of its own. */
-    private final Map<RequestDigest, Set<GossipNode>> reports = new ConcurrentHashMap<>();
+    private final Map<RequestTrait, Set<GossipNode>> reports = new ConcurrentHashMap<>();
 
     @AfterEach
     void close() {
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/CauseFinder.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/CauseFinder.java
@@ -15,7 +15,7 @@
  *
  * <ul>
  *   <li>of which the upstream had sent part of the answer, because it had run the request without crashing;
- *   <li>if another request is known to have caused the crash;
+ *   <li>if another request, or a shared trait of any, is known to have caused the crash;
  *   <li>if other upstreams, at which the request was not in flight, crashed at the same time.
  * </ul>
  *
@@ -40,7 +40,7 @@
     private final Collection<Suspect> suspects;
     private final UpstreamCrashes upstreamCrashes;
 
-    /** Creates a finder for a live view of all suspects. */
+    /** Creates a finder for a live view of all suspects, requests and shared traits. */
     CauseFinder(Collection<Suspect> suspects, UpstreamCrashes upstreamCrashes) {
         this.suspects = suspects;
         this.upstreamCrashes = upstreamCrashes;
@@ -57,8 +57,7 @@
         for (Map.Entry<UpstreamId, Crash> one : suspect.crashes().entrySet()) {
             UpstreamId upstream = one.getKey();
             boolean counts = all
-                    || !one.getValue().answerStarted()
-                            && !upstreamCrashes.crashedWithOthers(upstream, suspect.request());
+                    || !one.getValue().answerStarted() && !upstreamCrashes.crashedWithOthers(upstream, suspect.trait());
             if (counts && !hasOtherCause(upstream, suspect)) {
                 left.add(upstream);
             }
@@ -66,7 +65,7 @@
         return left;
     }
 
-    /** Tells whether another request is known to have crashed an upstream. */
+    /** Tells whether something else is known to have crashed an upstream. */
     private boolean hasOtherCause(UpstreamId upstream, Suspect suspect) {
         for (Suspect other : suspects) {
             if (other != suspect && other.isCause() && other.crashes().containsKey(upstream)) {
@@ -107,8 +106,10 @@
         Set<UpstreamId> largest = ownCrashes;
         boolean shared = false;
         for (Suspect other : suspects) {
-            boolean canExplain =
-                    other != suspect && !other.isCause() && other.crashes().size() >= largest.size();
+            boolean canExplain = other != suspect
+                    && !other.trait().isShared()
+                    && !other.isCause()
+                    && other.crashes().size() >= largest.size();
             Set<UpstreamId> otherCrashes = canExplain ? decisiveCrashes(other) : Set.of();
             if (canExplain && otherCrashes.size() >= largest.size() && otherCrashes.containsAll(ownCrashes)) {
                 shared = otherCrashes.size() == largest.size();
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/RequestDigest.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/RequestDigest.java
@@ -21,7 +21,7 @@
  *     sufficient to rule out most requests
  * @param body hash of the bytes of the body
  */
-public record RequestDigest(long head, long body) {
+public record RequestDigest(long head, long body) implements RequestTrait {
 
     /** Derives 128-bit keys from account names, which are not secret. */
     private static final HashFunction KEY_FUNCTION = Hashing.murmur3_128(0xacc7);
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
@@ -1,19 +1,25 @@
 package org.apricotstack.core.suspect;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 
-/** The recorded crashes and trials of one request that was in flight when upstreams crashed. */
+/** The recorded crashes and trials of one request or shared trait that was in flight when upstreams crashed. */
 final class Suspect {
 
-    private final RequestDigest request;
+    private final RequestTrait trait;
     private final Map<UpstreamId, Crash> crashes = new LinkedHashMap<>();
     private final Map<ProcessId, Trial> trials = new HashMap<>();
+    private final Set<RequestTrait> companions = new HashSet<>();
     private final long sinceMillis;
+    private final boolean servedBefore;
     private long lastCrashMillis;
     private long learnedMillis;
     private boolean cause;
@@ -21,15 +27,21 @@
     private long lastTrialEndMillis = Long.MIN_VALUE / 2;
 
     /** Creates a suspect without crashes. */
-    Suspect(RequestDigest request, long sinceMillis) {
-        this.request = request;
+    Suspect(RequestTrait trait, long sinceMillis, boolean servedBefore) {
+        this.trait = trait;
+        this.servedBefore = servedBefore;
         this.sinceMillis = sinceMillis;
         this.lastCrashMillis = sinceMillis;
     }
 
-    /** Returns the digest of the request. */
-    RequestDigest request() {
-        return request;
+    /** Returns the trait. */
+    RequestTrait trait() {
+        return trait;
+    }
+
+    /** Returns whether a request with the shared trait was served shortly before the first crash. */
+    boolean servedBefore() {
+        return servedBefore;
     }
 
     /** Returns the crashes of upstreams at which it was in flight, in the order in which they were learned. */
@@ -76,6 +88,17 @@
         cause = true;
     }
 
+    /** Clears it after another cause of its crashes was found. */
+    void clearCause() {
+        cause = false;
+        companions.clear();
+    }
+
+    /** Returns the traits with the same crashes, of which any or only all together may be the cause. */
+    Set<RequestTrait> companions() {
+        return companions;
+    }
+
     /** Records the start of a router's trial. */
     void trialStarted(ProcessId router, Trial trial) {
         trials.put(router, trial);
@@ -109,4 +132,12 @@
     ProcessId lastTrialRouter() {
         return lastTrialRouter;
     }
+
+    /** Returns a snapshot. */
+    SuspectedTrait describe(long nowMillis) {
+        List<SuspectedTrait.ReportedCrash> reported = new ArrayList<>();
+        crashes.forEach((upstream, crash) -> reported.add(new SuspectedTrait.ReportedCrash(
+                upstream, crash.answerStarted(), Math.max(0, nowMillis - crash.atMillis()))));
+        return new SuspectedTrait(trait, reported, sinceMillis, servedBefore, cause);
+    }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectDecision.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectDecision.java
@@ -1,5 +1,6 @@
 package org.apricotstack.core.suspect;
 
+import java.util.HashSet;
 import java.util.Set;
 
 import org.apricotstack.core.id.UpstreamId;
@@ -20,7 +21,7 @@
     /** For a request that was identified as the cause of crashes. */
     public static final SuspectDecision REFUSE = new SuspectDecision(Action.REFUSE, 0, Set.of());
 
-    /** Actions. */
+    /** Actions, the strictest last. */
     public enum Action {
         /** Send it like any other request. */
         SEND,
@@ -54,6 +55,21 @@
         return new SuspectDecision(Action.TRY, 0, avoided);
     }
 
+    /**
+     * Combines the decisions about two traits of a request.
+     *
+     * @param other the other decision
+     * @return the stricter one; a trial for both traits avoids the upstreams of both
+     */
+    public SuspectDecision stricter(SuspectDecision other) {
+        if (action != other.action) {
+            return action.compareTo(other.action) > 0 ? this : other;
+        }
+        Set<UpstreamId> both = new HashSet<>(avoided);
+        both.addAll(other.avoided);
+        return new SuspectDecision(action, Math.max(holdMillis, other.holdMillis), both);
+    }
+
     /**
      * Tells whether the request may be sent now.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectTable.java
@@ -1,19 +1,16 @@
 package org.apricotstack.core.suspect;
 
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 
 /**
- * Requests that were in flight when upstreams crashed, as observed by this router or reported by others.
+ * Requests that were in flight when upstreams crashed, and the traits that they share with others, as observed by this
+ * router or reported by others.
  *
  * <p>A request that crashes the upstream that runs it would otherwise crash one upstream after the other: its callers
  * repeat it with new ids at any router, so that limits on retries don't apply. Routers therefore report each crash to
@@ -21,6 +18,11 @@
  * one upstream at a time in the whole fleet, and after the third crash to none (see {@link CauseFinder}). A request
  * that is served completely is no longer suspected.
  *
+ * <p>Requests that differ as a whole may share the trait that crashes upstreams, such as a part of their prompts.
+ * Crashes are counted for each such trait too. As most shared traits are harmless, it takes several crashes until
+ * requests with a trait are sent one at a time, and more evidence until they are refused (see {@link
+ * SharedCauseFinder}).
+ *
  * <p>A new version of the upstream may have fixed the fault, so a request is refused for {@link #REFUSED_MILLIS} and
  * then sent once as a trial. If that upstream crashes too, the request is refused again. A request that keeps being
  * repeated thus costs one upstream per period.
@@ -34,9 +36,10 @@
     public static final long RETENTION_MILLIS = 2 * REFUSED_MILLIS;
 
     /**
-     * Maximum number of suspects. An attacker may send any number of requests, and each suspect takes about a kilobyte.
+     * Time for which requests with a shared trait are refused when it was just identified, in milliseconds. A short one
+     * limits the harm of a wrong identification; after a few more crashes {@link #REFUSED_MILLIS} applies.
      */
-    public static final int MAX_SUSPECTS = 1_000;
+    public static final long FIRST_REFUSED_MILLIS = 10_000;
 
     /**
      * Time after the last crash during which no cause is identified, in milliseconds, as other routers report their
@@ -44,32 +47,23 @@
      */
     static final long SETTLE_MILLIS = 40;
 
-    /** Interval at which a held request is re-evaluated, in milliseconds; gossip messages take less time. */
-    static final long RECHECK_MILLIS = 20;
-
-    /**
-     * Number of time slots after a trial over which routers that hold the same request are spread, so that one of them
-     * starts the next trial before the others.
-     */
-    private static final int TRIAL_SLOTS = 8;
-
-    private final ProcessId own;
-    private final Consumer<SuspectedRequest> onCauseFound;
-    private final Map<RequestDigest, Suspect> suspects = new HashMap<>();
-    private final Map<Long, Integer> headCounts = new HashMap<>();
+    private final Consumer<SuspectedTrait> onCauseFound;
+    private final SuspectRecords records = new SuspectRecords();
     private final UpstreamCrashes upstreamCrashes = new UpstreamCrashes();
-    private final CauseFinder causeFinder = new CauseFinder(suspects.values(), upstreamCrashes);
-    private long dropped;
+    private final CauseFinder causeFinder = new CauseFinder(records.all(), upstreamCrashes);
+    private final TrialSchedule trials;
+    private final SharedTraitPolicy sharedTraits;
 
     /**
      * Creates a table without suspects.
      *
      * @param own this router process
-     * @param onCauseFound receives each request that is identified as a cause
+     * @param onCauseFound receives each request or shared trait that is identified as a cause
      */
-    public SuspectTable(ProcessId own, Consumer<SuspectedRequest> onCauseFound) {
-        this.own = own;
+    public SuspectTable(ProcessId own, Consumer<SuspectedTrait> onCauseFound) {
         this.onCauseFound = onCauseFound;
+        this.trials = new TrialSchedule(own, records.all());
+        this.sharedTraits = new SharedTraitPolicy(records, upstreamCrashes, trials, onCauseFound);
     }
 
     /**
@@ -79,41 +73,35 @@
      * @return {@code false} if it is certainly no suspect
      */
     public boolean mayContain(long head) {
-        return headCounts.containsKey(head);
+        return records.containsHead(head);
     }
 
     /**
      * Tells whether the table is empty.
      *
-     * @return whether no request is suspected
+     * @return whether nothing is suspected
      */
     public boolean isEmpty() {
-        return suspects.isEmpty();
+        return records.all().isEmpty();
     }
 
     /**
      * Records that an upstream crashed while a request was in flight there.
      *
-     * @param request the request
+     * @param trait the request, or a trait that it shares with others
      * @param crash the observed crash
      * @param seenBy the router process that observed it, which may start the next trial first; {@code null} if that was
      *     long ago
      * @param nowMillis the time
      * @return whether the crash was new
      */
-    public boolean upstreamCrashed(RequestDigest request, ObservedCrash crash, ProcessId seenBy, long nowMillis) {
+    public boolean upstreamCrashed(RequestTrait trait, ObservedCrash crash, ProcessId seenBy, long nowMillis) {
         long atMillis = crash.atMillis();
         if (nowMillis - atMillis >= RETENTION_MILLIS) {
             return false;
         }
-        Suspect suspect = suspects.get(request);
-        if (suspect == null) {
-            evictLeastSuspected();
-            suspect = new Suspect(request, atMillis);
-            suspects.put(request, suspect);
-            headCounts.merge(request.head(), 1, Integer::sum);
-        }
-        upstreamCrashes.record(crash.upstream(), request, atMillis);
+        Suspect suspect = records.findOrAdd(trait, atMillis);
+        upstreamCrashes.record(crash.upstream(), trait, atMillis);
         boolean isNew = suspect.recordCrash(crash.upstream(), new Crash(crash.answerStarted(), atMillis, nowMillis));
         if (isNew && seenBy != null) {
             suspect.recordTrialEnd(seenBy, nowMillis);
@@ -121,19 +109,6 @@
         return isNew;
     }
 
-    /** Evicts the request with the fewest crashes; among equals, the one with the oldest last crash. */
-    private void evictLeastSuspected() {
-        if (suspects.size() < MAX_SUSPECTS) {
-            return;
-        }
-        Suspect leastSuspected = suspects.values().stream()
-                .min(Comparator.<Suspect>comparingInt(one -> one.crashes().size())
-                        .thenComparingLong(Suspect::lastCrashMillis))
-                .orElseThrow();
-        forget(leastSuspected.request());
-        dropped++;
-    }
-
     /**
      * Records that an upstream served a request completely, which clears it of suspicion.
      *
@@ -141,27 +116,29 @@
      * @return whether it was suspected
      */
     public boolean requestServed(RequestDigest request) {
-        return forget(request);
+        return records.forget(request);
     }
 
-    /** Removes a request; returns whether it was a suspect. */
-    private boolean forget(RequestDigest request) {
-        boolean known = suspects.remove(request) != null;
-        if (known) {
-            headCounts.computeIfPresent(request.head(), (head, count) -> count > 1 ? count - 1 : null);
-        }
-        return known;
+    /**
+     * Records that an upstream served a request with a shared trait completely, which clears the trait of suspicion.
+     *
+     * @param trait the trait
+     * @param nowMillis the time
+     * @return whether it was suspected
+     */
+    public boolean sharedTraitServed(SharedTrait trait, long nowMillis) {
+        return records.served(trait, nowMillis);
     }
 
     /**
-     * Decides how to handle a request that is about to be sent.
+     * Decides how to handle a request that is about to be sent, by the request alone.
      *
      * @param request the request
      * @param nowMillis the time
      * @return the decision
      */
     public SuspectDecision decide(RequestDigest request, long nowMillis) {
-        Suspect suspect = suspects.get(request);
+        Suspect suspect = records.find(request);
         if (suspect == null) {
             return SuspectDecision.SEND;
         }
@@ -172,35 +149,23 @@
         if (countedCrashes == 0 && !suspect.isCause()) {
             return SuspectDecision.SEND;
         }
-        long settledMillis = suspect.learnedMillis() + SETTLE_MILLIS;
-        if (causeFinder.mayBeCause(suspect) && nowMillis < settledMillis) {
-            return SuspectDecision.settle(settledMillis - nowMillis);
-        }
-        if (!suspect.trials(nowMillis).isEmpty() || nowMillis < earliestTrialMillis(suspect)) {
-            return SuspectDecision.hold(RECHECK_MILLIS);
-        }
         boolean nextCrashDecides = countedCrashes >= CauseFinder.MIN_CRASHES_OF_CAUSE - 1;
-        return SuspectDecision.attempt(nextCrashDecides ? upstreamsOfOtherTrials(suspect, nowMillis) : Set.of());
-    }
-
-    /** Returns the earliest time at which this router may start a trial after another router's trial. */
-    private long earliestTrialMillis(Suspect suspect) {
-        if (suspect.lastTrialRouter() == null || suspect.lastTrialRouter().equals(own)) {
-            return Long.MIN_VALUE;
+        long unsettledMillis = suspect.learnedMillis() + SETTLE_MILLIS - nowMillis;
+        if (causeFinder.mayBeCause(suspect) && unsettledMillis > 0) {
+            return SuspectDecision.settle(unsettledMillis);
         }
-        int slot = Math.floorMod(own.hashCode() * 31 + suspect.request().hashCode(), TRIAL_SLOTS);
-        return suspect.lastTrialEndMillis() + RECHECK_MILLIS * (1 + slot);
+        return trials.holdOrTry(suspect, trials.nextTrialMillis(suspect), nextCrashDecides, nowMillis);
     }
 
-    /** Returns the upstreams at which trials of other suspected requests are in flight. */
-    private Set<UpstreamId> upstreamsOfOtherTrials(Suspect suspect, long nowMillis) {
-        Set<UpstreamId> upstreams = new HashSet<>();
-        for (Suspect other : suspects.values()) {
-            if (other != suspect) {
-                other.trials(nowMillis).values().forEach(trial -> upstreams.add(trial.upstream()));
-            }
-        }
-        return upstreams;
+    /**
+     * Decides how to handle a request that is about to be sent, by the traits that it shares with others.
+     *
+     * @param traits all shared traits of the request
+     * @param nowMillis the time
+     * @return the strictest decision about any of them
+     */
+    public SuspectDecision decideShared(Collection<? extends SharedTrait> traits, long nowMillis) {
+        return sharedTraits.decide(traits, nowMillis);
     }
 
     /**
@@ -211,7 +176,7 @@
      * @return whether it is refused
      */
     public boolean isRefused(RequestDigest request, long nowMillis) {
-        Suspect suspect = suspects.get(request);
+        Suspect suspect = records.find(request);
         if (suspect == null) {
             return false;
         }
@@ -221,6 +186,28 @@
         return suspect.isCause() && nowMillis - suspect.lastCrashMillis() < REFUSED_MILLIS;
     }
 
+    /**
+     * Tells whether a request is refused for a trait that it shares with others. Identifies the causes of crashes first
+     * if that is possible by now.
+     *
+     * @param traits all shared traits of the request
+     * @param nowMillis the time
+     * @return the trait that causes the refusal, or {@code null}
+     */
+    public SharedTrait refusedTrait(Collection<? extends SharedTrait> traits, long nowMillis) {
+        return sharedTraits.refusedTrait(traits, nowMillis);
+    }
+
+    /**
+     * Identifies the shared traits that are the cause of crashes by now. Called once the reports about a crash have
+     * arrived, as later crashes for other reasons would make the cause less clear.
+     *
+     * @param nowMillis the time
+     */
+    public void identifySharedCauses(long nowMillis) {
+        sharedTraits.identifyCauses(nowMillis);
+    }
+
     /** Identifies the causes of a request's crashes, starting with the one that accounts for most of them. */
     private void identifyCauses(Suspect suspect, long nowMillis) {
         while (!suspect.isCause() && causeFinder.mayBeCause(suspect)) {
@@ -229,43 +216,50 @@
                 return;
             }
             found.markCause();
-            onCauseFound.accept(describe(found, nowMillis));
+            onCauseFound.accept(found.describe(nowMillis));
         }
     }
 
     /**
-     * Tells whether any crash counts against a request.
+     * Tells whether enough crashes count against a request or shared trait: one against a request.
      *
-     * @param request the request
-     * @return whether its repeats are sent as trials, one at a time
+     * @param trait the request or shared trait
+     * @return whether requests with it are sent as trials, one at a time
      */
-    public boolean isSuspected(RequestDigest request) {
-        Suspect suspect = suspects.get(request);
-        return suspect != null
-                && (suspect.isCause() || !causeFinder.countedCrashes(suspect).isEmpty());
+    public boolean isSuspected(RequestTrait trait) {
+        Suspect suspect = records.find(trait);
+        if (suspect == null || suspect.isCause()) {
+            return suspect != null;
+        }
+        return trait.isShared()
+                ? sharedTraits.isSuspected(suspect)
+                : !causeFinder.countedCrashes(suspect).isEmpty();
     }
 
     /**
-     * Tells whether a request has enough crashes that the cause has to be identified.
+     * Tells whether a request or shared trait has enough crashes that the cause has to be identified.
      *
-     * @param request the request
+     * @param trait the request or shared trait
      * @return whether it may be the cause
      */
-    public boolean mayBeCause(RequestDigest request) {
-        Suspect suspect = suspects.get(request);
-        return suspect != null && !suspect.isCause() && causeFinder.mayBeCause(suspect);
+    public boolean mayBeCause(RequestTrait trait) {
+        Suspect suspect = records.find(trait);
+        if (suspect == null || suspect.isCause()) {
+            return false;
+        }
+        return trait.isShared() ? sharedTraits.mayBeCause(suspect) : causeFinder.mayBeCause(suspect);
     }
 
     /**
      * Records that a router started a trial of a suspected request.
      *
-     * @param request the request
+     * @param trait the request, or the shared trait for which it is tried
      * @param router the router process
      * @param upstream the upstream that runs the trial
      * @param endMillis time at which the trial times out
      */
-    public void trialStarted(RequestDigest request, ProcessId router, UpstreamId upstream, long endMillis) {
-        Suspect suspect = suspects.get(request);
+    public void trialStarted(RequestTrait trait, ProcessId router, UpstreamId upstream, long endMillis) {
+        Suspect suspect = records.find(trait);
         if (suspect != null) {
             suspect.trialStarted(router, new Trial(upstream, endMillis));
         }
@@ -274,12 +268,12 @@
     /**
      * Records the end of a router's trial with any outcome.
      *
-     * @param request the request
+     * @param trait the request, or the shared trait for which it was tried
      * @param router the router process
      * @param nowMillis the time
      */
-    public void trialEnded(RequestDigest request, ProcessId router, long nowMillis) {
-        Suspect suspect = suspects.get(request);
+    public void trialEnded(RequestTrait trait, ProcessId router, long nowMillis) {
+        Suspect suspect = records.find(trait);
         if (suspect != null) {
             suspect.trialEnded(router, nowMillis);
         }
@@ -292,86 +286,80 @@
      * @param nowMillis the time
      */
     public void removeProcess(ProcessId router, long nowMillis) {
-        suspects.values().forEach(suspect -> suspect.trialEnded(router, nowMillis));
+        records.all().forEach(suspect -> suspect.trialEnded(router, nowMillis));
     }
 
     /**
-     * Removes requests without a crash within {@link #RETENTION_MILLIS}.
+     * Removes suspects without a crash within {@link #RETENTION_MILLIS}.
      *
      * @param nowMillis the time
      */
     public void expire(long nowMillis) {
-        List<RequestDigest> expired = new ArrayList<>();
-        for (Suspect suspect : suspects.values()) {
-            if (nowMillis - suspect.lastCrashMillis() >= RETENTION_MILLIS) {
-                expired.add(suspect.request());
-            }
-        }
-        expired.forEach(this::forget);
+        records.expire(nowMillis, RETENTION_MILLIS);
     }
 
     /**
-     * Lists suspected requests, those with the most crashes first.
+     * Lists suspected requests and shared traits, those with the most crashes first.
      *
-     * @param maxCount maximum number of requests
+     * @param maxCount maximum number of suspects
      * @param nowMillis the time
-     * @return the requests with their crashes
+     * @return the suspects with their crashes
      */
-    public List<SuspectedRequest> list(int maxCount, long nowMillis) {
-        return suspects.values().stream()
+    public List<SuspectedTrait> list(int maxCount, long nowMillis) {
+        return records.all().stream()
                 .sorted(Comparator.<Suspect>comparingInt(one -> -one.crashes().size())
                         .thenComparing(Comparator.comparingLong(Suspect::lastCrashMillis)
                                 .reversed()))
                 .limit(maxCount)
-                .map(suspect -> describe(suspect, nowMillis))
+                .map(suspect -> suspect.describe(nowMillis))
                 .toList();
     }
 
     /**
-     * Returns one suspected request.
+     * Returns one suspected request or shared trait.
      *
-     * @param request the request
+     * @param trait the request or shared trait
      * @param nowMillis the time
-     * @return the request with its crashes; {@code null} if it is not suspected
+     * @return the suspect with its crashes; {@code null} if it is not suspected
      */
-    public SuspectedRequest find(RequestDigest request, long nowMillis) {
-        Suspect suspect = suspects.get(request);
-        return suspect == null ? null : describe(suspect, nowMillis);
+    public SuspectedTrait find(RequestTrait trait, long nowMillis) {
+        Suspect suspect = records.find(trait);
+        return suspect == null ? null : suspect.describe(nowMillis);
     }
 
-    /** Returns a snapshot of a suspect. */
-    private static SuspectedRequest describe(Suspect suspect, long nowMillis) {
-        List<SuspectedRequest.ReportedCrash> crashes = new ArrayList<>();
-        suspect.crashes()
-                .forEach((upstream, crash) -> crashes.add(new SuspectedRequest.ReportedCrash(
-                        upstream, crash.answerStarted(), Math.max(0, nowMillis - crash.atMillis()))));
-        return new SuspectedRequest(suspect.request(), crashes, suspect.sinceMillis(), suspect.isCause());
+    /**
+     * Returns the number of suspected requests and shared traits.
+     *
+     * @return suspects
+     */
+    public int size() {
+        return records.all().size();
     }
 
     /**
-     * Returns the number of suspected requests.
+     * Returns the number of suspected shared traits.
      *
-     * @return requests
+     * @return traits
      */
-    public int size() {
-        return suspects.size();
+    public int sharedTraits() {
+        return records.sharedCount();
     }
 
     /**
-     * Returns the number of requests that were identified as causes.
+     * Returns the number of requests and shared traits that were identified as causes.
      *
-     * @return requests
+     * @return suspects
      */
     public int causes() {
-        return (int) suspects.values().stream().filter(Suspect::isCause).count();
+        return (int) records.all().stream().filter(Suspect::isCause).count();
     }
 
     /**
-     * Returns the number of requests that were evicted because the table was full.
+     * Returns the number of suspects that were evicted because the table was full.
      *
-     * @return number of requests since the router started
+     * @return number of suspects since the router started
      */
     public long dropped() {
-        return dropped;
+        return records.dropped();
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectedRequest.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectedTrait.java
@@ -6,14 +6,17 @@
 import org.apricotstack.core.id.UpstreamId;
 
 /**
- * A snapshot of a suspected request, for operators and other routers.
+ * A snapshot of a suspected request or shared trait, for operators and other routers.
  *
- * @param request digest of the request
- * @param crashes the crashes of upstreams at which it was in flight, in the order in which they were learned
+ * @param trait the digest of the request, or the shared trait
+ * @param crashes the crashes of upstreams at which a request with it was in flight, in the order in which they were
+ *     learned
  * @param sinceMillis time of the first crash
+ * @param servedBefore whether a request with the shared trait was served shortly before the first crash
  * @param cause whether it was identified as the cause
  */
-public record SuspectedRequest(RequestDigest request, List<ReportedCrash> crashes, long sinceMillis, boolean cause) {
+public record SuspectedTrait(
+        RequestTrait trait, List<ReportedCrash> crashes, long sinceMillis, boolean servedBefore, boolean cause) {
 
     /**
      * A crash of an upstream at which a request was in flight.
@@ -25,7 +28,7 @@
     public record ReportedCrash(UpstreamId upstream, boolean answerStarted, long ageMillis) {}
 
     /** Creates a snapshot with a copy of the list. */
-    public SuspectedRequest {
+    public SuspectedTrait {
         crashes = List.copyOf(crashes);
     }
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/UpstreamCrashes.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/UpstreamCrashes.java
@@ -4,11 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 
 /**
- * The times at which upstreams crashed, and the requests that were in flight there.
+ * The times at which upstreams crashed, and the traits of the requests that were in flight there.
  *
  * <p>A power failure of a rack or a faulty release takes down several upstreams at the same time. A request that was
  * not sent to all of them cannot be the cause.
@@ -39,22 +41,35 @@
      * The crash of one incarnation of an upstream.
      *
      * @param atMillis time of the crash
-     * @param requests requests that were in flight there
+     * @param traits traits of the requests that were in flight there
+     * @param services services of the shared traits; one, unless reports contradict each other
      */
-    private record CrashedUpstream(long atMillis, Set<RequestDigest> requests) {}
+    private record CrashedUpstream(long atMillis, Set<RequestTrait> traits, Set<ServiceId> services) {}
 
-    /** Records a request that was in flight at a crashed upstream. */
-    void record(UpstreamId upstream, RequestDigest request, long atMillis) {
-        crashes.computeIfAbsent(upstream, id -> new CrashedUpstream(atMillis, new HashSet<>()))
-                .requests()
-                .add(request);
+    /** Records a trait of a request that was in flight at a crashed upstream. */
+    void record(UpstreamId upstream, RequestTrait trait, long atMillis) {
+        CrashedUpstream crashed = crashes.computeIfAbsent(
+                upstream, id -> new CrashedUpstream(atMillis, new HashSet<>(), new HashSet<>()));
+        crashed.traits().add(trait);
+        if (trait instanceof SharedTrait shared) {
+            crashed.services().add(shared.service());
+        }
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
         }
     }
 
-    /** Tells whether an upstream crashed at the same time as others at which a request was not in flight. */
-    boolean crashedWithOthers(UpstreamId upstream, RequestDigest request) {
+    /** Returns the upstreams of a service that crashed at or after a time with shared traits in flight. */
+    Set<UpstreamId> ofService(ServiceId service, long sinceMillis) {
+        return crashes.entrySet().stream()
+                .filter(crash -> crash.getValue().atMillis() >= sinceMillis)
+                .filter(crash -> crash.getValue().services().contains(service))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    /** Tells whether an upstream crashed at the same time as others at which no request with a trait was in flight. */
+    boolean crashedWithOthers(UpstreamId upstream, RequestTrait trait) {
         CrashedUpstream crashed = crashes.get(upstream);
         if (crashed == null) {
             return false;
@@ -62,7 +77,7 @@
         int others = 0;
         for (CrashedUpstream other : crashes.values()) {
             boolean together = Math.abs(other.atMillis() - crashed.atMillis()) <= SIMULTANEOUS_MILLIS;
-            if (together && !other.requests().contains(request)) {
+            if (together && !other.traits().contains(trait)) {
                 others++;
             }
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SuspectSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SuspectSimulation.java
@@ -184,10 +184,10 @@
             if (other == this || isPartitioned(this, other)) {
                 return;
             }
-            for (SuspectedRequest one : table.list(64, now())) {
+            for (SuspectedTrait one : table.list(64, now())) {
                 one.crashes()
-                        .forEach(crash ->
-                                other.receiveCrash(one.request(), crash.upstream(), crash.answerStarted(), null));
+                        .forEach(crash -> other.receiveCrash(
+                                (RequestDigest) one.trait(), crash.upstream(), crash.answerStarted(), null));
             }
         }
 
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SuspectTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SuspectTableTest.java
@@ -23,7 +23,7 @@
     /** Time between two unrelated crashes, in milliseconds. */
     private static final long UNRELATED_MILLIS = 1_000;
 
-    private final List<SuspectedRequest> found = new ArrayList<>();
+    private final List<SuspectedTrait> found = new ArrayList<>();
     private final SuspectTable table = new SuspectTable(OWN, found::add);
     private long now = 10_000;
 
@@ -120,7 +120,7 @@
         crashUnrelated(1, 1, CAUSE);
         crashUnrelated(2, 4, CAUSE, OTHER);
         assertThat(decideSettled(OTHER)).isEqualTo(Action.SEND);
-        assertThat(found).extracting(SuspectedRequest::request).containsExactly(CAUSE);
+        assertThat(found).extracting(SuspectedTrait::trait).containsExactly(CAUSE);
         assertThat(decide(CAUSE)).isEqualTo(Action.REFUSE);
     }
 
@@ -215,7 +215,7 @@
         assertThat(decide(CAUSE)).isEqualTo(Action.HOLD);
         table.trialEnded(CAUSE, PEER, now);
         assertThat(decide(CAUSE)).isEqualTo(Action.HOLD);
-        now += 9 * SuspectTable.RECHECK_MILLIS;
+        now += 9 * TrialSchedule.RECHECK_MILLIS;
         assertThat(decide(CAUSE)).isEqualTo(Action.TRY);
     }
 
@@ -229,7 +229,7 @@
         now += UNRELATED_MILLIS;
         table.upstreamCrashed(CAUSE, new ObservedCrash(upstream(1), false, now), PEER, now);
         assertThat(decide(CAUSE)).isEqualTo(Action.HOLD);
-        now += 9 * SuspectTable.RECHECK_MILLIS;
+        now += 9 * TrialSchedule.RECHECK_MILLIS;
         assertThat(decide(CAUSE)).isEqualTo(Action.TRY);
     }
 
@@ -250,7 +250,7 @@
         assertThat(decide(CAUSE)).isEqualTo(Action.TRY);
         table.trialStarted(CAUSE, PEER, upstream(2), now + 5_000);
         table.removeProcess(PEER, now);
-        now += 9 * SuspectTable.RECHECK_MILLIS;
+        now += 9 * TrialSchedule.RECHECK_MILLIS;
         assertThat(decide(CAUSE)).isEqualTo(Action.TRY);
     }
 
@@ -289,14 +289,14 @@
         crashUnrelated(1, 3, CAUSE);
         assertThat(decideSettled(CAUSE)).isEqualTo(Action.REFUSE);
         crashUnrelated(4, 5, OTHER);
-        int flood = 3 * SuspectTable.MAX_SUSPECTS;
+        int flood = 3 * SuspectRecords.MAX_SUSPECTS;
         for (int i = 0; i < flood; i++) {
             now++;
             table.upstreamCrashed(
                     new RequestDigest(100 + i, i), new ObservedCrash(upstream(100 + i), false, now), OWN, now);
         }
-        assertThat(table.size()).isEqualTo(SuspectTable.MAX_SUSPECTS);
-        assertThat(table.dropped()).isEqualTo(flood - SuspectTable.MAX_SUSPECTS + 2);
+        assertThat(table.size()).isEqualTo(SuspectRecords.MAX_SUSPECTS);
+        assertThat(table.dropped()).isEqualTo(flood - SuspectRecords.MAX_SUSPECTS + 2);
         assertThat(decide(CAUSE)).isEqualTo(Action.REFUSE);
         assertThat(table.find(OTHER, now).crashes()).hasSize(2);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -219,6 +219,7 @@
         metrics.gauge("upstreams.connections_opened", connections::opened);
         metrics.gauge("retries.slack_share", () -> (long) retrySlackShare());
         metrics.gauge("suspects.known", suspects::size);
+        metrics.gauge("suspects.parts", suspects::sharedTraits);
         metrics.gauge("suspects.causes", suspects::causes);
         metrics.gauge("suspects.dropped", suspects::dropped);
         metrics.gauge("drains.in_force", () -> upstreams.drains().all().size());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipGauges.java
@@ -19,6 +19,7 @@
         metrics.gauge("placements.heard", hub::placementsReceived);
         metrics.gauge("suspects.ends_heard", hub.suspects()::received);
         metrics.gauge("suspects.news_dropped", hub.suspects()::dropped);
+        metrics.gauge("suspects.parts_dropped", hub.suspects()::partsDropped);
         metrics.gauge("limits.kept", hub.limits()::kept);
         metrics.gauge("limits.questions_unanswered", hub.limits()::unanswered);
         metrics.gauge("limits.news_dropped", hub.limits()::dropped);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -36,6 +36,16 @@
                 keepAliveMillis(head.headers()));
     }
 
+    /**
+     * Returns whether the end of a response is marked; otherwise the end of its connection is its end.
+     *
+     * @param head status and headers
+     * @return whether the response has a length or consists of chunks
+     */
+    public static boolean isFramed(HttpResponse head) {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     /**
      * Returns how long the server keeps an idle connection open.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.apricotstack.core.id.Address;
@@ -130,7 +129,7 @@
         }
         ResponseHead read = call.protocol().read(head);
         skippingLateResponse = !call.isAnsweredBy(read);
-        framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        framed = PlainProtocol.isFramed(head);
         if (skippingLateResponse) {
             notReusable = true;
             call.listener().lateResponse(read);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -39,7 +39,9 @@
     MAY_HAVE_RUN,
     /** Upstreams crash whenever they run the request; another attempt would only crash another one. */
     ENDS_UPSTREAMS,
-    /** An upstream crashed under the same request, which is on trial for another caller or attempt. */
+    /** Upstreams crash whenever they run a request with one of its prompt parts. */
+    PART_ENDS_UPSTREAMS,
+    /** Upstreams crashed under the same request or prompt part, which is on trial for another caller or attempt. */
     REPEAT_IN_TRIAL;
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -16,7 +16,7 @@
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerExchange;
 import org.apricotstack.serving.http.CallerHandler;
@@ -114,7 +114,7 @@
         return switch (cause) {
             case NO_ROUTE -> HttpResponseStatus.NOT_FOUND;
             case UNKNOWN_KEY -> HttpResponseStatus.UNAUTHORIZED;
-            case ENDS_UPSTREAMS -> HttpResponseStatus.BAD_GATEWAY;
+            case ENDS_UPSTREAMS, PART_ENDS_UPSTREAMS -> HttpResponseStatus.BAD_GATEWAY;
             case TIME_LIMIT -> mayHaveRun ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.SERVICE_UNAVAILABLE;
             default -> mayHaveRun ? HttpResponseStatus.BAD_GATEWAY : HttpResponseStatus.SERVICE_UNAVAILABLE;
         };
@@ -164,17 +164,17 @@
     }
 
     /**
-     * Processes another router's report that an upstream crashed with a request in flight.
+     * Processes another router's report that an upstream crashed with a request or prompt part in flight.
      *
-     * @param request the request
+     * @param trait the request or prompt part
      */
-    public void upstreamCrashReported(RequestDigest request) {
-        gate.suspicionChanged(request);
+    public void upstreamCrashReported(RequestTrait trait) {
+        gate.suspicionChanged(trait);
     }
 
-    /** Re-evaluates all attempts of a request after its suspicion changed. */
-    private void recheckSuspicion(RequestDigest request) {
-        List.copyOf(running).forEach(run -> run.recheckSuspicion(request));
+    /** Re-evaluates all attempts of a request, or with a prompt part, after its suspicion changed. */
+    private void recheckSuspicion(RequestTrait trait) {
+        List.copyOf(running).forEach(run -> run.recheckSuspicion(trait));
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -1,15 +1,19 @@
 package org.apricotstack.serving.run;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.core.engine.PromptAdmission;
 import org.apricotstack.core.engine.PromptRequest;
 import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.PromptPartId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServiceProfile;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.suspect.PromptPart;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.serving.http.CallerRequest;
 import org.apricotstack.serving.http.ForwardingParameters;
@@ -39,6 +43,9 @@
     /** Least urgent priority that upstreams support. */
     private static final int LAST_PRIORITY = 9;
 
+    /** Maximum number of prompt parts of one request that may be suspected. */
+    private static final int MAX_PROMPT_PARTS = 64;
+
     /** Collects the facts of a request that just arrived. */
     static RequestFacts of(
             CallerRequest request,
@@ -141,6 +148,19 @@
                 head().method().name(), request.host(), request.target(), clientAccountId(), bodyBytes);
     }
 
+    /**
+     * Returns the parts that the prompt may share with others: all but the last one, which belongs to the request or
+     * its session. Only the first ones of a very long list are returned.
+     */
+    List<PromptPart> sharedPromptParts() {
+        List<PromptPartId> all = request.promptParts();
+        return all.stream()
+                .limit(Math.max(0, Math.min(MAX_PROMPT_PARTS, all.size() - 1)))
+                .distinct()
+                .map(id -> new PromptPart(service, id))
+                .toList();
+    }
+
     /** Returns the priority of the request; that of the account overrides that of the route. */
     private int priority() {
         int rank = account != null && account.priority() >= 0 ? account.priority() : route.priority();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -8,11 +8,13 @@
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.PassedOverCause;
 import org.apricotstack.serving.observe.RefusalCause;
+import org.apricotstack.serving.observe.SuspectFields;
 
 /** Logs and counts the events of one request, with the figures that its decisions were based on. */
 final class RequestLog {
@@ -67,10 +69,10 @@
                 .write();
     }
 
-    /** Logs that the request waits because an identical, suspected request is in trial elsewhere. */
-    void waitingForTrial(RequestDigest digest, long nowMillis) {
+    /** Logs that the request waits because it, or another one with a suspected prompt part, is in trial elsewhere. */
+    void waitingForTrial(RequestTrait suspected, long nowMillis) {
         line("held")
-                .put("content", digest.toString())
+                .put(SuspectFields.name(suspected), suspected.toString())
                 .put("left_millis", facts.remainingMillis(nowMillis))
                 .write();
     }
@@ -205,13 +207,15 @@
 
     /**
      * Logs a request that ends without a response of an upstream. Status 0 means that a started response is aborted;
-     * the digest identifies a request that is refused as suspected.
+     * a request that is refused as suspected is logged with what is suspected.
      */
-    void refused(RefusalCause cause, int status, long retryMillis, RequestDigest digest, long nowMillis) {
+    void refused(RefusalCause cause, int status, long retryMillis, RequestTrait suspected, long nowMillis) {
         context.metrics().refused(cause);
-        line("refused")
-                .put("content", digest == null ? null : digest.toString())
-                .put("cause", cause.code())
+        DecisionLog.Line line = line("refused");
+        if (suspected != null) {
+            line.put(SuspectFields.name(suspected), suspected.toString());
+        }
+        line.put("cause", cause.code())
                 .put("status", status)
                 .put("attempts", attempts.sent())
                 .put("may_have_run", attempts.mayHaveRun())
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -8,7 +8,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.retry.FleetRetryBudget;
-import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.http.CallerExchange;
 import org.apricotstack.serving.http.CallerRequestListener;
@@ -136,9 +136,8 @@
         }
         chooser.failed(responsible, kind);
         if (gate.mayHaveCrashed(attempt.upstream(), kind)) {
-            RequestDigest digest = suspectTracker.digest();
-            gate.attemptInterrupted(attempt.upstream(), digest, attempt.answerStarted(), crashed -> {
-                log.attemptInterrupted(attempt, digest, crashed);
+            gate.attemptInterrupted(attempt.upstream(), suspectTracker, attempt.answerStarted(), crashed -> {
+                log.attemptInterrupted(attempt, suspectTracker.digest(), crashed);
                 retryOrRefuse(attempt, kind, isUncounted);
             });
         } else {
@@ -199,32 +198,44 @@
     }
 
     /**
-     * Re-evaluates the current attempt after more became known about a request that was in flight when upstreams
-     * crashed. If this run has that request and the upstream has not started to respond, the attempt is withdrawn: the
-     * request is refused, or retried once no other router has it in trial. A request that may not be retried continues,
-     * and identical ones wait for it.
+     * Re-evaluates the current attempt after more became known about a request or prompt part that was in flight when
+     * upstreams crashed. If the upstream has not started to respond, the attempt is withdrawn: the request is refused,
+     * or retried once no other router has the same one in trial. One that may not be retried continues.
      */
-    void recheckSuspicion(RequestDigest request) {
+    void recheckSuspicion(RequestTrait trait) {
         Attempt attempt = sender.current();
-        if (finished || attempt == null || attempt.answerStarted() || !suspectTracker.matches(request)) {
+        if (finished || attempt == null || attempt.answerStarted() || !suspectTracker.matches(trait)) {
             return;
         }
-        if (suspectTracker.isRefused()) {
+        RefusalCause refusal = suspectTracker.refusal();
+        if (refusal != null) {
             attempts.endedInFlight();
-            endWithRefusal(RefusalCause.ENDS_UPSTREAMS);
-        } else if (suspectTracker.isSentBeforeSuspected()
-                && facts.route().idempotent()
-                && mayRetry(FailureKind.WITHDRAWN)) {
+            endWithRefusal(refusal);
+        } else if (!trait.isShared()) {
+            withdrawOrTry(attempt);
+        }
+    }
+
+    /** Withdraws the attempt of a request that was suspected after it was sent, or makes identical ones wait for it. */
+    private void withdrawOrTry(Attempt attempt) {
+        if (!suspectTracker.isSentBeforeSuspected()) {
+            return;
+        }
+        if (facts.route().idempotent() && mayRetry(FailureKind.WITHDRAWN)) {
             attempt.cancel();
             attemptFailed(attempt, FailureKind.WITHDRAWN);
-        } else if (suspectTracker.isSentBeforeSuspected()) {
+        } else {
             suspectTracker.trialStarted(attempt.upstream().id(), facts.remainingMillis(context.nowMillis()));
         }
     }
 
     /** Processes the head of a response, whatever follows. */
     void answerHeadReceived(Attempt attempt, ResponseHead answer) {
-        applyNotice(attempt, answer, attempt.startMillis());
+        gates.answered(
+                attempt.upstream().id(),
+                answer,
+                attempt.startMillis(),
+                facts.request().id());
     }
 
     /**
@@ -232,18 +243,8 @@
      * not end one.
      */
     void lateAnswerReceived(Attempt attempt, ResponseHead answer) {
-        applyNotice(attempt, answer, Long.MIN_VALUE);
-    }
-
-    /** Applies the notice of an upstream, unless another instance at its address sent it. */
-    private void applyNotice(Attempt attempt, ResponseHead answer, long sentMillis) {
-        if (!answer.wrongInstance()) {
-            gates.answered(
-                    attempt.upstream().id(),
-                    answer.notice(),
-                    sentMillis,
-                    facts.request().id());
-        }
+        gates.answered(
+                attempt.upstream().id(), answer, Long.MIN_VALUE, facts.request().id());
     }
 
     /** Processes a complete response, or an upstream's error that is forwarded unchanged. */
@@ -264,7 +265,7 @@
         long now = context.nowMillis();
         context.metrics().firstAnswer(facts.route().kind(), now - facts.arrivedMillis());
         exchange.answer(raw.status(), PlainProtocol.withoutHopByHop(raw.headers()), answer);
-        finish("answered", attempt, raw.status().code());
+        finish("answered", attempt, raw, success);
     }
 
     /** Processes an event of a stream and forwards it unless it is a duplicate. */
@@ -303,17 +304,17 @@
             exchange.begin(raw.status(), PlainProtocol.withoutHopByHop(raw.headers()));
         }
         exchange.complete();
-        finish("streamed", attempt, raw.status().code());
+        finish("streamed", attempt, raw, true);
     }
 
     /** Ends the run with the response of an upstream. */
-    private void finish(String event, Attempt attempt, int status) {
+    private void finish(String event, Attempt attempt, HttpResponse raw, boolean success) {
         long now = context.nowMillis();
-        log.answered(event, attempt, status, now);
+        log.answered(event, attempt, raw.status().code(), now);
         if (attempts.sent() == 1) {
             context.stop().completed(facts, attempt.choice().predictedMillis(), attempt.startMillis(), now);
         }
-        suspectTracker.served();
+        suspectTracker.answered(success && PlainProtocol.isFramed(raw));
         sender.end(attempt);
         close();
     }
@@ -356,7 +357,7 @@
         int status = answerStarted
                 ? 0
                 : RequestDispatcher.status(cause, attempts.mayHaveRun()).code();
-        log.refused(cause, status, retryMillis, suspectTracker.digestIfSuspected(cause), now);
+        log.refused(cause, status, retryMillis, suspectTracker.suspectedTrait(cause), now);
         sender.cancel();
         close();
         if (answerStarted) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -176,11 +176,11 @@
      */
     private void holdOrRefuse(SuspectDecision decision, long now) {
         if (decision.action() == SuspectDecision.Action.REFUSE) {
-            run.endWithRefusal(RefusalCause.ENDS_UPSTREAMS);
+            run.endWithRefusal(suspectTracker.refusal());
         } else if (decision.action() == SuspectDecision.Action.SETTLE || facts.mayWaitForTrial(now)) {
             if (!waitsForTrial) {
                 waitsForTrial = true;
-                log.waitingForTrial(suspectTracker.digest(), now);
+                log.waitingForTrial(suspectTracker.suspectedTrait(RefusalCause.REPEAT_IN_TRIAL), now);
             }
             retryLater(decision.holdMillis());
         } else {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
@@ -1,22 +1,30 @@
 package org.apricotstack.serving.run;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.suspect.ObservedCrash;
+import org.apricotstack.core.suspect.PromptPart;
 import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.RequestTrait;
+import org.apricotstack.core.suspect.SharedTrait;
 import org.apricotstack.core.suspect.SuspectDecision;
 import org.apricotstack.core.suspect.SuspectTable;
-import org.apricotstack.core.suspect.SuspectedRequest;
+import org.apricotstack.core.suspect.SuspectedTrait;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.observe.SuspectFields;
 
 /**
- * Prevents requests that crash upstreams from crashing more of them; see {@link SuspectTable}.
+ * Prevents requests and prompt parts that crash upstreams from crashing more of them; see {@link SuspectTable}.
  *
  * <p>All attempts that were interrupted at an upstream are evaluated together once it is known whether the upstream
  * crashed. Otherwise the first one would be evaluated without the others, which may be the cause.
@@ -35,25 +43,27 @@
      */
     private static final long CRASH_RECHECK_MILLIS = 100;
 
-    /** Number of crashes with a request in flight from which on standby routers receive the reports too. */
+    /** Number of crashes with a request or part in flight from which on standby routers receive the reports too. */
     private static final int MIN_CRASHES_TO_BROADCAST = 3;
 
     private final ServingContext context;
     private final CrashCheck crashCheck;
-    private final Consumer<RequestDigest> onSuspicionChanged;
+    private final Consumer<RequestTrait> onSuspicionChanged;
     private final Map<UpstreamId, List<InterruptedAttempt>> waiting = new HashMap<>();
 
     /**
      * An interrupted attempt that waits for the crash check of its upstream.
      *
      * @param request digest of the request
+     * @param parts prompt parts that the request may share with others
      * @param answerStarted whether a part of the response had arrived
      * @param then called with whether the upstream crashed
      */
-    private record InterruptedAttempt(RequestDigest request, boolean answerStarted, Consumer<Boolean> then) {}
+    private record InterruptedAttempt(
+            RequestDigest request, List<PromptPart> parts, boolean answerStarted, Consumer<Boolean> then) {}
 
-    /** Creates a gate; the callback receives each request that becomes suspected or whose suspicion changes. */
-    SuspectGate(ServingContext context, Consumer<RequestDigest> onSuspicionChanged) {
+    /** Creates a gate; the callback receives each request or part whose suspicion changes. */
+    SuspectGate(ServingContext context, Consumer<RequestTrait> onSuspicionChanged) {
         this.context = context;
         this.crashCheck = new CrashCheck(context);
         this.onSuspicionChanged = onSuspicionChanged;
@@ -71,8 +81,8 @@
 
     /** Checks whether the upstream of an interrupted attempt crashed, then continues the attempt's run. */
     void attemptInterrupted(
-            UpstreamEntry upstream, RequestDigest request, boolean answerStarted, Consumer<Boolean> then) {
-        InterruptedAttempt attempt = new InterruptedAttempt(request, answerStarted, then);
+            UpstreamEntry upstream, SuspectTracker tracker, boolean answerStarted, Consumer<Boolean> then) {
+        InterruptedAttempt attempt = new InterruptedAttempt(tracker.digest(), tracker.parts(), answerStarted, then);
         List<InterruptedAttempt> others = waiting.get(upstream.id());
         if (others != null) {
             others.add(attempt);
@@ -105,59 +115,79 @@
 
     /** Records the crash of an upstream and reports it to the other routers. */
     private void recordCrash(UpstreamId upstream, List<InterruptedAttempt> all) {
-        long now = context.nowMillis();
         List<RequestDigest> requests = new ArrayList<>();
         List<RequestDigest> answerStarted = new ArrayList<>();
-        boolean repeated = false;
+        Set<PromptPart> parts = new LinkedHashSet<>();
         for (InterruptedAttempt attempt : all) {
-            ObservedCrash crash = new ObservedCrash(upstream, attempt.answerStarted(), now);
-            if (context.suspects().upstreamCrashed(attempt.request(), crash, context.process(), now)) {
+            if (recordCrash(upstream, attempt.request(), attempt.answerStarted())) {
                 (attempt.answerStarted() ? answerStarted : requests).add(attempt.request());
-                repeated |= context.suspects()
-                                .find(attempt.request(), now)
-                                .crashes()
-                                .size()
-                        > 1;
             }
+            parts.addAll(attempt.parts());
         }
-        if (requests.isEmpty() && answerStarted.isEmpty()) {
+        parts.removeIf(part -> !recordCrash(upstream, part, false));
+        CrashReport crash = new CrashReport(upstream, requests, answerStarted, List.copyOf(parts));
+        if (crash.isEmpty()) {
             return;
         }
-        context.suspectGossip().upstreamCrashed(upstream, requests, answerStarted, repeated);
+        boolean repeated = Stream.of(requests, answerStarted, parts)
+                .flatMap(Collection::stream)
+                .anyMatch(trait -> crashes(trait) > 1);
+        context.suspectGossip().upstreamCrashed(crash, repeated);
         requests.forEach(this::reportSuspected);
         answerStarted.forEach(this::reportSuspected);
+        parts.stream().filter(part -> crashes(part) > 1).forEach(this::reportSuspected);
     }
 
-    /**
-     * Logs the suspicion of a request after a crash that this router observed, and broadcasts it after several crashes.
-     */
-    private void reportSuspected(RequestDigest request) {
-        SuspectedRequest suspect = context.suspects().find(request, context.nowMillis());
+    /** Records the crash of an upstream with a request or part in flight; returns whether it is new. */
+    private boolean recordCrash(UpstreamId upstream, RequestTrait trait, boolean answerStarted) {
+        long now = context.nowMillis();
+        ObservedCrash crash = new ObservedCrash(upstream, answerStarted, now);
+        return context.suspects().upstreamCrashed(trait, crash, context.process(), now);
+    }
+
+    /** Returns the number of crashes with a request or part in flight. */
+    private int crashes(RequestTrait trait) {
+        SuspectedTrait suspect = context.suspects().find(trait, context.nowMillis());
+        return suspect == null ? 0 : suspect.crashes().size();
+    }
+
+    /** Logs a suspicion after a crash that this router observed, and broadcasts it after several crashes. */
+    private void reportSuspected(RequestTrait trait) {
+        SuspectedTrait suspect = context.suspects().find(trait, context.nowMillis());
         context.log()
                 .line("suspected")
-                .put("content", request.toString())
+                .put(SuspectFields.name(trait), trait.toString())
                 .put("ends", suspect.crashes().size())
                 .put("upstreams", suspect.upstreams())
                 .put("since_millis", context.nowMillis() - suspect.sinceMillis())
+                .put("served_before", suspect.servedBefore())
                 .write();
         if (suspect.crashes().size() >= MIN_CRASHES_TO_BROADCAST) {
             context.suspectGossip().broadcast(suspect);
         }
-        suspicionChanged(request);
+        suspicionChanged(trait);
     }
 
     /**
-     * Re-evaluates the attempts of a request whose suspicion changed, and again once the cause of the crash can be
-     * determined.
+     * Re-evaluates the attempts of requests whose suspicion changed, and again once the cause of the crash can be
+     * determined. Attempts that share a prompt part go on until it is known as the cause.
      */
-    void suspicionChanged(RequestDigest request) {
-        onSuspicionChanged.accept(request);
-        if (context.suspects().mayBeCause(request)) {
-            context.loop().schedule(REVIEW_MILLIS, () -> {
-                if (context.suspects().isRefused(request, context.nowMillis())) {
-                    onSuspicionChanged.accept(request);
-                }
-            });
+    void suspicionChanged(RequestTrait trait) {
+        if (!trait.isShared()) {
+            onSuspicionChanged.accept(trait);
+        }
+        if (context.suspects().mayBeCause(trait)) {
+            context.loop().schedule(REVIEW_MILLIS, () -> review(trait));
+        }
+    }
+
+    /** Determines the cause of the crashes, and re-evaluates the attempts in flight if they may be refused now. */
+    private void review(RequestTrait trait) {
+        long now = context.nowMillis();
+        context.suspects().identifySharedCauses(now);
+        if (trait.isShared()
+                || trait instanceof RequestDigest request && context.suspects().isRefused(request, now)) {
+            onSuspicionChanged.accept(trait);
         }
     }
 
@@ -171,9 +201,19 @@
         return context.suspects().isRefused(request, context.nowMillis());
     }
 
-    /** Returns whether crashes count against a request. */
-    boolean isSuspected(RequestDigest request) {
-        return context.suspects().isSuspected(request);
+    /** Decides whether a request with some prompt parts may be sent. */
+    SuspectDecision decideShared(List<PromptPart> parts) {
+        return context.suspects().decideShared(parts, context.nowMillis());
+    }
+
+    /** Returns the part for which a request is refused, or {@code null}. */
+    SharedTrait refusedTrait(List<PromptPart> parts) {
+        return context.suspects().refusedTrait(parts, context.nowMillis());
+    }
+
+    /** Returns whether crashes count against a request or part. */
+    boolean isSuspected(RequestTrait trait) {
+        return context.suspects().isSuspected(trait);
     }
 
     /** Returns whether a suspected request may have this head hash. */
@@ -181,28 +221,51 @@
         return context.suspects().mayContain(head);
     }
 
-    /** Returns whether no request is suspected. */
+    /** Returns whether nothing is suspected. */
     boolean isIdle() {
         return context.suspects().isEmpty();
     }
 
-    /** Records that the trial of a suspected request started. */
-    void trialStarted(RequestDigest request, UpstreamId upstream, long limitMillis) {
-        context.suspects().trialStarted(request, context.process(), upstream, context.nowMillis() + limitMillis);
-        context.suspectGossip().trialStarted(request, upstream, limitMillis);
+    /** Records that the trial of a suspected request or part started. */
+    void trialStarted(RequestTrait trait, UpstreamId upstream, long limitMillis) {
+        context.suspects().trialStarted(trait, context.process(), upstream, context.nowMillis() + limitMillis);
+        context.suspectGossip().trialStarted(trait, upstream, limitMillis);
+        context.log()
+                .line("trial")
+                .put(SuspectFields.name(trait), trait.toString())
+                .put("upstream", upstream.value())
+                .put("ends", crashes(trait))
+                .write();
     }
 
-    /** Records that the trial of a suspected request ended. */
-    void trialEnded(RequestDigest request) {
-        context.suspects().trialEnded(request, context.process(), context.nowMillis());
-        context.suspectGossip().trialEnded(request);
+    /** Records that the trial of a suspected request or part ended. */
+    void trialEnded(RequestTrait trait) {
+        context.suspects().trialEnded(trait, context.process(), context.nowMillis());
+        context.suspectGossip().trialEnded(trait);
     }
 
     /** Records that an upstream completed a request, which clears it of suspicion. */
     void served(RequestDigest request) {
         if (context.suspects().requestServed(request)) {
-            context.suspectGossip().served(request);
-            context.log().line("cleared").put("content", request.toString()).write();
+            reportCleared(request);
         }
     }
+
+    /** Records that an upstream served a request, which clears its prompt parts of suspicion. */
+    void served(List<PromptPart> parts) {
+        for (PromptPart part : parts) {
+            if (context.suspects().sharedTraitServed(part, context.nowMillis())) {
+                reportCleared(part);
+            }
+        }
+    }
+
+    /** Logs and reports that a request or part is no longer suspected. */
+    private void reportCleared(RequestTrait trait) {
+        context.suspectGossip().served(trait);
+        context.log()
+                .line("cleared")
+                .put(SuspectFields.name(trait), trait.toString())
+                .write();
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGossip.java
@@ -1,10 +1,8 @@
 package org.apricotstack.serving.run;
 
-import java.util.List;
-
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.suspect.RequestDigest;
-import org.apricotstack.core.suspect.SuspectedRequest;
+import org.apricotstack.core.suspect.RequestTrait;
+import org.apricotstack.core.suspect.SuspectedTrait;
 
 /** Reports requests that were in flight when upstreams crashed to the other routers. */
 public interface SuspectGossip {
@@ -12,41 +10,39 @@
     /**
      * Reports the crash of an upstream.
      *
-     * @param upstream the crashed incarnation
-     * @param requests requests in flight there without any part of a response
-     * @param answerStarted requests in flight there with a part of the response
-     * @param repeated whether other upstreams crashed before with one of these requests in flight
+     * @param crash what was in flight there
+     * @param repeated whether other upstreams crashed before with any of it in flight
      */
-    void upstreamCrashed(
-            UpstreamId upstream, List<RequestDigest> requests, List<RequestDigest> answerStarted, boolean repeated);
+    void upstreamCrashed(CrashReport crash, boolean repeated);
 
     /**
-     * Reports a suspected request to all routers, including standby routers, which callers may send it to.
+     * Reports a suspected request or prompt part to all routers, including standby routers, which callers may send it
+     * to.
      *
-     * @param suspect the suspected request
+     * @param suspect the suspected request or prompt part
      */
-    void broadcast(SuspectedRequest suspect);
+    void broadcast(SuspectedTrait suspect);
 
     /**
      * Reports the start of a suspected request's trial.
      *
-     * @param request the request
+     * @param trait the request, or the prompt part for which it is tried
      * @param upstream the upstream that runs the trial
      * @param limitMillis longest time that the trial may take, in milliseconds
      */
-    void trialStarted(RequestDigest request, UpstreamId upstream, long limitMillis);
+    void trialStarted(RequestTrait trait, UpstreamId upstream, long limitMillis);
 
     /**
      * Reports the end of a suspected request's trial.
      *
-     * @param request the request
+     * @param trait the request, or the prompt part for which it was tried
      */
-    void trialEnded(RequestDigest request);
+    void trialEnded(RequestTrait trait);
 
     /**
-     * Reports that a request is no longer suspected because an upstream completed it.
+     * Reports that a request or prompt part is no longer suspected because an upstream completed the request.
      *
-     * @param request the request
+     * @param trait the request or prompt part
      */
-    void served(RequestDigest request);
+    void served(RequestTrait trait);
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -3,6 +3,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.http.ResponseHead;
 import org.apricotstack.serving.observe.PassedOverCause;
 
 /**
@@ -86,6 +87,13 @@
         backOffs.answered(upstream, notice.backOff(), requestId);
     }
 
+    /** Processes the notice in the head of a response, unless another instance at the address sent it. */
+    void answered(UpstreamId upstream, ResponseHead answer, long sentMillis, String requestId) {
+        if (!answer.wrongInstance()) {
+            answered(upstream, answer.notice(), sentMillis, requestId);
+        }
+    }
+
     /** Removes the state of an incarnation that no longer runs. */
     void forget(UpstreamId upstream) {
         limits.forget(upstream);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/SuspectChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/SuspectChannelTest.java
@@ -18,6 +18,7 @@
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.serving.run.CrashReport;
 import org.apricotstack.wire.news.DocumentRequest;
 import org.apricotstack.wire.news.NewsFrame;
 import org.apricotstack.wire.news.NewsReply;
@@ -112,7 +113,8 @@
 
     @Test
     void reportsCrashesToAnotherRouter() {
-        onLoop(() -> channel.upstreamCrashed(UPSTREAM, List.of(REQUEST), List.of(new RequestDigest(3, 4)), false));
+        onLoop(() -> channel.upstreamCrashed(
+                new CrashReport(UPSTREAM, List.of(REQUEST), List.of(new RequestDigest(3, 4)), List.of()), false));
         onLoop(() -> channel.receive(reported.build(), PEER));
         assertThat(table.find(REQUEST, 0).crashes())
                 .singleElement()
@@ -125,7 +127,7 @@
 
     @Test
     void reportsTheAgeOfACrashToARouterThatMissedIt() {
-        onLoop(() -> channel.upstreamCrashed(UPSTREAM, List.of(REQUEST), List.of(), false));
+        onLoop(() -> channel.upstreamCrashed(new CrashReport(UPSTREAM, List.of(REQUEST), List.of(), List.of()), false));
         onLoop(() -> channel.receive(reported.build(), PEER));
         nowMillis = 90_000;
         NewsFrame.Builder all = NewsFrame.newBuilder();
@@ -146,14 +148,15 @@
             nowMillis += ATTACK_INTERVAL_MILLIS;
             RequestDigest request = new RequestDigest(i, i);
             UpstreamId upstream = new UpstreamId("upstream-" + i);
-            onLoop(() -> channel.upstreamCrashed(upstream, List.of(request), List.of(), false));
+            onLoop(() ->
+                    channel.upstreamCrashed(new CrashReport(upstream, List.of(request), List.of(), List.of()), false));
             onLoop(() -> channel.trialStarted(request, upstream, 1_000));
             onLoop(() -> channel.trialEnded(request));
             bytes += takeReported();
         }
         assertThat(bytes).isLessThan(CONTROL_BYTES_PER_SECOND * ATTACK_MILLIS / 1_000);
         assertThat(channel.dropped()).isGreaterThan(2 * crashes);
-        onLoop(() -> channel.upstreamCrashed(UPSTREAM, List.of(REQUEST), List.of(), true));
+        onLoop(() -> channel.upstreamCrashed(new CrashReport(UPSTREAM, List.of(REQUEST), List.of(), List.of()), true));
         assertThat(reported.getUpstreamEndedCount())
                 .as("a repeated end has an allowance of its own")
                 .isEqualTo(1);
