--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/SuspectChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/SuspectChannelTest.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.gossip;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -8,11 +9,16 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
+import org.apricotstack.core.id.PromptPartId;
+import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.RequestRate;
+import org.apricotstack.core.suspect.ObservedCrash;
+import org.apricotstack.core.suspect.PromptPart;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.suspect.SuspectTable;
+import org.apricotstack.core.suspect.SuspectedTrait;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -35,6 +41,8 @@
     private static final ProcessId OWN = new ProcessId(new HostId("own"), 1);
     private static final ProcessId PEER = new ProcessId(new HostId("peer"), 1);
     private static final UpstreamId UPSTREAM = new UpstreamId("upstream", 7);
+    private static final PromptPart PART = new PromptPart(new ServiceId("engines"), new PromptPartId(5));
+    private static final int MANY_PARTS = 300;
     private static final RequestDigest REQUEST = new RequestDigest(1, 2);
 
     /** Number of other active routers, as in a fleet of 95 of which a quarter are active. */
@@ -125,6 +133,44 @@
         assertThat(channel.received()).isEqualTo(2);
     }
 
+    @Test
+    void reportsPromptPartsWithTheirTrialsAndWhatServedThem() {
+        onLoop(() -> channel.upstreamCrashed(new CrashReport(UPSTREAM, List.of(), List.of(), List.of(PART)), false));
+        onLoop(() -> channel.receive(reported.build(), PEER));
+        assertThat(table.find(PART, 0).crashes())
+                .extracting(SuspectedTrait.ReportedCrash::upstream)
+                .containsExactly(UPSTREAM);
+        NewsFrame.Builder all = NewsFrame.newBuilder();
+        onLoop(() -> channel.addAll(all));
+        assertThat(all.getUpstreamEnded(0).getPartsList())
+                .containsExactly(PART.id().value());
+        takeReported();
+        onLoop(() -> channel.trialStarted(PART, UPSTREAM, 1_000));
+        onLoop(() -> channel.trialEnded(PART));
+        assertThat(SuspectMessages.trait(reported.getTrials(0))).isEqualTo(PART);
+        assertThat(SuspectMessages.part(reported.getPartTrialsEnded(0))).isEqualTo(PART);
+        onLoop(() -> channel.served(PART));
+        onLoop(() -> channel.receive(reported.build(), PEER));
+        assertThat(table.find(PART, 0)).isNull();
+    }
+
+    /** Guards against losing the report of the part that crashes upstreams among hundreds of others in flight. */
+    @Test
+    void reportsThePartsWithTheMostCrashesIfThereAreTooMany() {
+        table.upstreamCrashed(PART, new ObservedCrash(new UpstreamId("earlier"), false, 0), PEER, 0);
+        List<PromptPart> parts = new ArrayList<>();
+        for (int i = 0; i < MANY_PARTS; i++) {
+            parts.add(new PromptPart(PART.service(), new PromptPartId(1_000 + i)));
+        }
+        parts.add(PART);
+        onLoop(() -> channel.upstreamCrashed(new CrashReport(UPSTREAM, List.of(), List.of(), parts), true));
+        assertThat(reported.getUpstreamEnded(0).getPartsList())
+                .contains(PART.id().value())
+                .hasSizeLessThan(MANY_PARTS);
+        assertThat(channel.partsDropped())
+                .isEqualTo(parts.size() - reported.getUpstreamEnded(0).getPartsCount());
+    }
+
     @Test
     void reportsTheAgeOfACrashToARouterThatMissedIt() {
         onLoop(() -> channel.upstreamCrashed(new CrashReport(UPSTREAM, List.of(REQUEST), List.of(), List.of()), false));
