Give up responses without an end, and search each byte of a stream once

What callers saw: bytes that are no answer may come without end, in a head or a body. An event of 16 MB occupied the event loop of a router for 34 s, in which nobody else was served.

Cause: an event that does not end was kept whole, and each piece of it was searched again from its start; buffered responses of reports and of the platform had no largest size; informational heads and late responses were skipped without a count. Class: work on input that is bounded by nothing but its sender.

Change: an event has at most 256 KB and each byte of a stream is searched once; a buffered response has at most 4 MB; 32 heads and 4 MB of late responses are skipped for a request. Past a bound the connection is closed and the attempt fails as spoiled, so the upstream is judged by it and the request goes on elsewhere or ends truthfully. Comments of a stream are forwarded but are no progress. Status line, head, chunk lines and trailers were bounded by the decoder before.

Evidence: EndlessAnswersTest, 35 cases over loopback, each for a repeatable and an unsafe request, a stream or a buffered call, the first beside another request. On the code before it did not end within 200 s; it passes in 19 s. EventSplitterTest splits events at every byte.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -19,6 +19,9 @@
 /** HTTP calls with buffered responses, to the platform and to the control endpoints of upstreams. */
 public final class HttpCalls {
 
+    /** Largest body of a response, in bytes; a page of the platform's documents has about a megabyte. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     /** Parses only standard HTTP headers, as these responses have neither a request id nor a seal. */
     private static final UpstreamProtocol PLAIN = new PlainProtocol();
 
@@ -88,6 +91,7 @@
                 }
             });
             collector.timeout = timeout;
+            collector.call = call;
             sink.onCancel(call::cancel);
         });
     }
@@ -107,6 +111,7 @@
         private int status;
         private HttpHeaders headers;
         private ScheduledFuture<?> timeout;
+        private UpstreamCall call;
 
         /** Creates a collector. */
         private ResponseCollector(MonoSink<Response> sink, Address address, Consumer<HttpResponse> onHead) {
@@ -124,6 +129,11 @@
 
         @Override
         public void data(ByteBuf data) {
+            if (body.readableBytes() + data.readableBytes() > MAX_BODY_BYTES) {
+                call.cancel();
+                failed(FailureKind.SPOILED);
+                return;
+            }
             body.writeBytes(data);
         }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -22,6 +22,12 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+    /** Maximum number of heads before the one of the response: informational ones and those of late responses. */
+    private static final int MAX_SKIPPED_HEADS = 32;
+
+    /** Maximum size of the bodies of late responses that are skipped for one request, in bytes. */
+    private static final long MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
+
     private final UpstreamConnections pool;
     private final Address address;
     private final boolean relayed;
@@ -31,6 +37,8 @@
     private boolean skippingLateResponse;
     private boolean informational;
     private boolean framed;
+    private int skippedHeads;
+    private long skippedBytes;
     private boolean notReusable;
     private boolean broken;
     private ChannelFuture writeFuture;
@@ -80,6 +88,8 @@
         lastActiveMillis = pool.nowMillis();
         answer = null;
         skippingLateResponse = false;
+        skippedHeads = 0;
+        skippedBytes = 0;
         next.attachTo(this);
         context.write(next.head());
         writeFuture = context.writeAndFlush(new DefaultLastHttpContent(next.takeBody()));
@@ -125,6 +135,7 @@
         }
         informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational) {
+            headSkipped();
             return;
         }
         ResponseHead read = call.protocol().read(head);
@@ -133,6 +144,7 @@
         if (skippingLateResponse) {
             notReusable = true;
             call.listener().lateResponse(read);
+            headSkipped();
             return;
         }
         answer = read;
@@ -140,6 +152,14 @@
         call.listener().head(read, head);
     }
 
+    /** Counts a head that is not the one of the response; an upstream may send them without end. */
+    private void headSkipped() {
+        skippedHeads++;
+        if (skippedHeads > MAX_SKIPPED_HEADS) {
+            failAsSpoiled();
+        }
+    }
+
     /** Processes a chunk of a response body. */
     private void content(HttpContent content) {
         if (content.decoderResult().isFailure()) {
@@ -150,6 +170,10 @@
         if (informational || skippingLateResponse) {
             informational &= !last;
             skippingLateResponse &= !last;
+            skippedBytes += content.content().readableBytes();
+            if (skippedBytes > MAX_SKIPPED_BYTES) {
+                failAsSpoiled();
+            }
             return;
         }
         if (call == null || answer == null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -246,11 +246,16 @@
         }
         body.addComponent(true, data.retain());
         if (body.readableBytes() > MAX_BUFFERED_BYTES) {
-            cancel();
-            run.attemptFailed(this, FailureKind.SPOILED);
+            spoiled();
         }
     }
 
+    /** Cancels the call because its response is malformed or too large. */
+    final void spoiled() {
+        cancel();
+        run.attemptFailed(this, FailureKind.SPOILED);
+    }
+
     @Override
     public void end() {
         if (finished) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EventSplitter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EventSplitter.java
@@ -14,37 +14,63 @@
  */
 final class EventSplitter {
 
+    /** Largest event, in bytes; upstreams send events of some hundred bytes. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final byte NEWLINE = '\n';
     private static final byte RETURN = '\r';
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
+
+    private final ByteBuf held = Unpooled.buffer();
 
-    private ByteBuf held = Unpooled.buffer();
+    /** Number of held bytes that were searched for the end of an event. */
+    private int searchedBytes;
+
+    /** Number of held bytes before the line that is being searched. */
+    private int lineStart;
 
     /**
      * One event.
      *
      * @param bytes the event, including the empty line that ends it; the receiver releases it
      * @param id sequence number of the event; negative if it has none
+     * @param comment whether it consists of comments only, which keep a connection open but are no progress
      */
-    record Event(ByteBuf bytes, long id) {}
+    record Event(ByteBuf bytes, long id, boolean comment) {}
 
-    /** Adds bytes and passes each complete event to the consumer. */
-    void feed(ByteBuf data, Consumer<Event> events) {
+    /**
+     * Adds bytes and passes each complete event to the consumer.
+     *
+     * @return whether the rest may still become an event; {@code false} if it is too large
+     */
+    boolean feed(ByteBuf data, Consumer<Event> events) {
         held.writeBytes(data);
-        int begin = held.readerIndex();
-        int lineStart = begin;
-        for (int i = begin; i < held.writerIndex(); i++) {
-            if (held.getByte(i) != NEWLINE) {
-                continue;
-            }
-            boolean empty = i == lineStart || i == lineStart + 1 && held.getByte(lineStart) == RETURN;
-            lineStart = i + 1;
-            if (empty) {
-                ByteBuf event = held.readBytes(lineStart - held.readerIndex());
-                events.accept(new Event(event, idOf(event)));
+        while (searchedBytes < held.readableBytes()) {
+            if (byteAt(searchedBytes++) == NEWLINE) {
+                lineEnded(events);
             }
         }
         held.discardReadBytes();
+        return held.readableBytes() <= MAX_EVENT_BYTES;
+    }
+
+    /** Processes the end of a line, which is the end of an event if the line is empty. */
+    private void lineEnded(Consumer<Event> events) {
+        int length = searchedBytes - 1 - lineStart;
+        boolean empty = length == 0 || length == 1 && byteAt(lineStart) == RETURN;
+        lineStart = searchedBytes;
+        if (empty) {
+            ByteBuf event = held.readBytes(searchedBytes);
+            searchedBytes = 0;
+            lineStart = 0;
+            events.accept(parse(event));
+        }
+    }
+
+    /** Returns a held byte. */
+    private byte byteAt(int offset) {
+        return held.getByte(held.readerIndex() + offset);
     }
 
     /** Returns whether the buffer holds a partial event. */
@@ -52,17 +78,25 @@
         return held.isReadable();
     }
 
-    /** Parses the sequence number of an event. */
-    private static long idOf(ByteBuf event) {
-        for (String line : event.toString(StandardCharsets.UTF_8).split("\r?\n")) {
+    /** Parses a complete event. */
+    private static Event parse(ByteBuf bytes) {
+        long id = -1;
+        boolean comment = true;
+        for (String line : bytes.toString(StandardCharsets.UTF_8).split("\r?\n")) {
+            comment &= line.startsWith(COMMENT);
             if (line.startsWith(ID_FIELD)) {
-                try {
-                    return Long.parseLong(line.substring(ID_FIELD.length()).trim());
-                } catch (NumberFormatException e) {
-                    return -1;
-                }
+                id = sequenceNumber(line.substring(ID_FIELD.length()).trim());
             }
         }
-        return -1;
+        return new Event(bytes, id, comment);
+    }
+
+    /** Parses a sequence number; negative if it is none. */
+    private static long sequenceNumber(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamAttempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamAttempt.java
@@ -37,7 +37,9 @@
             super.data(data);
             return;
         }
-        splitter.feed(data, this::event);
+        if (!splitter.feed(data, this::event) && !finished()) {
+            spoiled();
+        }
     }
 
     /** Processes a complete event. */
@@ -46,8 +48,10 @@
             event.bytes().release();
             return;
         }
-        answerStarted = true;
-        watchdog(tokenGapLimitMillis);
+        if (!event.comment()) {
+            answerStarted = true;
+            watchdog(tokenGapLimitMillis);
+        }
         run().event(this, raw, event);
     }
 
