Find a part under requests that are sent again at once, and before parts that it explains

Seen with separate processes: 7 routers, a request every 50 ms that shares one part, 9 engines crashed; one every 500 ms, 7. A request that breaks off is sent again within milliseconds, so both of its crashes were one moment.

Seen in virtual time, 25 routers that get one request each at the same moment: a sound part was identified, as its few crashes were more moments than the many simultaneous ones of the part that explains them. A part that a suspected one with more crashes explains is no cause, and no cause is named while reports about the one with the most crashes still arrive.

Ruled out as of no use: not to count crashes at the same time as others without the part (a mutant without the rule survived all tests; the share of the crashes of the service covers it, and the rule would hide the crashes of one part behind those of another).

PromptPartScheduleTest, SharedTraitTest, CrashCausingRequestTest and SuspectedRequestsTest pass.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedCauseFinder.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedCauseFinder.java
@@ -23,8 +23,8 @@
  *   <li>there are more of them if the trait was served shortly before.
  * </ul>
  *
- * <p>Crashes that another shared trait is known to have caused do not count, nor do crashes at the same time as others
- * at which the trait was not in flight. Traits with the same crashes become the cause together.
+ * <p>Crashes that another shared trait is known to have caused do not count. Traits with the same crashes become the
+ * cause together.
  */
 final class SharedCauseFinder {
 
@@ -92,6 +92,20 @@
                 .toList();
     }
 
+    /**
+     * Returns whether another suspected trait accounts for all crashes of a trait and for more, though these may
+     * still be too few moments to identify it.
+     */
+    boolean isExplainedByAnother(Suspect suspect) {
+        Set<UpstreamId> counted = countedCrashes(suspect);
+        return suspects.stream()
+                .filter(other -> other.trait().isShared() && !other.isCause())
+                .filter(other -> !other.servedBefore() || suspect.servedBefore())
+                .filter(other -> other.crashes().size() > counted.size() && isSuspected(other))
+                .map(this::countedCrashes)
+                .anyMatch(others -> others.size() > counted.size() && others.containsAll(counted));
+    }
+
     /** Returns whether the crashes that count against a trait suffice to suspect it. */
     private boolean isSuspected(Suspect suspect, Set<UpstreamId> counted) {
         return counted.size() >= MIN_CRASHES
@@ -103,7 +117,6 @@
     private Set<UpstreamId> countedCrashes(Suspect suspect) {
         Set<UpstreamId> counted = new HashSet<>(suspect.crashes().keySet());
         counted.removeAll(crashesOfOtherCauses(suspect));
-        counted.removeIf(upstream -> upstreamCrashes.crashedWithOthers(upstream, suspect.trait()));
         return counted;
     }
 
@@ -144,19 +157,36 @@
         return crashes.size();
     }
 
-    /** Returns the number of moments of crashes; those that follow within a short time are one moment. */
-    private static int moments(Suspect suspect, Set<UpstreamId> crashes) {
-        List<Long> times = new ArrayList<>();
-        crashes.forEach(upstream -> times.add(suspect.crashes().get(upstream).atMillis()));
-        times.sort(Comparator.naturalOrder());
+    /**
+     * Returns the number of moments of crashes. Those that follow within a short time may have a common cause and are
+     * one moment. Two are separate if the same request was in flight at both: it was sent again after the first
+     * crash.
+     */
+    private int moments(Suspect suspect, Set<UpstreamId> crashes) {
+        List<UpstreamId> inOrder = new ArrayList<>(crashes);
+        inOrder.sort(Comparator.comparingLong(
+                upstream -> suspect.crashes().get(upstream).atMillis()));
         int moments = 0;
         long momentMillis = Long.MIN_VALUE / 2;
-        for (long millis : times) {
-            if (millis - momentMillis > UpstreamCrashes.SIMULTANEOUS_MILLIS) {
+        List<UpstreamId> moment = new ArrayList<>();
+        for (UpstreamId upstream : inOrder) {
+            long millis = suspect.crashes().get(upstream).atMillis();
+            boolean isLater = millis - momentMillis > UpstreamCrashes.SIMULTANEOUS_MILLIS;
+            if (isLater || moment.size() == 1 && shareARequest(moment.get(0), upstream)) {
                 moments++;
                 momentMillis = millis;
+                moment.clear();
             }
+            moment.add(upstream);
         }
         return moments;
     }
+
+    /** Returns whether the same request was in flight at two crashes. */
+    private boolean shareARequest(UpstreamId one, UpstreamId other) {
+        return suspects.stream()
+                .filter(suspect -> !suspect.trait().isShared())
+                .anyMatch(request ->
+                        request.crashes().containsKey(one) && request.crashes().containsKey(other));
+    }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
@@ -95,18 +95,24 @@
                 + (isConfirmed ? SuspectTable.REFUSED_MILLIS : SuspectTable.FIRST_REFUSED_MILLIS);
     }
 
-    /** Identifies shared traits as causes, starting with those that account for most crashes. */
+    /**
+     * Identifies shared traits as causes, starting with those that account for most crashes, once the reports about
+     * these have arrived.
+     */
     void identifyCauses(long nowMillis) {
         while (true) {
             List<Suspect> candidates = records.all().stream()
                     .filter(one -> one.trait().isShared() && !one.isCause())
-                    .filter(one -> nowMillis - one.learnedMillis() >= SuspectTable.SETTLE_MILLIS)
                     .filter(causeFinder::mayBeCause)
+                    .filter(one -> !causeFinder.isExplainedByAnother(one))
                     .toList();
             if (candidates.isEmpty()) {
                 return;
             }
             List<Suspect> found = causeFinder.causeAmong(candidates);
+            if (found.stream().anyMatch(one -> nowMillis - one.learnedMillis() < SuspectTable.SETTLE_MILLIS)) {
+                return;
+            }
             for (Suspect cause : found) {
                 cause.markCause();
                 found.stream().filter(other -> other != cause).forEach(other -> cause.companions()
