Count a crash during a trial as a moment of its own

Seen over loopback: requests that share one part and come as soon as the one before has ended crashed twenty engines within 300 ms, as crashes within 150 ms are one moment and three moments are needed. From the third crash on such requests are sent one at a time, so a crash during such a trial follows from it and not from what crashed the others; it counts as a moment of its own. Four engines now (SharedTraitTest#countsACrashDuringATrialAsAMomentOfItsOwn fails without it).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedCauseFinder.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedCauseFinder.java
@@ -159,8 +159,8 @@
 
     /**
      * Returns the number of moments of crashes. Those that follow within a short time may have a common cause and are
-     * one moment. Two are separate if the same request was in flight at both: it was sent again after the first
-     * crash.
+     * one moment. They are separate if a request was sent to the second upstream after the first had crashed: as a
+     * trial, or as the same request was in flight at both.
      */
     private int moments(Suspect suspect, Set<UpstreamId> crashes) {
         List<UpstreamId> inOrder = new ArrayList<>(crashes);
@@ -171,7 +171,8 @@
         List<UpstreamId> moment = new ArrayList<>();
         for (UpstreamId upstream : inOrder) {
             long millis = suspect.crashes().get(upstream).atMillis();
-            boolean isLater = millis - momentMillis > UpstreamCrashes.SIMULTANEOUS_MILLIS;
+            boolean isLater =
+                    millis - momentMillis > UpstreamCrashes.SIMULTANEOUS_MILLIS || suspect.wasTriedAt(upstream);
             if (isLater || moment.size() == 1 && shareARequest(moment.get(0), upstream)) {
                 moments++;
                 momentMillis = millis;
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
@@ -17,6 +17,7 @@
     private final RequestTrait trait;
     private final Map<UpstreamId, Crash> crashes = new LinkedHashMap<>();
     private final Map<ProcessId, Trial> trials = new HashMap<>();
+    private final Set<UpstreamId> triedUpstreams = new HashSet<>();
     private final Set<RequestTrait> companions = new HashSet<>();
     private final long sinceMillis;
     private final boolean servedBefore;
@@ -102,6 +103,12 @@
     /** Records the start of a router's trial. */
     void trialStarted(ProcessId router, Trial trial) {
         trials.put(router, trial);
+        triedUpstreams.add(trial.upstream());
+    }
+
+    /** Returns whether a trial was started at an upstream. */
+    boolean wasTriedAt(UpstreamId upstream) {
+        return triedUpstreams.contains(upstream);
     }
 
     /** Records the end of a router's trial with any outcome, after which the next trial may start. */
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/PromptPartOutcome.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/PromptPartOutcome.java
@@ -18,6 +18,7 @@
     private final List<Long> soundArrivalsMillis = new ArrayList<>();
     private final List<Long> servedArrivalsMillis = new ArrayList<>();
     private int soundSentAtOnce;
+    private int soundRefused;
 
     PromptPartOutcome(SharedTrait crashingPart) {
         this.crashingPart = crashingPart;
@@ -46,6 +47,15 @@
         servedArrivalsMillis.add(arrivedMillis);
     }
 
+    void soundRequestRefused() {
+        soundRefused++;
+    }
+
+    /** Returns the number of other requests that were refused for one of their parts. */
+    int soundRefused() {
+        return soundRefused;
+    }
+
     void causeFound(SharedTrait trait) {
         causes.add(trait);
     }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
@@ -168,6 +168,20 @@
         assertThat(decide(CRASHING)).isEqualTo(Action.REFUSE);
     }
 
+    /** Guards against twenty crashes within 300 ms by requests that come as soon as the one before has ended. */
+    @Test
+    void countsACrashDuringATrialAsAMomentOfItsOwn() {
+        crashInTurn(2, CRASHING);
+        crash(CRASHING);
+        assertThat(isTried(CRASHING)).isTrue();
+        now += UpstreamCrashes.SIMULTANEOUS_MILLIS / 10;
+        table.trialStarted(CRASHING, OWN, new UpstreamId("upstream-" + (crashes + 1)), now + 5_000);
+        crash(CRASHING);
+        table.trialEnded(CRASHING, OWN, now);
+        now += SuspectTable.SETTLE_MILLIS;
+        assertThat(decide(CRASHING)).isEqualTo(Action.REFUSE);
+    }
+
     @Test
     void doesNotSuspectAPartInFlightAtAMinorityOfTheCrashes() {
         for (int i = 0; i < 4; i++) {
