Separate a revoked part from those that were identified with it

Found by reading: when a part was revoked as the cause, those that were identified together with it kept it as a companion. Once it was forgotten, the next of them that was served or dropped failed with a null pointer on the event loop, in the run of the request that was served. SharedTraitTest#forgetsAPartWhoseCompanionWasRevoked failed so. Companions are now removed on both sides, when one is forgotten and when it is revoked.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
@@ -131,6 +131,9 @@
                         .crashes()
                         .keySet()
                         .containsAll(one.crashes().keySet()))
-                .forEach(Suspect::clearCause);
+                .forEach(one -> {
+                    one.clearCause();
+                    records.removeCompanions(one);
+                });
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/Suspect.java
@@ -92,7 +92,6 @@
     /** Clears it after another cause of its crashes was found. */
     void clearCause() {
         cause = false;
-        companions.clear();
     }
 
     /** Returns the traits with the same crashes, of which any or only all together may be the cause. */
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectRecords.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SuspectRecords.java
@@ -98,12 +98,17 @@
             headCounts.computeIfPresent(request.head(), (head, count) -> count > 1 ? count - 1 : null);
         } else {
             sharedCount--;
-            suspect.companions()
-                    .forEach(other -> suspects.get(other).companions().remove(trait));
+            removeCompanions(suspect);
         }
         return true;
     }
 
+    /** Separates a shared trait from those that were identified together with it. */
+    void removeCompanions(Suspect suspect) {
+        suspect.companions().forEach(other -> suspects.get(other).companions().remove(suspect.trait()));
+        suspect.companions().clear();
+    }
+
     /** Removes suspects whose last crash is at least some time ago. */
     void expire(long nowMillis, long retentionMillis) {
         List<RequestTrait> expired = new ArrayList<>();
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
@@ -235,6 +235,22 @@
         assertThat(decide(SOUND)).isEqualTo(Action.SEND);
     }
 
+    /** Guards against a failure when a part is forgotten that was named together with one that was revoked. */
+    @Test
+    void forgetsAPartWhoseCompanionWasRevoked() {
+        crashInTurn(4, SOUND, FIRST);
+        assertThat(decide(SOUND, FIRST)).isEqualTo(Action.REFUSE);
+        table.upstreamCrashed(SOUND, new ObservedCrash(new UpstreamId("own"), true, now), PEER, now);
+        for (int i = 1; i <= crashes; i++) {
+            ObservedCrash crash = new ObservedCrash(new UpstreamId("upstream-" + i), true, now);
+            table.upstreamCrashed(CRASHING, crash, null, now);
+        }
+        crashInTurn(4, CRASHING);
+        assertThat(decide(CRASHING)).isEqualTo(Action.REFUSE);
+        assertThat(table.sharedTraitServed(FIRST, now)).isTrue();
+        assertThat(table.sharedTraitServed(SOUND, now)).isTrue();
+    }
+
     @Test
     void triesARefusedPartAgainSoonAndLaterOnlyAfterALongTime() {
         crashInTurn(4, CRASHING);
