Hold requests with a part no longer than its reports take to arrive

Found by reading: requests with a part that has enough crashes were held as if reports about it were still arriving, without a limit but their own deadline, while another suspected part explained these crashes and was not identified. SharedTraitTest#triesAPartWhoseCrashesAnotherSuspectedOneExplains failed: nothing was tried.

A refusal that ends between the decision and the answer has no cause any more; it is answered as a trial that was waited for, not run, with a time to return. No test: it takes the last millisecond of a refusal.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/SharedTraitPolicy.java
@@ -60,9 +60,9 @@
         if (!suspect.isCause() && !causeFinder.isSuspected(suspect)) {
             return SuspectDecision.SEND;
         }
-        if (!suspect.isCause() && causeFinder.mayBeCause(suspect)) {
-            return SuspectDecision.settle(
-                    Math.max(1, suspect.learnedMillis() + SuspectTable.SETTLE_MILLIS - nowMillis));
+        long unsettledMillis = suspect.learnedMillis() + SuspectTable.SETTLE_MILLIS - nowMillis;
+        if (!suspect.isCause() && unsettledMillis > 0 && causeFinder.mayBeCause(suspect)) {
+            return SuspectDecision.settle(unsettledMillis);
         }
         boolean afterRefusal = suspect.isCause() && traits.containsAll(suspect.companions());
         return trials.holdOrTryShared(suspect, afterRefusal, nowMillis);
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
@@ -235,6 +235,32 @@
         assertThat(decide(SOUND)).isEqualTo(Action.SEND);
     }
 
+    /** Guards against holding requests with a sound part for ever while another part explains its crashes. */
+    @Test
+    void triesAPartWhoseCrashesAnotherSuspectedOneExplains() {
+        explainSoundByUnidentified();
+        now += UNRELATED_MILLIS;
+        assertThat(isTried(SOUND)).isTrue();
+    }
+
+    /** Lets the sound part have enough moments of crashes; the other one, in flight at all of them, has too few. */
+    private void explainSoundByUnidentified() {
+        now += UNRELATED_MILLIS;
+        for (int i = 0; i < 4; i++) {
+            RequestDigest request = new RequestDigest(++requests, 0);
+            UpstreamId upstream = new UpstreamId("simultaneous-" + i);
+            for (PromptPart part : List.of(SOUND, CRASHING)) {
+                table.upstreamCrashed(part, new ObservedCrash(upstream, true, now), PEER, now);
+            }
+            table.upstreamCrashed(request, new ObservedCrash(upstream, true, now), PEER, now);
+            if (i > 0) {
+                table.trialStarted(SOUND, PEER, upstream, now);
+                table.trialEnded(SOUND, PEER, now);
+            }
+        }
+        table.upstreamCrashed(CRASHING, new ObservedCrash(new UpstreamId("one-more"), true, now), PEER, now);
+    }
+
     /** Guards against a failure when a part is forgotten that was named together with one that was revoked. */
     @Test
     void forgetsAPartWhoseCompanionWasRevoked() {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -176,7 +176,8 @@
      */
     private void holdOrRefuse(SuspectDecision decision, long now) {
         if (decision.action() == SuspectDecision.Action.REFUSE) {
-            run.endWithRefusal(suspectTracker.refusal());
+            RefusalCause refusal = suspectTracker.refusal();
+            run.endWithRefusal(refusal == null ? RefusalCause.REPEAT_IN_TRIAL : refusal);
         } else if (decision.action() == SuspectDecision.Action.SETTLE || facts.mayWaitForTrial(now)) {
             if (!waitsForTrial) {
                 waitsForTrial = true;
