--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
@@ -172,13 +172,18 @@
     @Test
     void countsACrashDuringATrialAsAMomentOfItsOwn() {
         crashInTurn(2, CRASHING);
-        crash(CRASHING);
-        assertThat(isTried(CRASHING)).isTrue();
-        now += UpstreamCrashes.SIMULTANEOUS_MILLIS / 10;
-        table.trialStarted(CRASHING, OWN, new UpstreamId("upstream-" + (crashes + 1)), now + 5_000);
-        crash(CRASHING);
-        table.trialEnded(CRASHING, OWN, now);
-        now += SuspectTable.SETTLE_MILLIS;
+        for (int i = 0; i < 2; i++) {
+            UpstreamId upstream = new UpstreamId("tried-" + i);
+            if (i > 0) {
+                assertThat(decide(CRASHING)).isEqualTo(Action.TRY);
+                table.trialStarted(CRASHING, OWN, upstream, now + 5_000);
+                table.trialEnded(CRASHING, OWN, now);
+            }
+            ObservedCrash crash = new ObservedCrash(upstream, true, now);
+            table.upstreamCrashed(CRASHING, crash, OWN, now);
+            table.upstreamCrashed(new RequestDigest(2_000 + i, 0), crash, OWN, now);
+            now += SuspectTable.SETTLE_MILLIS;
+        }
         assertThat(decide(CRASHING)).isEqualTo(Action.REFUSE);
     }
 
