--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -54,6 +54,7 @@
             "refusals.no_room",
             "refusals.no_route",
             "refusals.no_upstream",
+            "refusals.part_ends_upstreams",
             "refusals.repeat_in_trial",
             "refusals.retry_budget",
             "refusals.stopping",
