--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/SharedTraitTest.java
@@ -196,6 +196,18 @@
         assertThat(decide(SOUND)).isEqualTo(Action.SEND);
     }
 
+    @Test
+    void doesNotSuspectAPartOfCrashesSimultaneousWithOthers() {
+        for (int i = 0; i < 5; i++) {
+            now += UNRELATED_MILLIS;
+            crash(SOUND);
+            crash(part(100 + i));
+            crash(part(200 + i));
+        }
+        now += SuspectTable.SETTLE_MILLIS;
+        assertThat(decide(SOUND)).isEqualTo(Action.SEND);
+    }
+
     @Test
     void findsTwoPartsThatCrashUpstreamsAtTheSameTime() {
         for (int i = 0; i < 5; i++) {
