Give each reason for which an upstream is skipped one form

UpstreamGates.restriction says why no request may be sent to an upstream and when that ends; SkippedUpstreams lists the skipped upstreams by that reason. A further reason is one value of PassedOverCause and one line in the gates. No decision changes.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -82,17 +82,15 @@
      * request.
      */
     void sent(UpstreamChoice choice, SkippedUpstreams skipped, long longestMillis, long nowMillis) {
-        count(PassedOverCause.LIMIT, skipped.rateLimited());
-        count(PassedOverCause.DRAINING, skipped.draining());
-        count(PassedOverCause.BACK_OFF, skipped.backingOff());
+        skipped.byCause().forEach(this::count);
         DecisionLog.Line line = line("sent")
                 .put("attempt", attempts.sent())
                 .put("arrivals", attempts.arrivals())
                 .put("upstream", choice.upstream().id().value())
                 .put("helpers", names(choice.helpers()))
-                .put("limits_used_up", names(skipped.rateLimited()))
-                .put("draining", names(skipped.draining()))
-                .put("back_off", names(skipped.backingOff()))
+                .put("limits_used_up", names(skipped.of(PassedOverCause.LIMIT)))
+                .put("draining", names(skipped.of(PassedOverCause.DRAINING)))
+                .put("back_off", names(skipped.of(PassedOverCause.BACK_OFF)))
                 .put(
                         "part_millis",
                         choice.placement() == null
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -246,7 +246,9 @@
                         now - facts.arrivedMillis(),
                         facts.route().targetLatencyMillis(),
                         gates.limits().waiting(),
-                        chooser.skippedUpstreams(facts.service()).rateLimited().size());
+                        chooser.skippedUpstreams(facts.service())
+                                .of(PassedOverCause.LIMIT)
+                                .size());
     }
 
     /** Returns whether capacity may become free before the caller gives up; only while no event was forwarded. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.run;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -131,15 +132,16 @@
         NextAvailability first = null;
         for (UpstreamEntry entry : context.upstreams().usable(service)) {
             if (!excluded.contains(entry.id())) {
-                long millis = gates.blockedMillis(entry.id());
-                if (first == null || millis < first.millis()) {
-                    boolean rateLimited = millis > gates.backOffs().blockedMillis(entry.id());
-                    first = new NextAvailability(
-                            millis, rateLimited ? PassedOverCause.LIMIT : PassedOverCause.BACK_OFF);
+                UpstreamRestriction blocked = gates.blocked(entry.id());
+                if (blocked == null) {
+                    return NextAvailability.IMMEDIATE;
+                }
+                if (first == null || blocked.remainingMillis() < first.millis()) {
+                    first = new NextAvailability(blocked.remainingMillis(), blocked.cause());
                 }
             }
         }
-        return first == null || first.millis() == 0 ? NextAvailability.IMMEDIATE : first;
+        return first == null ? NextAvailability.IMMEDIATE : first;
     }
 
     /** Returns the upstreams of a service that are skipped now because of their notices. */
@@ -147,15 +149,20 @@
         if (gates.isIdle() && context.upstreams().drains().isEmpty()) {
             return SkippedUpstreams.NONE;
         }
+        Map<PassedOverCause, List<UpstreamEntry>> byCause = new EnumMap<>(PassedOverCause.class);
         List<UpstreamEntry> usable = context.upstreams().usable(service);
-        return new SkippedUpstreams(
+        byCause.put(
+                PassedOverCause.LIMIT,
                 usable.stream()
                         .filter(entry -> gates.limits().blockedMillis(entry.id()) > 0)
-                        .toList(),
-                context.upstreams().draining(service),
+                        .toList());
+        byCause.put(PassedOverCause.DRAINING, context.upstreams().draining(service));
+        byCause.put(
+                PassedOverCause.BACK_OFF,
                 usable.stream()
                         .filter(entry -> gates.backOffs().blockedMillis(entry.id()) > 0)
                         .toList());
+        return new SkippedUpstreams(byCause);
     }
 
     /** Returns whether a stream that waits for a busy engine would get its next event sooner at another one. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -45,12 +45,31 @@
         return limits.isIdle() && backOffs.isIdle();
     }
 
+    /** Returns why no request may be sent to an upstream now; {@code null} if one may, or a permit may be requested. */
+    UpstreamRestriction restriction(UpstreamId upstream) {
+        if (context.upstreams().isDraining(upstream)) {
+            return UpstreamRestriction.untilFurtherNotice(PassedOverCause.DRAINING);
+        }
+        return blocked(upstream);
+    }
+
+    /**
+     * Returns the restriction that a notice or the operators put on an upstream which the list of upstreams offers;
+     * {@code null} if there is none.
+     */
+    UpstreamRestriction blocked(UpstreamId upstream) {
+        return UpstreamRestriction.longest(
+                UpstreamRestriction.ending(PassedOverCause.BACK_OFF, backOffs.blockedMillis(upstream)),
+                UpstreamRestriction.ending(PassedOverCause.LIMIT, limits.blockedMillis(upstream)));
+    }
+
     /**
      * Returns the time until a request may be sent to an upstream, in milliseconds; 0 if it may be sent or a permit may
      * be requested.
      */
     long blockedMillis(UpstreamId upstream) {
-        return Math.max(limits.blockedMillis(upstream), backOffs.blockedMillis(upstream));
+        UpstreamRestriction blocked = blocked(upstream);
+        return blocked == null ? 0 : blocked.remainingMillis();
     }
 
     /**
