Keep the data centres that the operators evacuate in a table beside the upstreams

The router drops `op/evacuate/ZONE`, so requests go to upstreams of a data centre that has to get none. `UpstreamTable.usable` leaves out the upstreams of evacuated data centres.

The list of usable upstreams moves to a class of its own, as a third kind of evidence now changes it.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/UpstreamTable.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
@@ -44,8 +42,8 @@
     private final DrainTable drains = new DrainTable();
     private List<UpstreamEntry> removed = new ArrayList<>();
     private List<UpstreamId> endedDrains = new ArrayList<>();
-    private Map<ServiceId, List<UpstreamEntry>> usable;
-    private long usableAtDrainChange;
+    private final EvacuationTable evacuations = new EvacuationTable();
+    private final UsableUpstreams usable = new UsableUpstreams();
     private long revision;
     private long holdMissingUntilMillis = Long.MIN_VALUE;
 
@@ -146,7 +144,7 @@
         entries.put(name, entry);
         heldUntilMillis.remove(name);
         removals.remove(name);
-        usable = null;
+        usable.invalidate();
         return true;
     }
 
@@ -213,7 +211,7 @@
         heldUntilMillis.remove(name);
         unconfirmed.confirm(known.id());
         removals.put(name, new Removal(known.id(), removalRevision));
-        usable = null;
+        usable.invalidate();
         return true;
     }
 
@@ -236,7 +234,7 @@
         }
         dropped |= unconfirmed.confirmExpired(nowMillis);
         if (dropped) {
-            usable = null;
+            usable.invalidate();
         }
     }
 
@@ -281,17 +279,19 @@
         return taken;
     }
 
-    /** Lists the usable upstreams by service, sorted by id, so that all routers use the same order. */
-    private Map<ServiceId, List<UpstreamEntry>> listUsable() {
-        Map<ServiceId, List<UpstreamEntry>> lists = new TreeMap<>();
-        for (UpstreamEntry entry : entries.values()) {
-            if (!isDrainingOrUnconfirmed(entry) && !drains.isDraining(entry.id())) {
-                lists.computeIfAbsent(entry.service(), service -> new ArrayList<>())
-                        .add(entry);
-            }
-        }
-        lists.values().forEach(list -> list.sort(Comparator.comparing(UpstreamEntry::id)));
-        return lists;
+    /** Tells whether an upstream accepts new requests. */
+    private boolean isUsable(UpstreamEntry entry) {
+        return !isDrainingOrUnconfirmed(entry) && !drains.isDraining(entry.id()) && !isEvacuated(entry);
+    }
+
+    /**
+     * Tells whether the operators evacuate the data centre of an upstream.
+     *
+     * @param entry the upstream
+     * @return whether it gets no new requests
+     */
+    public boolean isEvacuated(UpstreamEntry entry) {
+        return evacuations.isEvacuated(entry.dataCentre());
     }
 
     /**
@@ -301,17 +301,13 @@
      * @return the entries, sorted by id
      */
     public List<UpstreamEntry> usable(ServiceId service) {
-        if (usable == null || usableAtDrainChange != drains.changes()) {
-            usable = listUsable();
-            usableAtDrainChange = drains.changes();
-        }
-        return usable.getOrDefault(service, List.of());
+        return usable.of(service, entries.values(), this::isUsable, drains.changes() + evacuations.changes());
     }
 
     /**
      * Returns the entry of one incarnation of an upstream.
      *
-     * @param@param id the incarnation
+     * @param id the incarnation
      * @return the entry; {@code null} if this incarnation is not listed
      */
     public UpstreamEntry find(UpstreamId id) {
@@ -372,6 +368,15 @@
         return drains;
     }
 
+    /**
+     * Returns the evacuations of data centres.
+     *
+     * @return the evacuations
+     */
+    public EvacuationTable evacuations() {
+        return evacuations;
+    }
+
     /**
      * Returns all entries, including those of draining upstreams.
      *
