Send nothing to the upstreams of a data centre that the operators evacuate

What callers saw: their requests went on to engines of a data centre that was being emptied, for as long as its upstreams were listed, since the router dropped `op/evacuate/ZONE` from what the platform reported.

Other routers get the evacuations in force with the list of upstreams, under the same revision, so that whatever makes them fetch the list brings the evacuations too. A router is not ready before it knows them.

Streams that run there go on. If all are evacuated, requests are refused as not run with 503 `upstreams_evacuated` and the longest Retry-After that their callers still follow.

Weighed: an entry per upstream listed as draining (its next entry would overwrite it, and a failure there would count as planned), and a gossip channel of its own (a second path for what one reader reads and all need with the list).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationChange.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationChange.java
@@ -1,5 +1,7 @@
 package org.apricotstack.core.upstream;
 
+import java.util.Locale;
+
 /**
  * A change of the evacuation of a data centre.
  *
@@ -15,6 +17,15 @@
         /** It is no longer in force. */
         ENDED,
         /** The platform, restored from a backup, no longer lists it; it stays in force for a limited time. */
-        LOST
+        LOST;
+
+        /**
+         * Returns the name in logs.
+         *
+         * @return the name in lower case
+         */
+        public String code() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
@@ -18,6 +18,7 @@
  * @param retrySlack retries allowed in addition to the ratio, over all routers
  * @param stopTimeoutMillis time until a stopping process is killed, in milliseconds
  * @param maxAddressSeconds longest time for which callers may be told to cache addresses, in seconds
+ * @param followsEvacuations whether evacuations of data centres are followed
  */
 public record RouterOptions(
         RouterIdentity identity,
@@ -28,7 +29,8 @@
         long retryWindowMillis,
         double retrySlack,
         long stopTimeoutMillis,
-        int maxAddressSeconds) {
+        int maxAddressSeconds,
+        boolean followsEvacuations) {
 
     /**
      * Returns the time for which callers cache addresses.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -122,6 +122,7 @@
         OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
+        state.evacuations().follow(options.followsEvacuations());
         state.onUpstreamRemoved(this::onUpstreamRemoved);
         links = new RouterLinks(
                 loop,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -5,6 +5,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerFetchPolicy;
+import org.apricotstack.core.upstream.Evacuation;
 import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -82,6 +83,10 @@
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
             reply.setUpstreamsRevision(state.upstreamsRevision());
+            reply.setEvacuationsKnown(state.evacuations().known());
+            for (Evacuation evacuation : state.evacuations().all()) {
+                reply.addEvacuations(GossipMessages.evacuation(evacuation, loop.nowMillis()));
+            }
             for (Publication upstream : state.upstreamDocuments()) {
                 if (request.getNewerOnly()) {
                     reply.addUpstreamNames(upstream.upstream().value());
@@ -102,6 +107,12 @@
         if (reply.getUpstreamsRevision() == 0 || reply.getUpstreamsRevision() < state.upstreamsRevision()) {
             return;
         }
+        if (reply.getEvacuationsKnown()) {
+            List<Evacuation> evacuations = reply.getEvacuationsList().stream()
+                    .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
+                    .toList();
+            state.evacuations().receive(evacuations, reply.getUpstreamsRevision(), source, loop.nowMillis());
+        }
         List<Publication> upstreams = reply.getUpstreamsList().stream()
                 .map(GossipMessages::publication)
                 .toList();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipMessages.java
@@ -11,8 +11,10 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.Peer;
+import org.apricotstack.core.upstream.Evacuation;
 import org.apricotstack.serving.publication.Publication;
 import org.apricotstack.wire.news.Avoided;
+import org.apricotstack.wire.news.DataCentreEvacuation;
 import org.apricotstack.wire.news.Heartbeat;
 import org.apricotstack.wire.news.Part;
 import org.apricotstack.wire.news.Placed;
@@ -113,6 +115,25 @@
                 upstream, document.getRevision(), document.getContent().toByteArray(), false);
     }
 
+    /** Decodes an evacuation. */
+    static Evacuation evacuation(DataCentreEvacuation evacuation, long nowMillis) {
+        DataCentreId dataCentre = new DataCentreId(evacuation.getDataCentre());
+        return evacuation.getHeldMillis() > 0
+                ? new Evacuation(dataCentre, evacuation.getRevision(), nowMillis + evacuation.getHeldMillis())
+                : Evacuation.listed(dataCentre, evacuation.getRevision());
+    }
+
+    /** Encodes an evacuation. */
+    static DataCentreEvacuation evacuation(Evacuation evacuation, long nowMillis) {
+        DataCentreEvacuation.Builder encoded = DataCentreEvacuation.newBuilder()
+                .setDataCentre(evacuation.dataCentre().value())
+                .setRevision(evacuation.revision());
+        if (!evacuation.isListed()) {
+            encoded.setHeldMillis(Math.max(1, evacuation.heldUntilMillis() - nowMillis));
+        }
+        return encoded.build();
+    }
+
     /** Encodes a document. */
     static PublishedDocument document(Publication publication) {
         return PublishedDocument.newBuilder()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
@@ -9,7 +9,9 @@
     /** It announced a drain in its responses. */
     DRAINING,
     /** It requested a back-off from this router. */
-    BACK_OFF;
+    BACK_OFF,
+    /** The operators evacuate its data centre. */
+    EVACUATED;
 
     /**
      * Returns the name in logs and metrics.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -16,6 +16,8 @@
     NO_UPSTREAM,
     /** All listed upstreams of the service are draining. */
     UPSTREAMS_DRAINING,
+    /** The operators evacuate the data centres of all upstreams of the service that are not draining. */
+    UPSTREAMS_EVACUATED,
     /** No upstream can answer before the caller disconnects. */
     NO_ROOM,
     /** The rate limits of all upstreams that could answer are used up. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -2,8 +2,11 @@
 
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -14,6 +17,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.AdvertisedBackOff;
 import org.apricotstack.core.ratelimit.LimitChange;
@@ -32,6 +36,9 @@
     /** Prefix of the gauge names of upstreams' rate limits. */
     private static final String LIMIT_GAUGES = "limits.per_second.";
 
+    /** Prefix of the gauge names of evacuated data centres. */
+    private static final String EVACUATION_GAUGES = "evacuations.in_force.";
+
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<RefusalCause, Counter> refusals = counters(RefusalCause.class, c -> "refusals." + c.code());
     private final Map<FailureKind, Counter> failures = counters(FailureKind.class, k -> "attempts.failed." + k.code());
@@ -39,6 +46,7 @@
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
     private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
+    private final Set<String> shownEvacuations = new HashSet<>();
     private final Map<PassedOverCause, Counter> passedOver =
             counters(PassedOverCause.class, cause -> "passed_over." + cause.code());
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
@@ -161,6 +169,18 @@
         });
     }
 
+    /**
+     * Shows the evacuated data centres as one gauge each.
+     *
+     * @param inForce the data centres
+     */
+    public void evacuations(List<DataCentreId> inForce) {
+        Set<String> names = new HashSet<>();
+        inForce.forEach(dataCentre -> names.add(EVACUATION_GAUGES + dataCentre.value()));
+        shownEvacuations.removeIf(name -> !names.contains(name) && registry.remove(name));
+        names.stream().filter(shownEvacuations::add).forEach(name -> gauge(name, () -> 1));
+    }
+
     /**
      * Counts an attempt for which upstreams were skipped.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -148,11 +148,14 @@
         known = all.revision();
         long now = loop.nowMillis();
         List<Publication> listed = all.documents().stream()
-                .filter(document -> !document.isConfiguration())
+                .filter(document -> !document.isConfiguration() && !document.isEvacuation())
                 .toList();
+        List<Publication> evacuations =
+                all.documents().stream().filter(Publication::isEvacuation).toList();
         all.documents().stream()
                 .filter(Publication::isConfiguration)
                 .forEach(document -> state.apply(document, "platform"));
+        state.evacuations().applySnapshot(evacuations, all.revision(), "platform", now);
         state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
         startCall();
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.publication;
 
+import org.apricotstack.core.upstream.Evacuation;
 import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.serving.observe.ServingMetrics;
 
@@ -25,6 +26,10 @@
         metrics.gauge("configuration.revision", () -> Revisions.inHistory(state.configurationRevision()));
         metrics.gauge("configuration.version", state::configurationVersion);
         metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
+        metrics.gauge("evacuations.in_force", () -> state.evacuations().all().size());
+        state.evacuations()
+                .onChange(inForce -> metrics.evacuations(
+                        inForce.stream().map(Evacuation::dataCentre).toList()));
         metrics.gauge("documents.rejected", state::rejected);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
@@ -14,7 +14,7 @@
      * A snapshot of all published documents.
      *
      * @param revision the platform's revision before the snapshot was read; later changes may be missing
-     * @param documents the configuration, if there is one, and all upstreams
+     * @param documents the configuration, if there is one, all upstreams, and all evacuations if they are followed
      */
     record Snapshot(long revision, List<Publication> documents) {}
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -38,6 +38,7 @@
     private final DecisionLog log;
     private final CurrentConfiguration configuration;
     private final UpstreamTable upstreams;
+    private final PublishedEvacuations evacuations;
     private final OutlierDetector outlierDetector;
     private final EngineLoadTable loadTable;
     private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
@@ -67,6 +68,7 @@
         this.outlierDetector = outlierDetector;
         this.loadTable = loadTable;
         this.log = log;
+        this.evacuations = new PublishedEvacuations(upstreams, log);
         this.configuration = new CurrentConfiguration(reader, log);
     }
 
@@ -145,10 +147,19 @@
     /**
      * Returns whether requests can be served.
      *
-     * @return whether a configuration and upstreams are known
+     * @return whether a configuration, upstreams and evacuations are known
      */
     public boolean complete() {
-        return configuration.decoded() != null && upstreamsKnown;
+        return configuration.decoded() != null && upstreamsKnown && evacuations.complete();
+    }
+
+    /**
+     * Returns the evacuations of data centres.
+     *
+     * @return the evacuations that this router knows
+     */
+    public PublishedEvacuations evacuations() {
+        return evacuations;
     }
 
     /**
@@ -168,7 +179,9 @@
      */
     public void apply(Publication document, String source) {
         try {
-            if (document.isConfiguration()) {
+            if (document.isEvacuation()) {
+                evacuations.apply(document, source);
+            } else if (document.isConfiguration()) {
                 configuration.apply(document, source);
             } else if (document.removed()) {
                 upstreams.remove(document.upstream(), document.revision());
@@ -359,6 +372,7 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void removeExpired(long nowMillis) {
+        evacuations.expire(nowMillis);
         upstreams.removeExpired(nowMillis);
         handleRemovedUpstreams("lapse");
         evictUnlisted();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -91,6 +91,7 @@
                 .put("limits_used_up", names(skipped.of(PassedOverCause.LIMIT)))
                 .put("draining", names(skipped.of(PassedOverCause.DRAINING)))
                 .put("back_off", names(skipped.of(PassedOverCause.BACK_OFF)))
+                .put("evacuated", names(skipped.of(PassedOverCause.EVACUATED)))
                 .put(
                         "part_millis",
                         choice.placement() == null
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -208,6 +208,9 @@
         if (!context.upstreams().usable(facts.service()).isEmpty()) {
             return RefusalCause.NO_ROOM;
         }
+        if (!gates.evacuated(facts.service()).isEmpty()) {
+            return RefusalCause.UPSTREAMS_EVACUATED;
+        }
         return context.upstreams().draining(facts.service()).isEmpty()
                 ? RefusalCause.NO_UPSTREAM
                 : RefusalCause.UPSTREAMS_DRAINING;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
@@ -93,6 +93,8 @@
                     RETRY_BUDGET,
                     BODY_MEMORY,
                     REPEAT_IN_TRIAL -> Math.min(useful, CAPACITY_WAIT_MILLIS);
+                // The end of an evacuation is not known; this is the last time at which the caller still comes back.
+            case UPSTREAMS_EVACUATED -> useful;
             default -> 0;
         };
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -146,7 +146,9 @@
 
     /** Returns the upstreams of a service that are skipped now because of their notices. */
     SkippedUpstreams skippedUpstreams(ServiceId service) {
-        if (gates.isIdle() && context.upstreams().drains().isEmpty()) {
+        if (gates.isIdle()
+                && context.upstreams().drains().isEmpty()
+                && context.upstreams().evacuations().isEmpty()) {
             return SkippedUpstreams.NONE;
         }
         Map<PassedOverCause, List<UpstreamEntry>> byCause = new EnumMap<>(PassedOverCause.class);
@@ -162,6 +164,7 @@
                 usable.stream()
                         .filter(entry -> gates.backOffs().blockedMillis(entry.id()) > 0)
                         .toList());
+        byCause.put(PassedOverCause.EVACUATED, gates.evacuated(service));
         return new SkippedUpstreams(byCause);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -1,5 +1,8 @@
 package org.apricotstack.serving.run;
 
+import java.util.List;
+
+import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -47,12 +50,28 @@
 
     /** Returns why no request may be sent to an upstream now; {@code null} if one may, or a permit may be requested. */
     UpstreamRestriction restriction(UpstreamId upstream) {
+        UpstreamEntry entry = context.upstreams().find(upstream);
+        if (entry != null && context.upstreams().isEvacuated(entry)) {
+            return UpstreamRestriction.untilFurtherNotice(PassedOverCause.EVACUATED);
+        }
         if (context.upstreams().isDraining(upstream)) {
             return UpstreamRestriction.untilFurtherNotice(PassedOverCause.DRAINING);
         }
         return blocked(upstream);
     }
 
+    /** Returns the upstreams of a service that get no requests only because their data centres are evacuated. */
+    List<UpstreamEntry> evacuated(ServiceId service) {
+        if (context.upstreams().evacuations().isEmpty()) {
+            return List.of();
+        }
+        return context.upstreams().all().stream()
+                .filter(entry ->
+                        entry.service().equals(service) && context.upstreams().isEvacuated(entry))
+                .filter(entry -> !context.upstreams().isDraining(entry.id()))
+                .toList();
+    }
+
     /**
      * Returns the restriction that a notice or the operators put on an upstream which the list of upstreams offers;
      * {@code null} if there is none.
@@ -77,19 +96,22 @@
      * elsewhere.
      */
     PassedOverCause unavailableCause(UpstreamChoice choice) {
-        PassedOverCause cause = skipCause(choice.upstream().id());
+        PassedOverCause cause = skipCause(choice.upstream());
         for (UpstreamEntry helper : choice.helpers()) {
-            cause = cause == null ? skipCause(helper.id()) : cause;
+            cause = cause == null ? skipCause(helper) : cause;
         }
         return cause;
     }
 
     /** Returns why an upstream may not be used now, apart from rate limits; {@code null} if it may. */
-    private PassedOverCause skipCause(UpstreamId upstream) {
-        if (context.upstreams().isDraining(upstream)) {
+    private PassedOverCause skipCause(UpstreamEntry upstream) {
+        if (context.upstreams().isEvacuated(upstream)) {
+            return PassedOverCause.EVACUATED;
+        }
+        if (context.upstreams().isDraining(upstream.id())) {
             return PassedOverCause.DRAINING;
         }
-        return backOffs.blockedMillis(upstream) > 0 ? PassedOverCause.BACK_OFF : null;
+        return backOffs.blockedMillis(upstream.id()) > 0 ? PassedOverCause.BACK_OFF : null;
     }
 
     /**
