Tell other routers of the end of an evacuation that a full read found

A router that lost its watch learns of a removed `op/evacuate/ZONE` from a full read. Nothing raised its revision then, so in a large fleet the others, which learn of changes by that revision, would have spared the data centre until some other change. The revision now rises to that of the read.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -91,11 +91,19 @@
         reportChanges(source);
     }
 
-    /** Applies a complete list of the platform, read after the list of upstreams of the given revision. */
-    void applySnapshot(List<Publication> documents, long revision, String source, long nowMillis) {
+    /**
+     * Applies a complete list of the platform.
+     *
+     * @param documents all evacuations
+     * @param revision the platform's revision before the list of upstreams was read, which came first
+     * @param source where it came from, for the log
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void applySnapshot(List<Publication> documents, long revision, String source, long nowMillis) {
         List<Evacuation> listed = documents.stream()
                 .map(document -> Evacuation.listed(document.evacuated(), document.revision()))
                 .toList();
+        List<Evacuation> before = table().all();
         receive(listed, revision, source, nowMillis);
         if (!followed) {
             return;
@@ -106,6 +114,9 @@
                 .mapToLong(Evacuation::revision)
                 .filter(entryRevision -> entryRevision <= revision)
                 .forEach(upstreams::changesKnownUpTo);
+        if (before.stream().anyMatch(known -> !table().isEvacuated(known.dataCentre()))) {
+            upstreams.changesKnownUpTo(revision);
+        }
     }
 
     /**
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -11,7 +11,10 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.upstream.Evacuation;
+import org.apricotstack.core.upstream.EvacuationTable;
 import org.apricotstack.core.upstream.OutlierDetector;
+import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
@@ -152,4 +155,88 @@
         own.receive(reader.answer(DocumentRequest.newBuilder().build()), "reader");
         assertThat(ownState.upstreamsListed()).isEqualTo(3);
     }
+
+    private static Publication evacuation(String dataCentre, long revision, boolean removed) {
+        return new Publication(null, new DataCentreId(dataCentre), revision, new byte[0], removed);
+    }
+
+    /** Lists upstreams at two routers that follow evacuations. */
+    private void listAndFollowEvacuations() {
+        for (PublishedState state : List.of(ownState, readerState)) {
+            state.evacuations().follow(true);
+            list(state);
+        }
+        readerState.evacuations().receive(List.of(), 3, "platform", 0);
+    }
+
+    @Test
+    void learnsOfTheBeginAndTheEndOfAnEvacuation() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        assertThat(readerState.upstreamsRevision()).isEqualTo(4);
+        own.receive(reader.answer(newerThan(2)), "reader");
+        assertThat(ownState.evacuations().all()).containsExactly(Evacuation.listed(new DataCentreId("east"), 4));
+        assertThat(ownState.upstreamsRevision()).isEqualTo(4);
+        readerState.apply(evacuation("east", 5, true), "platform");
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(ownState.evacuations().all()).isEmpty();
+    }
+
+    /** Guards against the end of an evacuation that only a full read shows, and of which other routers never learn. */
+    @Test
+    void learnsOfTheEndThatAnotherRouterFoundInAFullRead() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        own.receive(reader.answer(newerThan(2)), "reader");
+        readerState.evacuations().applySnapshot(List.of(), 6, "platform", 0);
+        assertThat(readerState.upstreamsRevision()).isEqualTo(6);
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(ownState.evacuations().all()).isEmpty();
+    }
+
+    /** Guards against a list that counts as complete up to an evacuation that was read after it. */
+    @Test
+    void countsNoListAsCompleteUpToALaterEvacuation() {
+        listAndFollowEvacuations();
+        readerState.evacuations().applySnapshot(List.of(evacuation("east", 8, false)), 3, "platform", 0);
+        assertThat(readerState.evacuations().all()).hasSize(1);
+        assertThat(readerState.upstreamsRevision()).isEqualTo(3);
+        readerState.apply(evacuation("east", 8, false), "platform");
+        assertThat(readerState.upstreamsRevision()).isEqualTo(8);
+    }
+
+    @Test
+    void learnsForHowLongALostEvacuationStaysInForce() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        readerState.applyUpstreamSnapshot(
+                List.of(upstream("a", Revisions.of(1, 1))), Revisions.of(1, 1), "platform", 0);
+        readerState.evacuations().receive(List.of(), Revisions.of(1, 1), "platform", -1_000);
+        own.receive(reader.answer(DocumentRequest.getDefaultInstance()), "reader");
+        assertThat(ownState.evacuations().all())
+                .containsExactly(new Evacuation(new DataCentreId("east"), 4, EvacuationTable.LOST_HOLD_MILLIS - 1_000));
+    }
+
+    /** Guards against a router that takes the list of one that does not follow evacuations for complete. */
+    @Test
+    void endsNoEvacuationThatAPeerDoesNotFollow() {
+        listAndFollowEvacuations();
+        ownState.apply(evacuation("east", 2, false), "platform");
+        readerState.evacuations().follow(false);
+        NewsReply silent =
+                reader.answer(newerThan(2)).toBuilder().clearEvacuationsKnown().build();
+        own.receive(silent, "reader");
+        assertThat(ownState.evacuations().all()).hasSize(1);
+        assertThat(ownState.evacuations().known()).isFalse();
+    }
+
+    @Test
+    void sendsNoByteMoreIfEvacuationsAreNotFollowed() {
+        list(readerState);
+        readerState.apply(evacuation("east", 4, false), "platform");
+        NewsReply reply = reader.answer(newerThan(2));
+        assertThat(reply.getEvacuationsKnown()).isFalse();
+        assertThat(reply.toBuilder().clearEvacuations().build().toByteString()).isEqualTo(reply.toByteString());
+        assertThat(readerState.upstreamsRevision()).isEqualTo(3);
+    }
 }
