--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/EngineLoad.java
@@ -268,6 +268,15 @@
         return memoryTokens;
     }
 
+    /**
+     * Returns the memory that no known placement uses.
+     *
+     * @return tokens; 0 without the engine's figures
+     */
+    public long freeMemoryTokens() {
+        return profile == null ? 0 : profile.memoryTokens() - memoryTokens;
+    }
+
     /**
      * Predicts the time of each token of a new request, if nothing is prefilled meanwhile.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -75,10 +75,11 @@
     /**
      * Tells whether another attempt at the same upstream would probably fail too.
      *
-     * @return {@code false} if the upstream only accepts nothing now, or another connection to it may work
+     * @return {@code false} if the upstream only accepts nothing now, another connection to it may work, or its helpers
+     *     caused the failure
      */
     public boolean concernsUpstream() {
-        return this != WITHHELD && this != BACK_OFF && this != LINK_LOST;
+        return this != WITHHELD && this != BACK_OFF && this != LINK_LOST && this != NOT_RESERVED;
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -14,6 +14,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import org.apricotstack.core.engine.ReservationResult;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.AdvertisedBackOff;
 import org.apricotstack.core.ratelimit.LimitChange;
@@ -41,6 +42,9 @@
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
     private final Map<PassedOverCause, Counter> passedOver =
             counters(PassedOverCause.class, cause -> "passed_over." + cause.code());
+    private final Map<ReservationResult.Kind, Counter> reservations =
+            counters(ReservationResult.Kind.class, kind -> "reservations." + kind.code());
+    private final Counter reservedInVain = registry.counter("reservations.in_vain");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
@@ -170,6 +174,24 @@
         passedOver.get(cause).inc();
     }
 
+    /**
+     * Counts the answer of a helper that was to reserve memory.
+     *
+     * @param kind the outcome
+     */
+    public void reservationAnswered(ReservationResult.Kind kind) {
+        reservations.get(kind).inc();
+    }
+
+    /**
+     * Counts reservations that are released without a request that used them.
+     *
+     * @param count number of reservations
+     */
+    public void reservedInVain(int count) {
+        reservedInVain.inc(count);
+    }
+
     /** Counts a response whose rate limit cannot be parsed. */
     public void limitUnreadable() {
         limitsUnreadable.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/EngineCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 
+import org.apricotstack.core.engine.ReservationResult;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -27,9 +28,9 @@
      * @param tokens size of the reservation, in tokens
      * @param holdMillis time after which the engine frees the memory without a renewal, in milliseconds
      * @param onNotice called with the engine's notice as soon as the head of the response arrives
-     * @return whether the memory was reserved; an error if the outcome is unknown
+     * @return whether the memory was reserved, or why not; an error if the outcome is unknown
      */
-    Mono<Boolean> reserve(
+    Mono<ReservationResult> reserve(
             UpstreamEntry engine, String reservation, long tokens, long holdMillis, Consumer<UpstreamNotice> onNotice);
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -156,6 +156,17 @@
                 .write();
     }
 
+    /** Logs that a helper did not reserve memory, with the free memory that this router expected there. */
+    void reservationRefused(RefusedReservation refused) {
+        line("reservation_refused")
+                .put("upstream", refused.helper().value())
+                .put("kind", refused.result().kind().code())
+                .put("tokens", refused.tokens())
+                .put("free_tokens", refused.result().freeTokens())
+                .put("expected_free_tokens", refused.expectedFreeTokens())
+                .write();
+    }
+
     /** Logs whether the upstream of an interrupted attempt crashed, with the digest of the request. */
     void attemptInterrupted(Attempt attempt, RequestDigest digest, boolean upstreamEnded) {
         line("broke_off")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -294,6 +294,8 @@
         if (done) {
             acquire(attempt);
         } else {
+            reserved.refused().forEach(log::reservationRefused);
+            reserved.refused().forEach(refused -> exclude(refused.helper()));
             attempt.failed(FailureKind.NOT_RESERVED);
         }
     }
@@ -354,6 +356,7 @@
         long now = context.nowMillis();
         suspectTracker.sent(decision, attempt.upstream().id(), facts.remainingMillis(now));
         attempts.send();
+        reserved.use();
         UpstreamChoice choice = attempt.choice();
         HttpRequest head = context.protocol()
                 .write(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -6,7 +6,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.apricotstack.core.engine.EngineLoad;
 import org.apricotstack.core.engine.EnginePart;
+import org.apricotstack.core.engine.ReservationResult;
+import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ForwardingParameters;
@@ -43,6 +46,9 @@
     private final UpstreamGates gates;
     private final UpstreamChoice choice;
     private final List<ForwardingParameters.Helper> helpers = new ArrayList<>();
+    private final List<RefusedReservation> refused = new ArrayList<>();
+    private int reservedCount;
+    private boolean used;
     private ScheduledFuture<?> renewal;
     private long lastUnansweredMillis = Long.MIN_VALUE / 2;
     private boolean ended;
@@ -65,25 +71,59 @@
         return helpers;
     }
 
-    /** Reserves the memory; the result says whether all of it was reserved. */
+    /** Returns the helpers that did not reserve their memory. */
+    List<RefusedReservation> refused() {
+        return refused;
+    }
+
+    /** Records that the request is sent, so that the reservations are not in vain. */
+    void use() {
+        used = true;
+    }
+
+    /**
+     * Reserves the memory; the result says whether all of it was reserved. All answers are awaited, so that each helper
+     * that refuses is known before the next attempt and no call is left unanswered.
+     */
     Mono<Boolean> reserve() {
-        return send().doOnNext(done -> {
-            if (done && !ended) {
-                renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
-            }
-        });
+        return send(this::record)
+                .map(ReservationResult::isReserved)
+                .reduce(true, Boolean::logicalAnd)
+                .doOnNext(done -> {
+                    if (done && !ended) {
+                        renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
+                    }
+                });
+    }
+
+    /** Records and counts the first answer of a helper. */
+    private void record(int index, ReservationResult result) {
+        context.metrics().reservationAnswered(result.kind());
+        if (result.isReserved()) {
+            reservedCount++;
+            return;
+        }
+        UpstreamId helper = helpers.get(index).upstream().id();
+        EngineLoad load = context.loadTable().load(helper);
+        long tokens = tokens(index);
+        refused.add(new RefusedReservation(helper, tokens, load.freeMemoryTokens() + tokens, result));
+    }
+
+    /** Returns the memory that the placement uses at a helper, in tokens. */
+    private long tokens(int index) {
+        return choice.placement().parts().get(index + 1).memoryTokens();
     }
 
     /** Renews the reservations, whether or not earlier calls succeeded. */
     private void renew() {
         if (!ended) {
             renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
-            send().subscribe();
+            send((index, result) -> {}).subscribe();
         }
     }
 
-    /** Sends one reserve call to each helper that needs one. */
-    private Mono<Boolean> send() {
+    /** Sends one reserve call to each helper that needs one, and passes each result to a handler. */
+    private Flux<ReservationResult> send(AnswerHandler handler) {
         return Flux.range(0, helpers.size())
                 .filter(i -> helpers.get(i).reservation() != null)
                 .filter(i -> !context.upstreams()
@@ -92,19 +132,19 @@
                                 .reserve(
                                         helpers.get(i).upstream(),
                                         helpers.get(i).reservation(),
-                                        choice.placement().parts().get(i + 1).memoryTokens(),
+                                        tokens(i),
                                         HOLD_MILLIS,
                                         onNotice))
                         .doOnError(e -> unanswered(helpers.get(i).upstream()))
-                        .onErrorReturn(false))
-                .all(reserved -> reserved);
+                        .onErrorReturn(ReservationResult.UNANSWERED)
+                        .doOnNext(result -> handler.answered(i, result)));
     }
 
     /**
      * Sends one call. It is charged to the engine's rate limit, but needs no permit: without it the request would be
      * cut off, or memory would stay reserved.
      */
-    private Mono<Boolean> send(UpstreamEntry engine, Function<Consumer<UpstreamNotice>, Mono<Boolean>> call) {
+    private <T> Mono<T> send(UpstreamEntry engine, Function<Consumer<UpstreamNotice>, Mono<T>> call) {
         return Mono.defer(() -> {
             long sentMillis = context.nowMillis();
             gates.limits().charge(engine.id());
@@ -124,6 +164,9 @@
             return;
         }
         ended = true;
+        if (!used && reservedCount > 0) {
+            context.metrics().reservedInVain(reservedCount);
+        }
         if (renewal != null) {
             renewal.cancel(false);
         }
@@ -152,4 +195,12 @@
             context.loop().schedule(delayMillis, () -> release(engine, reservation));
         }
     }
+
+    /** Processes the answer of a helper. */
+    @FunctionalInterface
+    private interface AnswerHandler {
+
+        /** Processes the answer of the helper at a position. */
+        void answered(int index, ReservationResult result);
+    }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -9,6 +9,7 @@
 import org.apricotstack.core.engine.EnginePlacement;
 import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.engine.PlacementId;
+import org.apricotstack.core.engine.ReservationResult;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
@@ -102,7 +103,7 @@
     /** Counts the status queries. */
     private final class Engines implements EngineCalls {
         @Override
-        public Mono<Boolean> reserve(
+        public Mono<ReservationResult> reserve(
                 UpstreamEntry engine,
                 String reservation,
                 long tokens,
