Ask an engine that refused help for none during ten seconds

While the platform is silent, routers do not know which engines leave. The requests of the same and of other routers went on to ask these engines for help.

It may still run prompts of its own.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/engine/ReservationResult.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/engine/ReservationResult.java
@@ -53,6 +53,17 @@
         return new ReservationResult(Kind.NO_MEMORY, freeTokens);
     }
 
+    /**
+     * Tells whether the engine refuses all help now. An engine that leaves rejects reservations as if it lacked the
+     * memory, though it states enough.
+     *
+     * @param tokens the memory that was requested, in tokens
+     * @return whether it rejected the call for another reason than missing memory
+     */
+    public boolean refusesHelp(long tokens) {
+        return kind == Kind.REJECTED || kind == Kind.NO_MEMORY && freeTokens >= tokens;
+    }
+
     /**
      * Tells whether the memory is reserved.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
@@ -48,6 +48,13 @@
     /** Time for which no orders are sent to an upstream that did not answer one, in milliseconds. */
     private static final long ORDERS_LOST_MILLIS = 15_000;
 
+    /**
+     * Time for which an engine that refused to help is not asked for help again, in milliseconds. An engine that leaves
+     * refuses until it ends, and the platform may tell of that late; each further question costs a request an attempt.
+     * Without an engine that would help again, a prompt has one of many helpers less.
+     */
+    private static final long HELP_REFUSED_MILLIS = 10_000;
+
     /**
      * Maximum time between failures of two upstreams that are attributed to a common cause at this router, in
      * milliseconds.
@@ -64,6 +71,7 @@
         private double rate;
         private long avoidUntilMillis = Long.MIN_VALUE;
         private long noOrdersUntilMillis = Long.MIN_VALUE;
+        private long noHelpUntilMillis = Long.MIN_VALUE;
     }
 
     /**
@@ -193,6 +201,30 @@
         return health == null || nowMillis >= health.noOrdersUntilMillis;
     }
 
+    /**
+     * Records that an engine refused to help another one with a prompt, for another reason than missing memory. It may
+     * still run prompts of its own.
+     *
+     * @param id the engine
+     * @param nowMillis the time
+     */
+    public void helpRefused(UpstreamId id, long nowMillis) {
+        healthRecords.computeIfAbsent(id, key -> new HealthRecord()).noHelpUntilMillis =
+                nowMillis + HELP_REFUSED_MILLIS;
+    }
+
+    /**
+     * Tells whether an engine is expected to help others.
+     *
+     * @param id the engine
+     * @param nowMillis the time
+     * @return whether it refused no help within the last 10 seconds
+     */
+    public boolean helps(UpstreamId id, long nowMillis) {
+        HealthRecord health = healthRecords.get(id);
+        return health == null || nowMillis >= health.noHelpUntilMillis;
+    }
+
     /**
      * Removes the health records of upstreams that are no longer listed. Requests to them may still fail after they
      * were removed from the list.
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/OutlierDetectorTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/OutlierDetectorTest.java
@@ -84,6 +84,15 @@
         assertThat(detector.failureProbability(ID, 0)).isZero();
     }
 
+    @Test
+    void expectsNoHelpForAWhileFromAnEngineThatRefusedIt() {
+        assertThat(detector.helps(ID, 0)).isTrue();
+        detector.helpRefused(ID, 0);
+        assertThat(detector.helps(ID, 9_999)).isFalse();
+        assertThat(detector.helps(ID, 10_000)).isTrue();
+        assertThat(detector.failureProbability(ID, 0)).isZero();
+    }
+
     @Test
     void appliesAPeersReportForALimitedTime() {
         detector.reportedByPeer(ID, 1_000_000, 0);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -134,7 +134,7 @@
         if (kind.concernsUpstream()) {
             sender.exclude(responsible);
         }
-        chooser.failed(responsible, kind);
+        chooser.failed(attempt.choice(), responsible, kind);
         if (gate.mayHaveCrashed(attempt.upstream(), kind)) {
             gate.attemptInterrupted(attempt.upstream(), suspectTracker, attempt.answerStarted(), crashed -> {
                 log.attemptInterrupted(attempt, suspectTracker.digest(), crashed);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -295,6 +295,7 @@
             acquire(attempt);
         } else {
             reserved.refused().forEach(log::reservationRefused);
+            reserved.refused().forEach(chooser::reservationRefused);
             reserved.refused().forEach(refused -> exclude(refused.helper()));
             attempt.failed(FailureKind.NOT_RESERVED);
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -92,7 +92,8 @@
                         context.loadTable().load(entry.id()),
                         context.outlierDetector().failureProbability(entry.id(), now),
                         context.outlierDetector().answersReservationCalls(entry.id(), now),
-                        !gates.limits().isLimited(entry.id())));
+                        !gates.limits().isLimited(entry.id())
+                                && context.outlierDetector().helps(entry.id(), now)));
             }
         }
         List<EngineCandidate> ordered = context.placementGossip().hasPeerPlacements()
@@ -212,6 +213,15 @@
         }
     }
 
+    /** Records a failed attempt against the responsible upstream, which is the chosen one or one of its helpers. */
+    void failed(UpstreamChoice choice, UpstreamId responsible, FailureKind kind) {
+        if (kind == FailureKind.HELPER_GONE
+                && !responsible.equals(choice.upstream().id())) {
+            context.outlierDetector().helpRefused(responsible, context.nowMillis());
+        }
+        failed(responsible, kind);
+    }
+
     /**
      * Records a failure against the responsible upstream and reports it to the other routers, unless the upstream is
      * draining.
@@ -239,6 +249,14 @@
                 .write();
     }
 
+    /** Records that a helper did not reserve memory; one that refuses all help counts as a helper that is gone. */
+    void reservationRefused(RefusedReservation refused) {
+        if (refused.result().refusesHelp(refused.tokens())) {
+            context.outlierDetector().helpRefused(refused.helper(), context.nowMillis());
+            failed(refused.helper(), FailureKind.HELPER_GONE);
+        }
+    }
+
     /** Records the end of an attempt and reports the end of its placement. */
     void end(UpstreamChoice choice) {
         inFlight.computeIfPresent(choice.upstream().id(), (id, count) -> count > 1 ? count - 1 : null);
