Release memory again whose reservation is answered late

A request that ends while reservations are open releases them at once. If the engine executed the reservation after the release, the memory stayed reserved for up to 3.6 s without a request, as only unanswered calls were followed by another release. A reservation, also a renewal, that is granted after the release is now released again.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -96,6 +96,13 @@
                 });
     }
 
+    /** Releases memory whose reservation was answered after the release, as it may have been executed after it. */
+    private void releaseIfEnded(int index, ReservationResult result) {
+        if (ended && result.isReserved()) {
+            release(helpers.get(index).upstream(), helpers.get(index).reservation());
+        }
+    }
+
     /** Records and counts the first answer of a helper. */
     private void record(int index, ReservationResult result) {
         context.metrics().reservationAnswered(result.kind());
@@ -137,7 +144,8 @@
                                         onNotice))
                         .doOnError(e -> unanswered(helpers.get(i).upstream()))
                         .onErrorReturn(ReservationResult.UNANSWERED)
-                        .doOnNext(result -> handler.answered(i, result)));
+                        .doOnNext(result -> handler.answered(i, result))
+                        .doOnNext(result -> releaseIfEnded(i, result)));
     }
 
     /**
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -45,6 +45,7 @@
             new EngineProfile(8, 300_000, 50, 1, 0, 0, 200, 0, Integer.MAX_VALUE, 800);
 
     private int calls;
+    private int releases;
     private final Sinks.One<ReservationResult> slowAnswer = Sinks.one();
     private final ServingMetrics metrics = new ServingMetrics();
     private final EngineLoadTable loadTable = new EngineLoadTable();
@@ -109,6 +110,7 @@
 
         @Override
         public Mono<Boolean> release(UpstreamEntry engine, String reservation, Consumer<UpstreamNotice> onNotice) {
+            releases++;
             return Mono.fromSupplier(() -> accept(onNotice));
         }
 
@@ -195,4 +197,15 @@
         assertThat(counted("reservations.reserved")).isEqualTo(1);
         assertThat(counted("reservations.in_vain")).isZero();
     }
+
+    /** The memory stayed reserved for nobody if the engine executed the reservation after the release. */
+    @Test
+    void releasesMemoryAgainWhoseReservationIsAnsweredAfterTheRelease() {
+        ReservedHelpers helpers = helpers(SLOW);
+        helpers.reserve().subscribe();
+        helpers.release();
+        assertThat(releases).isEqualTo(1);
+        slowAnswer.tryEmitValue(ReservationResult.RESERVED);
+        assertThat(releases).isEqualTo(2);
+    }
 }
