--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -297,6 +297,9 @@
         if (done) {
             acquire(attempt);
         } else {
+            reserved.refused().forEach(log::reservationRefused);
+            reserved.refused().forEach(chooser::reservationRefused);
+            reserved.refused().forEach(refused -> exclude(refused.helper()));
             attempt.failed(FailureKind.NOT_RESERVED);
         }
     }
@@ -357,6 +360,7 @@
         long now = context.nowMillis();
         suspectTracker.sent(decision, attempt.upstream().id(), facts.remainingMillis(now));
         attempts.send();
+        reserved.use();
         UpstreamChoice choice = attempt.choice();
         HttpRequest head = context.protocol()
                 .write(
