Issue permits for cold upstreams in virtual time

Nothing bounded what all routers together send to an upstream that is cold. A cold upstream becomes a second source of rate limits beside the advertised one; the lower holds and the same permit issuer grants both.

A bound that holds in every second needs shorter permits than one that holds over four: with permits valid for 250 ms and a burst of two and a quarter of a second's rate, at most rate * 1.5 + 2 requests (+ 3 with two issuers) are sent in any second. ColdScheduleTest counts them at the upstream over 1, 7, 20 and 95 routers with splits, loss, one-sided loss, a killed issuer, and starts at the same moment.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitAdmission.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitAdmission.java
@@ -12,7 +12,7 @@
 /** Admits requests to rate-limited upstreams only with a permit, and requests to all others at once. */
 public final class LimitAdmission {
 
-    private final LimitTable table;
+    private final RateLimits table;
     private final PermitClient client;
     private final LongSupplier clockMillis;
     private final PermitPool permits = new PermitPool();
@@ -25,7 +25,7 @@
      * @param client requests permits from the permit issuer
      * @param clockMillis the time, in milliseconds
      */
-    public LimitAdmission(LimitTable table, PermitClient client, LongSupplier clockMillis) {
+    public LimitAdmission(RateLimits table, PermitClient client, LongSupplier clockMillis) {
         this.table = table;
         this.client = client;
         this.clockMillis = clockMillis;
@@ -88,7 +88,7 @@
         client.requestPermits(
                 upstream,
                 limit,
-                permits.permitsToRequest(upstream),
+                permits.permitsToRequest(upstream, limit),
                 grant -> permitsReceived(upstream, limit, grant, requestedMillis));
     }
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/LimitTable.java
@@ -16,7 +16,7 @@
  * a response to a request that was sent after the limit was last advertised. Limits are recorded per incarnation of an
  * upstream.
  */
-public final class LimitTable {
+public final class LimitTable implements RateLimits {
 
     /**
      * Time for which the limit of an unlisted upstream is kept, in milliseconds, as the upstream may be listed again.
@@ -124,21 +124,12 @@
                         && !listed.test(entry.getKey()));
     }
 
-    /**
-     * Returns the limit of an upstream.
-     *
-     * @param upstream the incarnation
-     * @return its limit; {@code null} if none is in force
-     */
+    @Override
     public RateLimit find(UpstreamId upstream) {
         return limits.get(upstream);
     }
 
-    /**
-     * Tells whether no upstream is limited.
-     *
-     * @return whether no limit is in force
-     */
+    @Override
     public boolean isEmpty() {
         return limits.isEmpty();
     }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuer.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuer.java
@@ -23,21 +23,17 @@
      */
     public static final double MIN_PER_SECOND = 0.1;
 
-    /**
-     * Maximum number of unused permits that accumulate; with fewer, a small limit could not be used fully by random
-     * arrivals.
-     */
-    private static final double BURST_PERMITS = 2;
-
-    /** Additional permits that accumulate, in seconds of the rate. */
-    private static final double BURST_SECONDS = 0.25;
-
     /**
      * Permits withheld when this router becomes the issuer of a limit, in seconds of the rate, as another router may
      * have been the issuer so far.
      */
     private static final double INITIAL_DEBT_SECONDS = 1;
 
+    /**
+     * Time after the start of this router in which it assumes that others have issued permits before, in milliseconds.
+     */
+    private static final long START_MILLIS = 5_000;
+
     /** Maximum debt for requests sent without a permit, in seconds of the rate. */
     private static final double MAX_DEBT_SECONDS = 4;
 
@@ -56,6 +52,21 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<UpstreamId, PermitBalance> balances = new HashMap<>();
+    private final long startedMillis;
+
+    /** Creates an issuer on a router that has been running for long. */
+    PermitIssuer() {
+        this(Long.MIN_VALUE / 2);
+    }
+
+    /**
+     * Creates an issuer.
+     *
+     * @param startedMillis time at which the router started
+     */
+    public PermitIssuer(long startedMillis) {
+        this.startedMillis = startedMillis;
+    }
 
     /** The permits of one upstream; negative while in debt. */
     private static final class PermitBalance {
@@ -64,15 +75,15 @@
         private double nextRetryMillis;
 
         /** Creates a balance with the initial debt. */
-        private PermitBalance(double perSecond, long nowMillis) {
-            this.permits = -INITIAL_DEBT_SECONDS * perSecond;
+        private PermitBalance(double perSecond, double debtSeconds, long nowMillis) {
+            this.permits = -debtSeconds * perSecond;
             this.accruedUntilMillis = nowMillis;
         }
 
         /** Adds the permits accrued since the last call. */
-        private void accrue(double perSecond, long nowMillis) {
+        private void accrue(double perSecond, double burst, long nowMillis) {
             double accrued = Math.max(0, nowMillis - accruedUntilMillis) / MILLIS_PER_SECOND * perSecond;
-            permits = Math.min(BURST_PERMITS + BURST_SECONDS * perSecond, permits + accrued);
+            permits = Math.min(burst, permits + accrued);
             accruedUntilMillis = Math.max(accruedUntilMillis, nowMillis);
         }
 
@@ -108,8 +119,22 @@
      * @return the permits and the retry time
      */
     public PermitGrant grant(UpstreamId upstream, double perSecond, double share, int wanted, long nowMillis) {
-        double rate = rate(perSecond, share);
-        PermitBalance balance = balance(upstream, rate, nowMillis);
+        return grant(upstream, new RateLimit(perSecond, nowMillis), share, wanted, nowMillis);
+    }
+
+    /**
+     * Grants permits.
+     *
+     * @param upstream the limited upstream
+     * @param limit its limit
+     * @param share share of the active routers that use this issuer, 0 to 1; the others may have their own issuer
+     * @param wanted number of permits that the requesting router can use soon
+     * @param nowMillis the time
+     * @return the permits and the retry time
+     */
+    public PermitGrant grant(UpstreamId upstream, RateLimit limit, double share, int wanted, long nowMillis) {
+        double rate = rate(limit.perSecond(), share);
+        PermitBalance balance = balance(upstream, limit, share, nowMillis);
         int granted = balance.take(wanted);
         return new PermitGrant(granted, balance.retryAfterMillis(rate, nowMillis));
     }
@@ -124,8 +149,21 @@
      * @param nowMillis the time
      */
     public void charge(UpstreamId upstream, double perSecond, double share, int requests, long nowMillis) {
-        double rate = rate(perSecond, share);
-        PermitBalance balance = balance(upstream, rate, nowMillis);
+        charge(upstream, new RateLimit(perSecond, nowMillis), share, requests, nowMillis);
+    }
+
+    /**
+     * Charges requests that were sent without a permit.
+     *
+     * @param upstream the limited upstream
+     * @param limit its limit
+     * @param share share of the active routers that use this issuer, 0 to 1
+     * @param requests number of requests
+     * @param nowMillis the time
+     */
+    public void charge(UpstreamId upstream, RateLimit limit, double share, int requests, long nowMillis) {
+        double rate = rate(limit.perSecond(), share);
+        PermitBalance balance = balance(upstream, limit, share, nowMillis);
         balance.permits = Math.max(-Math.max(1, MAX_DEBT_SECONDS * rate), balance.permits - requests);
     }
 
@@ -135,18 +173,32 @@
     }
 
     /** Returns the updated balance of an upstream. */
-    private PermitBalance balance(UpstreamId upstream, double rate, long nowMillis) {
-        PermitBalance balance = balances.computeIfAbsent(upstream, id -> new PermitBalance(rate, nowMillis));
-        balance.accrue(rate, nowMillis);
+    private PermitBalance balance(UpstreamId upstream, RateLimit limit, double share, long nowMillis) {
+        double rate = rate(limit.perSecond(), share);
+        PermitBalance balance = balances.computeIfAbsent(
+                upstream, id -> new PermitBalance(rate, initialDebtSeconds(limit, nowMillis), nowMillis));
+        balance.accrue(rate, limit.terms().burst(rate, share), nowMillis);
         return balance;
     }
 
+    /**
+     * Returns the initial debt. All routers know at the same time that an upstream is cold, so no other router can have
+     * issued permits for longer than this one knows it.
+     */
+    private double initialDebtSeconds(RateLimit limit, long nowMillis) {
+        if (limit.terms() == PermitTerms.AVERAGE || nowMillis - startedMillis < START_MILLIS) {
+            return INITIAL_DEBT_SECONDS;
+        }
+        double knownSeconds = Math.max(0, nowMillis - limit.advertisedMillis()) / MILLIS_PER_SECOND;
+        return Math.min(INITIAL_DEBT_SECONDS, knownSeconds);
+    }
+
     /**
      * Removes upstreams that are no longer limited.
      *
      * @param limits the limits in force
      */
-    public void retain(LimitTable limits) {
+    public void retain(RateLimits limits) {
         if (!balances.isEmpty()) {
             balances.keySet().removeIf(upstream -> limits.find(upstream) == null);
         }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuerService.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuerService.java
@@ -16,28 +16,29 @@
     private static final long NOT_ISSUER_RETRY_MILLIS = 200;
 
     private final HostId own;
-    private final LimitTable table;
+    private final RateLimits limits;
     private final Function<UpstreamId, PermitIssuerSelection> selector;
     private final LongSupplier clockMillis;
-    private final PermitIssuer permitIssuer = new PermitIssuer();
+    private final PermitIssuer permitIssuer;
 
     /**
      * Creates a service without balances.
      *
      * @param own this router
-     * @param table the limits in force
+     * @param limits the limits in force
      * @param selector selects the permit issuer of an upstream, as seen by this router
      * @param clockMillis the time, in milliseconds
      */
     public PermitIssuerService(
             HostId own,
-            LimitTable table,
+            RateLimits limits,
             Function<UpstreamId, PermitIssuerSelection> selector,
             LongSupplier clockMillis) {
         this.own = own;
-        this.table = table;
+        this.limits = limits;
         this.selector = selector;
         this.clockMillis = clockMillis;
+        this.permitIssuer = new PermitIssuer(clockMillis.getAsLong());
     }
 
     /**
@@ -70,7 +71,7 @@
      */
     public PermitGrant answer(UpstreamId upstream, int wanted, int charged) {
         PermitIssuerSelection issuer = selector.apply(upstream);
-        RateLimit limit = table.find(upstream);
+        RateLimit limit = limits.find(upstream);
         if (limit == null) {
             return new PermitGrant(0, 0);
         }
@@ -79,16 +80,14 @@
         }
         long now = clockMillis.getAsLong();
         if (charged > 0) {
-            permitIssuer.charge(upstream, limit.perSecond(), issuer.share(), charged, now);
+            permitIssuer.charge(upstream, limit, issuer.share(), charged, now);
         }
-        return wanted == 0
-                ? new PermitGrant(0, 0)
-                : permitIssuer.grant(upstream, limit.perSecond(), issuer.share(), wanted, now);
+        return wanted == 0 ? new PermitGrant(0, 0) : permitIssuer.grant(upstream, limit, issuer.share(), wanted, now);
     }
 
     /** Removes upstreams that are no longer limited. */
     public void expire() {
-        permitIssuer.retain(table);
+        permitIssuer.retain(limits);
     }
 
     /**
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitPool.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitPool.java
@@ -8,12 +8,6 @@
 /** The permits that this router holds for rate-limited upstreams, and the times from which it may request more. */
 public final class PermitPool {
 
-    /** Time for which a permit is valid, in milliseconds from the permit request. */
-    static final long PERMIT_VALID_MILLIS = 1_000;
-
-    /** Time whose expected demand one permit request covers, in seconds. */
-    private static final double DEMAND_COVERAGE_SECONDS = 0.5;
-
     /** Maximum number of permits in one permit request. */
     private static final int MAX_REQUESTED = 64;
 
@@ -118,10 +112,12 @@
      * Returns the number of permits to request.
      *
      * @param upstream the limited upstream
+     * @param limit its limit
      * @return number of permits, at least 1
      */
-    public int permitsToRequest(UpstreamId upstream) {
-        double expectedDemand = upstreamPermits(upstream).perSecond() * DEMAND_COVERAGE_SECONDS;
+    public int permitsToRequest(UpstreamId upstream, RateLimit limit) {
+        double expectedDemand =
+                upstreamPermits(upstream).perSecond() * limit.terms().coverageSeconds();
         return (int) Math.max(1, Math.min(MAX_REQUESTED, Math.floor(expectedDemand)));
     }
 
@@ -139,7 +135,7 @@
         if (grant.permits() > 0) {
             int remaining = nowMillis < held.untilMillis ? held.permits : 0;
             held.permits = remaining + grant.permits();
-            held.untilMillis = requestedMillis + PERMIT_VALID_MILLIS;
+            held.untilMillis = requestedMillis + limit.terms().validMillis();
         }
         long retryAfterMillis =
                 grant.permits() > 0 ? grant.retryAfterMillis() : Math.max(MIN_CLOSED_MILLIS, grant.retryAfterMillis());
@@ -162,7 +158,7 @@
      *
      * @param limits the limits in force
      */
-    public void retain(LimitTable limits) {
+    public void retain(RateLimits limits) {
         if (!upstreamPermits.isEmpty()) {
             upstreamPermits.keySet().removeIf(upstream -> limits.find(upstream) == null);
         }
--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/ColdScheduleTest.java
@@ -0,0 +1,55 @@
+package org.apricotstack.core.ratelimit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.apricotstack.core.ratelimit.ColdScenario.Fault;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Requests that a cold upstream receives from all routers together, in virtual time with several seeds. */
+class ColdScheduleTest {
+
+    private static final int SEEDS = 4;
+    private static final double DEMAND_FACTOR = 3;
+
+    /** Minimum share of the tolerated rate that must be used while there is demand. */
+    private static final double MIN_USED_SHARE = 0.8;
+
+    /** Time after which all routers know a cold period and earlier requests have arrived, in milliseconds. */
+    private static final long LEARNT_MILLIS = 65;
+
+    static Stream<ColdScenario> scenarios() {
+        List<ColdScenario> scenarios = new ArrayList<>();
+        for (int routers : new int[] {1, 7, 20, 95}) {
+            for (Fault fault : Fault.values()) {
+                double demand = ColdSimulation.TOLERATED_PER_SECOND * DEMAND_FACTOR;
+                scenarios.add(new ColdScenario(routers, demand, false, fault));
+                scenarios.add(new ColdScenario(routers, demand, true, fault));
+            }
+        }
+        return scenarios.stream();
+    }
+
+    @ParameterizedTest
+    @MethodSource("scenarios")
+    void staysWithinTheBoundInEverySecondAndUsesMostOfIt(ColdScenario scenario) {
+        double used = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            ColdSimulation simulation = new ColdSimulation(scenario, seed).run();
+            assertThat(simulation.maxInASecond(ColdSimulation.COLD_FROM_MILLIS + LEARNT_MILLIS))
+                    .as("requests received in a second, seed %d", seed)
+                    .isLessThanOrEqualTo(ColdSimulation.MAX_IN_A_SECOND);
+            used += simulation.usedShare() / SEEDS;
+            assertThat(simulation.arrivals(ColdSimulation.COLD_UNTIL_MILLIS + 500, ColdSimulation.SIMULATED_MILLIS))
+                    .as("requests received once warm, seed %d", seed)
+                    .isGreaterThan((long) (3.2 * ColdSimulation.TOLERATED_PER_SECOND * DEMAND_FACTOR * 0.8));
+        }
+        if (scenario.fault() == Fault.NONE || scenario.fault() == Fault.LEARNT_FROM_A_RESPONSE) {
+            assertThat(used).as("used share of the tolerated rate").isGreaterThanOrEqualTo(MIN_USED_SHARE);
+        }
+    }
+}
