Send few requests to cold upstreams from all routers together

cold_remaining_ms, X-Cold-Ms, cold_start_s and cold_per_s were read by nobody, so a data centre that came back cold got all the load that its empty engines drew, above cold_per_s x cold_overage + cold_slack.

Entries, first listings, answers of any status and a 421 with X-Cold-Ms now say how long an upstream is cold; what an answer said goes to the other routers and to those that start. Every way to an upstream takes a permit as for an advertised limit: an upstream without one is passed over (cold), and with none left the caller gets 503 upstreams_cold. Without the two bounds in the settings nothing is tracked or sent.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterOptions.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.apricotstack.core.id.Address;
+import org.apricotstack.core.ratelimit.ColdBound;
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.serving.gossip.RouterIdentity;
 
@@ -16,6 +17,7 @@
  * @param retryRatio retries allowed per request, over all routers
  * @param retryWindowMillis sliding window of the retry ratio, in milliseconds
  * @param retrySlack retries allowed in addition to the ratio, over all routers
+ * @param coldBound bound on the requests to cold upstreams, over all routers; {@code null} if there is none
  * @param stopTimeoutMillis time until a stopping process is killed, in milliseconds
  * @param maxAddressSeconds longest time for which callers may be told to cache addresses, in seconds
  */
@@ -27,6 +29,7 @@
         double retryRatio,
         long retryWindowMillis,
         double retrySlack,
+        ColdBound coldBound,
         long stopTimeoutMillis,
         int maxAddressSeconds) {
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -12,7 +12,7 @@
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.peer.FleetSize;
 import org.apricotstack.core.peer.PeerTable;
-import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.stop.StopPolicy;
@@ -40,6 +40,7 @@
 import org.apricotstack.serving.publication.PublicationGauges;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.serving.relay.RouterLinks;
+import org.apricotstack.serving.run.ConfiguredColdRates;
 import org.apricotstack.serving.run.RequestDispatcher;
 import org.apricotstack.serving.run.RetryBudgets;
 import org.apricotstack.serving.run.ServingContext;
@@ -73,7 +74,7 @@
     private final PeerTable peers = new PeerTable();
     private final FleetSize fleetSize;
     private final SuspectTable suspects;
-    private final LimitTable limits = new LimitTable();
+    private final LimitsInForce limits;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final PublishedState state;
     private final PublicationFollower follower;
@@ -122,6 +123,7 @@
         OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
+        limits = ConfiguredColdRates.limits(options.coldBound(), upstreams, state::configuration, loop::nowMillis);
         state.onUpstreamRemoved(this::onUpstreamRemoved);
         links = new RouterLinks(
                 loop,
@@ -194,6 +196,7 @@
     private void addListeners() {
         hub.suspects().onCrashReported(runs::upstreamCrashReported);
         state.onDrainEnded(runs::drainEnded);
+        state.onUpstreamListed(runs::upstreamListed);
         links.onSilentLink(runs::linkSilent);
     }
 
@@ -209,7 +212,7 @@
     /** Registers the gauges. */
     private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
         PublicationGauges.register(metrics, follower, state);
-        GossipGauges.register(metrics, hub);
+        GossipGauges.register(metrics, hub, limits);
         links.register(metrics);
         metrics.gauge("fields.unknown", unknown::size);
         metrics.gauge("fields.unknown_met", unknown::count);
@@ -223,7 +226,6 @@
         metrics.gauge("suspects.causes", suspects::causes);
         metrics.gauge("suspects.dropped", suspects::dropped);
         metrics.gauge("drains.in_force", () -> upstreams.drains().all().size());
-        metrics.gauge("limits.in_force", () -> limits.all().size());
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> gossipServer == null ? 0 : gossipServer.malformed());
         metrics.gauge("log.lines_dropped", log::dropped);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -14,7 +14,7 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.PlatformReaderSelection;
 import org.apricotstack.core.peer.RequestRate;
-import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -63,7 +63,7 @@
      * @param loadTable receives the placements of other routers
      * @param outlierDetector receives failures that other routers observed
      * @param suspects receives requests under which upstreams crashed at other routers
-     * @param limits receives the rate limits that upstreams advertised to other routers
+     * @param limits receives the rate limits and cold periods of upstreams that other routers learnt
      * @param drains receives the drains that upstreams announced to other routers
      * @param own this router's host
      * @param state receives documents that peers know
@@ -78,7 +78,7 @@
             EngineLoadTable loadTable,
             OutlierDetector outlierDetector,
             SuspectTable suspects,
-            LimitTable limits,
+            LimitsInForce limits,
             DrainTable drains,
             HostId own,
             PublishedState state,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/LimitChannel.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/LimitChannel.java
@@ -14,9 +14,11 @@
 import org.apricotstack.core.limits.TokenBucket;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.ratelimit.PermitGrant;
 import org.apricotstack.core.ratelimit.PermitIssuerSelection;
 import org.apricotstack.core.ratelimit.PermitIssuerService;
+import org.apricotstack.core.ratelimit.PermitTerms;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -68,6 +70,7 @@
     private final ServingLoop loop;
     private final LimitTable table;
     private final PermitIssuerService issuerService;
+    private final ColdChannel cold;
     private final LimitPeers peers;
     private final DecisionLog log;
     private final Supplier<NewsFrame.Builder> frameBuilder;
@@ -91,23 +94,24 @@
      * Creates a channel.
      *
      * @param loop the event loop
-     * @param table the limits in force
+     * @param limits the limits in force
      * @param peers the other routers
      * @param log receives the changes that other routers report
      * @param frameBuilder supplies the frame that is sent at the end of this turn of the event loop
      */
     LimitChannel(
             ServingLoop loop,
-            LimitTable table,
+            LimitsInForce limits,
             LimitPeers peers,
             DecisionLog log,
             Supplier<NewsFrame.Builder> frameBuilder) {
         this.loop = loop;
-        this.table = table;
+        this.table = limits.advertised();
+        this.cold = new ColdChannel(loop, limits, peers, log, frameBuilder);
         this.peers = peers;
         this.log = log;
         this.frameBuilder = frameBuilder;
-        this.issuerService = new PermitIssuerService(peers.own(), table, peers::permitIssuerOf, loop::nowMillis);
+        this.issuerService = new PermitIssuerService(peers.own(), limits, peers::permitIssuerOf, loop::nowMillis);
         this.reportBudget = new TokenBucket(MAX_REPORT_BYTES, nowNanos());
         this.permitBudget = new TokenBucket(MAX_PERMIT_BYTES, nowNanos());
     }
@@ -156,13 +160,19 @@
         }
     }
 
-    /** Returns whether any upstream has a rate limit, which the other routers have to learn. */
+    @Override
+    public void coldChanged(UpstreamId upstream, LimitChange change) {
+        cold.broadcast(upstream, change);
+    }
+
+    /** Returns whether any upstream has a rate limit or is cold, which the other routers have to learn. */
     boolean hasState() {
-        return !table.isEmpty();
+        return cold.hasState() || !table.isEmpty();
     }
 
     /** Adds known limits to a frame for a router that missed updates. */
     void addAll(NewsFrame.Builder frame) {
+        cold.addAll(frame);
         if (table.isEmpty()) {
             return;
         }
@@ -213,9 +223,14 @@
 
     /** Starts building a permit request. */
     private PermitRequest.Builder request(long number, UpstreamId upstream, RateLimit limit) {
+        RateLimit advertised = table.find(upstream);
+        long now = loop.nowMillis();
         return PermitRequest.newBuilder()
                 .setNumber(number)
-                .setLimit(LimitMessages.inForce(upstream, limit, loop.nowMillis()));
+                .setLimit(
+                        advertised == null && limit.terms() == PermitTerms.EVERY_SECOND
+                                ? LimitMessages.notNamed(upstream, limit, now)
+                                : LimitMessages.inForce(upstream, advertised == null ? limit : advertised, now));
     }
 
     /** Sends a permit request to a permit issuer, if it can be reached. */
@@ -224,7 +239,9 @@
         if (address == null || !maySend(request)) {
             return false;
         }
-        peers.send(address, NewsFrame.newBuilder().addPermitRequests(request).build());
+        NewsFrame.Builder frame = NewsFrame.newBuilder().addPermitRequests(request);
+        cold.addTo(frame, LimitMessages.upstream(request.getLimit()));
+        peers.send(address, frame.build());
         return true;
     }
 
@@ -244,6 +261,7 @@
      * @param sender where a datagram came from, or {@code null} for a stream
      */
     void receive(NewsFrame frame, Address sender) {
+        cold.receive(frame, sender);
         frame.getLimitsList().forEach(reported -> receiveLimit(reported, sender == null ? "news" : sender.toString()));
         if (sender != null) {
             frame.getPermitRequestsList().forEach(request -> answer(request, sender));
@@ -277,7 +295,9 @@
     /** Replies to a permit request. */
     private void answer(PermitRequest request, Address sender) {
         UpstreamId upstream = LimitMessages.upstream(request.getLimit());
-        receiveLimit(request.getLimit(), sender.toString());
+        if (!request.getLimit().getNotNamed()) {
+            receiveLimit(request.getLimit(), sender.toString());
+        }
         PermitGrant grant = issuerService.answer(upstream, request.getWanted(), request.getCharged());
         if (request.getWanted() == 0) {
             return;
@@ -315,6 +335,7 @@
     /** Drops the state of upstreams that have no limit any more. */
     public void expire() {
         issuerService.expire();
+        cold.expire();
         if (!lastReportedMillis.isEmpty()) {
             lastReportedMillis.keySet().removeIf(upstream -> table.find(upstream) == null);
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/LimitMessages.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/LimitMessages.java
@@ -19,6 +19,11 @@
                 .build();
     }
 
+    /** Encodes the limit of an upstream that advertises none. */
+    static NamedLimit notNamed(UpstreamId upstream, RateLimit limit, long nowMillis) {
+        return inForce(upstream, limit, nowMillis).toBuilder().setNotNamed(true).build();
+    }
+
     /** Encodes that an upstream advertises no limit any more. */
     static NamedLimit ended(UpstreamId upstream, long atMillis, long nowMillis) {
         return NamedLimit.newBuilder()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/PassedOverCause.java
@@ -6,6 +6,8 @@
 public enum PassedOverCause {
     /** Its advertised rate limit is used up. */
     LIMIT,
+    /** It is cold, and the requests that it tolerates meanwhile are used up. */
+    COLD,
     /** It announced a drain in its responses. */
     DRAINING,
     /** It requested a back-off from this router. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -20,6 +20,8 @@
     NO_ROOM,
     /** The rate limits of all upstreams that could answer are used up. */
     UPSTREAM_LIMITS,
+    /** All upstreams that could answer are cold, and the requests that they tolerate meanwhile are used up. */
+    UPSTREAMS_COLD,
     /** All upstreams that could answer requested a back-off from this router. */
     UPSTREAMS_BACK_OFF,
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -42,6 +42,8 @@
     private final Map<PassedOverCause, Counter> passedOver =
             counters(PassedOverCause.class, cause -> "passed_over." + cause.code());
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
+    private final Counter coldBegan = registry.counter("cold.began");
+    private final Counter coldUnreadable = registry.counter("cold.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
     private final Map<AdvertisedBackOff.Kind, Counter> backOffs =
@@ -175,6 +177,16 @@
         limitsUnreadable.inc();
     }
 
+    /** Counts an upstream that this router found to be cold. */
+    public void coldBegan() {
+        coldBegan.inc();
+    }
+
+    /** Counts an entry or response whose remaining cold time cannot be parsed. */
+    public void coldUnreadable() {
+        coldUnreadable.inc();
+    }
+
     /** Counts an upstream that started to announce a drain. */
     public void drainAnnounced() {
         drainsAnnounced.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -40,6 +40,7 @@
     private final UpstreamTable upstreams;
     private final OutlierDetector outlierDetector;
     private final EngineLoadTable loadTable;
+    private final ListingNotifier listings;
     private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
     private final Set<UpstreamId> rejectedUpstreams = new HashSet<>();
     private Consumer<UpstreamEntry> onUpstreamRemoved = ended -> {};
@@ -67,6 +68,7 @@
         this.outlierDetector = outlierDetector;
         this.loadTable = loadTable;
         this.log = log;
+        this.listings = new ListingNotifier(upstreams);
         this.configuration = new CurrentConfiguration(reader, log);
     }
 
@@ -88,6 +90,15 @@
         onDrainEnded = action;
     }
 
+    /**
+     * Sets the listener for new entries of upstreams.
+     *
+     * @param action receives each entry that is newer than the known one
+     */
+    public void onUpstreamListed(UpstreamListingListener action) {
+        listings.listener(action);
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -227,6 +238,7 @@
 
     /** Drops the state of upstreams that were removed or restarted, and notifies the listeners. */
     private void handleRemovedUpstreams(String source) {
+        listings.update(upstreamsKnown);
         upstreams.takeServingAgain().forEach(onDrainEnded);
         for (UpstreamId doubted : upstreams.takeUnconfirmed()) {
             log.line("upstream_doubted")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGate.java
@@ -10,6 +10,7 @@
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.PassedOverCause;
 
 /** Keeps the requests to upstreams within the rate limits that their answers advertise. */
 final class LimitGate {
@@ -34,12 +35,13 @@
      * @param requestId id of the request, or {@code null} if no caller's request was answered
      */
     void answered(UpstreamId upstream, AdvertisedLimit advertised, long sentMillis, String requestId) {
-        if (advertised.kind() == AdvertisedLimit.Kind.ABSENT && !admission.isLimited(upstream)) {
+        if (advertised.kind() == AdvertisedLimit.Kind.ABSENT
+                && context.limits().advertised().find(upstream) == null) {
             return;
         }
         long now = context.nowMillis();
-        RateLimit before = context.limits().find(upstream);
-        LimitChange change = context.limits().answerReceived(upstream, advertised, sentMillis, now);
+        RateLimit before = context.limits().advertised().find(upstream);
+        LimitChange change = context.limits().advertised().answerReceived(upstream, advertised, sentMillis, now);
         if (advertised.kind() == AdvertisedLimit.Kind.UNREADABLE) {
             noteUnreadable(upstream, requestId);
         } else {
@@ -51,7 +53,7 @@
         boolean ended = change == LimitChange.ENDED;
         RateLimit limit = ended
                 ? new RateLimit(before.perSecond(), sentMillis)
-                : context.limits().find(upstream);
+                : context.limits().advertised().find(upstream);
         context.metrics().limitChanged(change);
         line("limit_" + change.code(), requestId)
                 .put("upstream", upstream.value())
@@ -93,7 +95,17 @@
      * be requested.
      */
     long blockedMillis(UpstreamId upstream) {
-        return admission.blockedMillis(upstream);
+        long blockedMillis = admission.blockedMillis(upstream);
+        boolean becomesUnlimited =
+                blockedMillis > 0 && context.limits().advertised().find(upstream) == null;
+        return becomesUnlimited
+                ? Math.min(blockedMillis, Math.max(1, context.limits().remainingColdMillis(upstream)))
+                : blockedMillis;
+    }
+
+    /** Returns why an upstream without a permit is skipped. */
+    PassedOverCause cause(UpstreamId upstream) {
+        return context.limits().isCold(upstream) ? PassedOverCause.COLD : PassedOverCause.LIMIT;
     }
 
     /** Acquires a permit for one request to an upstream; the consumer receives whether it was granted. */
@@ -119,7 +131,7 @@
     /** Removes the state of an incarnation that no longer runs. */
     void forget(UpstreamId upstream) {
         unreadable.remove(upstream);
-        context.limits().forget(upstream);
+        context.limits().advertised().forget(upstream);
     }
 
     /**
@@ -127,8 +139,8 @@
      * force.
      */
     void expire() {
-        context.limits().expire(id -> context.upstreams().isListed(id), context.nowMillis());
-        context.metrics().limits(context.limits().all());
+        context.limits().advertised().expire(id -> context.upstreams().isListed(id), context.nowMillis());
+        context.metrics().limits(context.limits().advertised().all());
         admission.expire();
         if (!unreadable.isEmpty()) {
             unreadable.removeIf(upstream -> !context.upstreams().isListed(upstream));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/LimitGossip.java
@@ -17,6 +17,14 @@
      */
     void limitChanged(UpstreamId upstream, LimitChange change, RateLimit limit);
 
+    /**
+     * Reports a change of a cold period that a response showed.
+     *
+     * @param upstream the upstream that answered
+     * @param change how the cold period changed
+     */
+    void coldChanged(UpstreamId upstream, LimitChange change);
+
     /**
      * Returns the permit issuer of an upstream, according to this router's membership view.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -177,6 +177,16 @@
         List.copyOf(running).forEach(run -> run.recheckSuspicion(trait));
     }
 
+    /**
+     * Processes a new entry of an upstream, which may state that it is cold.
+     *
+     * @param entry the entry
+     * @param started whether the upstream was listed for the first time
+     */
+    public void upstreamListed(UpstreamEntry entry, boolean started) {
+        gates.cold().listed(entry, started);
+    }
+
     /**
      * Processes that the platform lists an upstream as serving again after it listed it as draining.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -227,6 +227,8 @@
             });
         } else if (availability.cause() == PassedOverCause.LIMIT) {
             run.endWithRefusal(RefusalCause.UPSTREAM_LIMITS, availability.millis());
+        } else if (availability.cause() == PassedOverCause.COLD) {
+            run.endWithRefusal(RefusalCause.UPSTREAMS_COLD, availability.millis());
         } else {
             long caller = facts.request().id().hashCode();
             run.endWithRefusal(RefusalCause.UPSTREAMS_BACK_OFF, RetryAfterJitter.millis(availability.millis(), caller));
@@ -240,14 +242,14 @@
         if (progress.answerStarted()) {
             return now + availability.millis() < progress.lastMillis() + TimeoutPolicy.patienceMillis(facts.route());
         }
-        return availability.cause() == PassedOverCause.LIMIT
+        return availability.cause() != PassedOverCause.BACK_OFF
                 && PermitWaitPolicy.isAllowed(
                         availability.millis(),
                         now - facts.arrivedMillis(),
                         facts.route().targetLatencyMillis(),
                         gates.limits().waiting(),
                         chooser.skippedUpstreams(facts.service())
-                                .of(PassedOverCause.LIMIT)
+                                .of(availability.cause())
                                 .size());
     }
 
@@ -308,7 +310,9 @@
         if (attempt != current || attempt.finished()) {
             return;
         }
-        PassedOverCause cause = granted ? gates.unavailableCause(attempt.choice()) : PassedOverCause.LIMIT;
+        PassedOverCause cause = granted
+                ? gates.unavailableCause(attempt.choice())
+                : gates.limits().cause(attempt.upstream().id());
         if (cause != null) {
             log.passedOver(
                     attempt, cause, gates.blockedMillis(attempt.upstream().id()));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ServingContext.java
@@ -6,7 +6,7 @@
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
-import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -33,7 +33,7 @@
  * @param placementGossip reports placements and failures to the other routers
  * @param suspects requests that were in flight when upstreams crashed
  * @param suspectGossip reports suspected requests to the other routers
- * @param limits the rate limits that upstreams advertised
+ * @param limits the rate limits in force
  * @param limitGossip reports rate limits to the other routers
  * @param budgets retry budgets
  * @param bodies limits the bytes of buffered request bodies
@@ -55,7 +55,7 @@
         PlacementGossip placementGossip,
         SuspectTable suspects,
         SuspectGossip suspectGossip,
-        LimitTable limits,
+        LimitsInForce limits,
         LimitGossip limitGossip,
         RetryBudgets budgets,
         ByteBudget bodies,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -151,11 +151,14 @@
         }
         Map<PassedOverCause, List<UpstreamEntry>> byCause = new EnumMap<>(PassedOverCause.class);
         List<UpstreamEntry> usable = context.upstreams().usable(service);
-        byCause.put(
-                PassedOverCause.LIMIT,
-                usable.stream()
-                        .filter(entry -> gates.limits().blockedMillis(entry.id()) > 0)
-                        .toList());
+        for (PassedOverCause cause : List.of(PassedOverCause.LIMIT, PassedOverCause.COLD)) {
+            byCause.put(
+                    cause,
+                    usable.stream()
+                            .filter(entry -> gates.limits().blockedMillis(entry.id()) > 0
+                                    && gates.limits().cause(entry.id()) == cause)
+                            .toList());
+        }
         byCause.put(PassedOverCause.DRAINING, context.upstreams().draining(service));
         byCause.put(
                 PassedOverCause.BACK_OFF,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -16,6 +16,7 @@
     private final LimitGate limits;
     private final DrainGate drains;
     private final BackOffGate backOffs;
+    private final ColdGate cold;
 
     /** Creates gates without limits, drains or back-offs. */
     UpstreamGates(ServingContext context) {
@@ -23,6 +24,7 @@
         this.limits = new LimitGate(context);
         this.drains = new DrainGate(context);
         this.backOffs = new BackOffGate(context);
+        this.cold = new ColdGate(context);
     }
 
     /** Returns the rate limits. */
@@ -40,9 +42,14 @@
         return backOffs;
     }
 
-    /** Returns whether no rate limit or back-off is in force. */
+    /** Returns the cold upstreams. */
+    ColdGate cold() {
+        return cold;
+    }
+
+    /** Returns whether no rate limit or back-off is in force, and no upstream is cold. */
     boolean isIdle() {
-        return limits.isIdle() && backOffs.isIdle();
+        return cold.isIdle() && limits.isIdle() && backOffs.isIdle();
     }
 
     /** Returns why no request may be sent to an upstream now; {@code null} if one may, or a permit may be requested. */
@@ -60,7 +67,7 @@
     UpstreamRestriction blocked(UpstreamId upstream) {
         return UpstreamRestriction.longest(
                 UpstreamRestriction.ending(PassedOverCause.BACK_OFF, backOffs.blockedMillis(upstream)),
-                UpstreamRestriction.ending(PassedOverCause.LIMIT, limits.blockedMillis(upstream)));
+                UpstreamRestriction.ending(limits.cause(upstream), limits.blockedMillis(upstream)));
     }
 
     /**
@@ -104,6 +111,7 @@
         limits.answered(upstream, notice.limit(), sentMillis, requestId);
         drains.answered(upstream, notice.drain(), sentMillis, requestId);
         backOffs.answered(upstream, notice.backOff(), requestId);
+        cold.answered(upstream, notice.cold(), sentMillis);
     }
 
     /** Processes the notice in the head of a response, unless another instance at the address sent it. */
@@ -116,10 +124,12 @@
     /** Removes the state of an incarnation that no longer runs. */
     void forget(UpstreamId upstream) {
         limits.forget(upstream);
+        cold.forget(upstream);
     }
 
     /** Removes expired state; the argument says whether the platform's list of upstreams is up to date. */
     void expire(boolean platformAnswers) {
+        cold.expire();
         limits.expire();
         drains.expire(platformAnswers);
         backOffs.expire();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -18,6 +18,7 @@
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
@@ -77,7 +78,7 @@
             loadTable,
             new OutlierDetector(),
             new SuspectTable(PROCESS, suspect -> {}),
-            new LimitTable(),
+            LimitsInForce.advertisedOnly(new LimitTable()),
             new DrainTable(),
             PROCESS.host(),
             new PublishedState(null, upstreams, new OutlierDetector(), loadTable, log),
@@ -128,7 +129,7 @@
                 null,
                 new SuspectTable(PROCESS, suspect -> {}),
                 null,
-                new LimitTable(),
+                LimitsInForce.advertisedOnly(new LimitTable()),
                 null,
                 null,
                 null,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipHubTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipHubTest.java
@@ -15,6 +15,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.upstream.DrainTable;
 import org.apricotstack.core.upstream.OutlierDetector;
@@ -49,7 +50,7 @@
             loadTable,
             outlierDetector,
             new SuspectTable(PEER, suspect -> {}),
-            new LimitTable(),
+            LimitsInForce.advertisedOnly(new LimitTable()),
             new DrainTable(),
             new HostId("own"),
             state,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/LimitChannelTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/LimitChannelTest.java
@@ -9,6 +9,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.ratelimit.PermitGrant;
 import org.apricotstack.core.ratelimit.PermitIssuerSelection;
 import org.apricotstack.core.ratelimit.RateLimit;
@@ -52,7 +53,7 @@
 
         Router(String own) {
             this.own = new HostId(own);
-            this.channel = new LimitChannel(loop, table, this, log, () -> reported);
+            this.channel = new LimitChannel(loop, LimitsInForce.advertisedOnly(table), this, log, () -> reported);
         }
 
         @Override
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/DenyingLimitGossip.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/DenyingLimitGossip.java
@@ -20,6 +20,11 @@
         // Limit changes are not reported in these tests.
     }
 
+    @Override
+    public void coldChanged(UpstreamId upstream, LimitChange change) {
+        // Cold periods are not reported in these tests.
+    }
+
     @Override
     public String permitIssuerOf(UpstreamId upstream) {
         return "keeper";
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReservedHelpersTest.java
@@ -17,6 +17,7 @@
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.AdvertisedLimit;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -53,7 +54,7 @@
             null,
             null,
             null,
-            limits,
+            LimitsInForce.advertisedOnly(limits),
             limitGossip,
             null,
             null,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/SilenceCheckTest.java
@@ -20,6 +20,7 @@
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.ratelimit.AdvertisedLimit;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
@@ -84,7 +85,7 @@
             null,
             null,
             null,
-            limits,
+            LimitsInForce.advertisedOnly(limits),
             limitGossip,
             null,
             null,
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
@@ -18,6 +18,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.route.AccountKeys;
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.RequestKind;
@@ -88,7 +89,7 @@
                 null,
                 new SuspectTable(PROCESS, suspect -> {}),
                 null,
-                new LimitTable(),
+                LimitsInForce.advertisedOnly(new LimitTable()),
                 new DenyingLimitGossip(),
                 new RetryBudgets(1, 1_000, () -> 1),
                 new ByteBudget(1_000),
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/UpstreamChooserTest.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
@@ -48,7 +49,7 @@
             null,
             null,
             null,
-            new LimitTable(),
+            LimitsInForce.advertisedOnly(new LimitTable()),
             new DenyingLimitGossip(),
             null,
             null,
