--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
@@ -17,6 +17,7 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.LimitChange;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.suspect.ObservedCrash;
 import org.apricotstack.core.suspect.RequestDigest;
@@ -78,7 +79,7 @@
                 loadTable,
                 outlierDetector,
                 suspects,
-                limits,
+                LimitsInForce.advertisedOnly(limits),
                 drains,
                 process.host(),
                 state,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -54,6 +54,8 @@
             counters(ReservationResult.Kind.class, kind -> "reservations." + kind.code());
     private final Counter reservedInVain = registry.counter("reservations.in_vain");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
+    private final Counter coldBegan = registry.counter("cold.began");
+    private final Counter coldUnreadable = registry.counter("cold.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
     private final Map<AdvertisedBackOff.Kind, Counter> backOffs =
@@ -217,6 +219,16 @@
         limitsUnreadable.inc();
     }
 
+    /** Counts an upstream that this router found to be cold. */
+    public void coldBegan() {
+        coldBegan.inc();
+    }
+
+    /** Counts an entry or response whose remaining cold time cannot be parsed. */
+    public void coldUnreadable() {
+        coldUnreadable.inc();
+    }
+
     /** Counts an upstream that started to announce a drain. */
     public void drainAnnounced() {
         drainsAnnounced.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import com.google.common.base.Ascii;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.UpstreamId;
@@ -28,12 +27,6 @@
  */
 public final class PublishedState {
 
-    /** Maximum number of rejected documents that are remembered, so that each is logged once. */
-    private static final int MAX_REMEMBERED_REJECTIONS = 256;
-
-    /** Maximum length of a logged problem, in characters; it may quote a document of unknown origin. */
-    private static final int MAX_PROBLEM_LENGTH = 200;
-
     private final PublicationDecoder reader;
     private final DecisionLog log;
     private final CurrentConfiguration configuration;
@@ -41,12 +34,12 @@
     private final PublishedEvacuations evacuations;
     private final OutlierDetector outlierDetector;
     private final EngineLoadTable loadTable;
+    private final ListingNotifier listings;
     private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
-    private final Set<UpstreamId> rejectedUpstreams = new HashSet<>();
+    private final RejectedDocuments rejected;
     private Consumer<UpstreamEntry> onUpstreamRemoved = ended -> {};
     private Consumer<UpstreamId> onDrainEnded = upstream -> {};
     private boolean upstreamsKnown;
-    private long rejected;
 
     /**
      * Creates an empty state.
@@ -69,7 +62,9 @@
         this.loadTable = loadTable;
         this.log = log;
         this.evacuations = new PublishedEvacuations(upstreams, log);
+        this.listings = new ListingNotifier(upstreams);
         this.configuration = new CurrentConfiguration(reader, log);
+        this.rejected = new RejectedDocuments(log);
     }
 
     /**
@@ -90,6 +85,15 @@
         onDrainEnded = action;
     }
 
+    /**
+     * Sets the listener for new entries of upstreams.
+     *
+     * @param action receives each entry that is newer than the known one
+     */
+    public void onUpstreamListed(UpstreamListingListener action) {
+        listings.listener(action);
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -168,7 +172,7 @@
      * @return documents since the start
      */
     public long rejected() {
-        return rejected;
+        return rejected.count();
     }
 
     /**
@@ -185,7 +189,7 @@
                 configuration.apply(document, source);
             } else if (document.removed()) {
                 upstreams.remove(document.upstream(), document.revision());
-                rejectedUpstreams.remove(document.upstream());
+                rejected.accepted(document.upstream());
             } else {
                 applyUpstream(document, source);
             }
@@ -196,34 +200,20 @@
     }
 
     /**
-     * Counts and logs a document that cannot be used. One that describes an upstream may come from another writer, so
-     * it removes the upstream that the document before it named. It is logged once until a valid one follows, as
-     * everything is read again after each failure of the platform.
+     * Rejects a document. One that describes an upstream may come from another writer, so it removes the upstream that
+     * the document before it named.
      */
     private void reject(Publication document, String source, ApricotException problem) {
-        rejected++;
         if (!document.isConfiguration()) {
             upstreams.remove(document.upstream(), document.revision());
-            if (rejectedUpstreams.size() >= MAX_REMEMBERED_REJECTIONS || !rejectedUpstreams.add(document.upstream())) {
-                return;
-            }
         }
-        log.line("document_rejected")
-                .put(
-                        "document",
-                        document.isConfiguration()
-                                ? "configuration"
-                                : document.upstream().value())
-                .put("revision", Revisions.text(document.revision()))
-                .put("source", source)
-                .put("problem", Ascii.truncate(problem.getMessage(), MAX_PROBLEM_LENGTH, "..."))
-                .write();
+        rejected.rejected(document, source, problem);
     }
 
     /** Applies an upstream if it is newer. */
     private void applyUpstream(Publication document, String source) {
         UpstreamEntry entry = reader.upstream(document);
-        rejectedUpstreams.remove(document.upstream());
+        rejected.accepted(document.upstream());
         if (upstreams.put(entry)) {
             upstreamDocuments.put(document.upstream(), document);
             log.line("upstream_listed")
@@ -240,6 +230,7 @@
 
     /** Drops the state of upstreams that were removed or restarted, and notifies the listeners. */
     private void handleRemovedUpstreams(String source) {
+        listings.update(upstreamsKnown);
         upstreams.takeServingAgain().forEach(onDrainEnded);
         for (UpstreamId doubted : upstreams.takeUnconfirmed()) {
             log.line("upstream_doubted")
@@ -286,7 +277,7 @@
         for (Publication document : documents) {
             try {
                 entries.add(reader.upstream(document));
-                rejectedUpstreams.remove(document.upstream());
+                rejected.accepted(document.upstream());
             } catch (ApricotException e) {
                 reject(document, source, e);
             }
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/RejectedDocuments.java
@@ -0,0 +1,61 @@
+package org.apricotstack.serving.publication;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import com.google.common.base.Ascii;
+import org.apricotstack.core.failure.ApricotException;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.upstream.Revisions;
+import org.apricotstack.serving.observe.DecisionLog;
+
+/**
+ * Counts and logs documents that cannot be used. One that describes an upstream is logged once until a valid one
+ * follows, as everything is read again after each failure of the platform.
+ */
+final class RejectedDocuments {
+
+    /** Maximum number of rejected documents that are remembered, so that each is logged once. */
+    private static final int MAX_REMEMBERED = 256;
+
+    /** Maximum length of a logged problem, in characters; it may quote a document of unknown origin. */
+    private static final int MAX_PROBLEM_LENGTH = 200;
+
+    private final DecisionLog log;
+    private final Set<UpstreamId> upstreams = new HashSet<>();
+    private long count;
+
+    /** Creates a count of 0. */
+    RejectedDocuments(DecisionLog log) {
+        this.log = log;
+    }
+
+    /** Returns the number of rejected documents since the start. */
+    long count() {
+        return count;
+    }
+
+    /** Records a valid document of an upstream, or the removal of its document. */
+    void accepted(UpstreamId upstream) {
+        upstreams.remove(upstream);
+    }
+
+    /** Records a document that cannot be used. */
+    void rejected(Publication document, String source, ApricotException problem) {
+        count++;
+        if (!document.isConfiguration()
+                && (upstreams.size() >= MAX_REMEMBERED || !upstreams.add(document.upstream()))) {
+            return;
+        }
+        log.line("document_rejected")
+                .put(
+                        "document",
+                        document.isConfiguration()
+                                ? "configuration"
+                                : document.upstream().value())
+                .put("revision", Revisions.text(document.revision()))
+                .put("source", source)
+                .put("problem", Ascii.truncate(problem.getMessage(), MAX_PROBLEM_LENGTH, "..."))
+                .write();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamGates.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ResponseHead;
 import org.apricotstack.serving.observe.PassedOverCause;
+import org.apricotstack.serving.observe.RefusalCause;
 
 /**
  * Processes the notices in answers of upstreams: answers to requests, status reports and reservations, of any status,
@@ -19,6 +20,7 @@
     private final LimitGate limits;
     private final DrainGate drains;
     private final BackOffGate backOffs;
+    private final ColdGate cold;
 
     /** Creates gates without limits, drains or back-offs. */
     UpstreamGates(ServingContext context) {
@@ -26,6 +28,7 @@
         this.limits = new LimitGate(context);
         this.drains = new DrainGate(context);
         this.backOffs = new BackOffGate(context);
+        this.cold = new ColdGate(context);
     }
 
     /** Returns the rate limits. */
@@ -43,9 +46,14 @@
         return backOffs;
     }
 
-    /** Returns whether no rate limit or back-off is in force. */
+    /** Returns the cold upstreams. */
+    ColdGate cold() {
+        return cold;
+    }
+
+    /** Returns whether no rate limit or back-off is in force, and no upstream is cold. */
     boolean isIdle() {
-        return limits.isIdle() && backOffs.isIdle();
+        return cold.isIdle() && limits.isIdle() && backOffs.isIdle();
     }
 
     /** Returns why no request may be sent to an upstream now; {@code null} if one may, or a permit may be requested. */
@@ -72,6 +80,19 @@
                 .toList();
     }
 
+    /** Returns why no upstream of a service can take a request that waits for no limit or back-off. */
+    RefusalCause noUpstreamCause(ServiceId service) {
+        if (!context.upstreams().usable(service).isEmpty()) {
+            return RefusalCause.NO_ROOM;
+        }
+        if (!evacuated(service).isEmpty()) {
+            return RefusalCause.UPSTREAMS_EVACUATED;
+        }
+        return context.upstreams().draining(service).isEmpty()
+                ? RefusalCause.NO_UPSTREAM
+                : RefusalCause.UPSTREAMS_DRAINING;
+    }
+
     /**
      * Returns the restriction that a notice or the operators put on an upstream which the list of upstreams offers;
      * {@code null} if there is none.
@@ -79,7 +100,7 @@
     UpstreamRestriction blocked(UpstreamId upstream) {
         return UpstreamRestriction.longest(
                 UpstreamRestriction.ending(PassedOverCause.BACK_OFF, backOffs.blockedMillis(upstream)),
-                UpstreamRestriction.ending(PassedOverCause.LIMIT, limits.blockedMillis(upstream)));
+                UpstreamRestriction.ending(limits.cause(upstream), limits.blockedMillis(upstream)));
     }
 
     /**
@@ -126,6 +147,7 @@
         limits.answered(upstream, notice.limit(), sentMillis, requestId);
         drains.answered(upstream, notice.drain(), sentMillis, requestId);
         backOffs.answered(upstream, notice.backOff(), requestId);
+        cold.answered(upstream, notice.cold(), sentMillis);
     }
 
     /** Processes the notice in the head of a response, unless another instance at the address sent it. */
@@ -138,10 +160,12 @@
     /** Removes the state of an incarnation that no longer runs. */
     void forget(UpstreamId upstream) {
         limits.forget(upstream);
+        cold.forget(upstream);
     }
 
     /** Removes expired state; the argument says whether the platform's list of upstreams is up to date. */
     void expire(boolean platformAnswers) {
+        cold.expire();
         limits.expire();
         drains.expire(platformAnswers);
         backOffs.expire();
