Test that a lost evacuation which isn't requested again ends

No test failed without the call in PublishedState.removeExpired that ends an evacuation which the platform lost: it would have stayed in force for good, as nobody can remove an entry that doesn't exist. The new test fails without the call.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -217,6 +217,18 @@
                 .containsExactly(new Evacuation(new DataCentreId("east"), 4, EvacuationTable.LOST_HOLD_MILLIS - 1_000));
     }
 
+    /** Guards against an evacuation that the platform lost and that stays in force forever. */
+    @Test
+    void endsALostEvacuationThatIsNotRequestedAgain() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        readerState.evacuations().receive(List.of(), Revisions.of(1, 1), "platform", 0);
+        readerState.removeExpired(EvacuationTable.LOST_HOLD_MILLIS - 1);
+        assertThat(readerState.evacuations().all()).hasSize(1);
+        readerState.removeExpired(EvacuationTable.LOST_HOLD_MILLIS);
+        assertThat(readerState.evacuations().all()).isEmpty();
+    }
+
     /** Guards against a router that takes the list of one that does not follow evacuations for complete. */
     @Test
     void endsNoEvacuationThatAPeerDoesNotFollow() {
