Vouch for evacuations only up to the revision to which they are known

In a fleet with routers of an older release an evacuation could be lost for good: a router took the list of an older one at revision 6, which says nothing of evacuations, and told others under that revision that there is none. A router that held the request 4 ended it, and ignored the request also in later lists of the platform, as it remembered the end at 6.

A list of evacuations now carries the revision up to which its sender knows them: that of its last list, or of the last change that the platform reported to it. An end that only a complete list showed gives way to a list as new that has the request; a removal that the platform reported does not. Peers' lists may do so too, not only the platform's, for routers that the platform does not serve.

Two tests of the exchange and one of the table fail without this.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationTable.java
@@ -31,11 +31,26 @@
     private static final int MAX_REMOVALS = 1_000;
 
     private final Map<DataCentreId, Evacuation> inForce = new TreeMap<>();
-    private final Map<DataCentreId, Long> removals = new LinkedHashMap<>();
+    private final Map<DataCentreId, Removal> removals = new LinkedHashMap<>();
     private List<EvacuationChange> untakenChanges = new ArrayList<>();
     private long completeRevision;
     private long changes;
 
+    /**
+     * The end of an evacuation.
+     *
+     * @param revision the platform's revision of the removal, or of the list that lacked the evacuation
+     * @param reported whether the platform reported the removal; otherwise a later list can contradict it
+     */
+    private record Removal(long revision, boolean reported) {
+
+        /** Returns the later one; of two at the same revision, the reported one. */
+        Removal latest(Removal other) {
+            boolean otherWins = other.revision > revision || other.revision == revision && other.reported;
+            return otherWins ? other : this;
+        }
+    }
+
     /**
      * Records an evacuation that the platform reported, unless a later list lacks it.
      *
@@ -51,12 +66,26 @@
     /** Records an evacuation unless a later request or removal is known. */
     private void putIfNewer(DataCentreId dataCentre, long revision) {
         Evacuation known = inForce.get(dataCentre);
-        long newestRevision = known == null ? removals.getOrDefault(dataCentre, 0L) : known.revision();
+        long newestRevision = known == null ? removalRevision(dataCentre) : known.revision();
         if (revision > newestRevision) {
             set(Evacuation.listed(dataCentre, revision), known);
         }
     }
 
+    /** Returns the revision of the last known end of an evacuation; 0 if none is known. */
+    private long removalRevision(DataCentreId dataCentre) {
+        Removal removal = removals.get(dataCentre);
+        return removal == null ? 0 : removal.revision();
+    }
+
+    /** Forgets an end that no removal was reported for if a list that is not older has the evacuation. */
+    private void forgetContradicted(DataCentreId dataCentre, long listRevision) {
+        Removal removal = removals.get(dataCentre);
+        if (removal != null && !removal.reported() && listRevision >= removal.revision()) {
+            removals.remove(dataCentre);
+        }
+    }
+
     /** Sets an evacuation that is in force. */
     private void set(Evacuation next, Evacuation known) {
         inForce.put(next.dataCentre(), next);
@@ -72,14 +101,19 @@
      * @param revision the platform's revision of the removal
      */
     public void remove(DataCentreId dataCentre, long revision) {
+        remove(dataCentre, new Removal(revision, true));
+    }
+
+    /** Records the end of an evacuation unless a later request is known. */
+    private void remove(DataCentreId dataCentre, Removal removal) {
         Evacuation known = inForce.get(dataCentre);
-        if (known != null && known.revision() > revision) {
+        if (known != null && known.revision() > removal.revision()) {
             return;
         }
         if (known != null) {
             end(known);
         }
-        removals.merge(dataCentre, revision, Math::max);
+        removals.merge(dataCentre, removal, Removal::latest);
         if (removals.size() > MAX_REMOVALS) {
             removals.remove(removals.keySet().iterator().next());
         }
@@ -113,6 +147,7 @@
         for (Evacuation evacuation : listed) {
             if (evacuation.isListed()) {
                 present.add(evacuation.dataCentre());
+                forgetContradicted(evacuation.dataCentre(), listRevision);
                 putIfNewer(evacuation.dataCentre(), evacuation.revision());
             } else {
                 hold(evacuation);
@@ -129,7 +164,7 @@
     /** Takes over an evacuation that another router holds, unless something newer is known. */
     private void hold(Evacuation held) {
         Evacuation known = inForce.get(held.dataCentre());
-        boolean isNew = known == null && held.revision() > removals.getOrDefault(held.dataCentre(), 0L);
+        boolean isNew = known == null && held.revision() > removalRevision(held.dataCentre());
         if (isNew || known != null && known.isListed() && known.revision() <= held.revision()) {
             set(held, known);
         }
@@ -138,7 +173,7 @@
     /** Ends an evacuation that a complete list lacks, unless the platform lost it. */
     private void endOrHold(Evacuation known, long listRevision, long nowMillis) {
         if (Revisions.history(listRevision) == Revisions.history(known.revision())) {
-            remove(known.dataCentre(), listRevision);
+            remove(known.dataCentre(), new Removal(listRevision, false));
         } else if (known.isListed()) {
             Evacuation held = new Evacuation(known.dataCentre(), known.revision(), nowMillis + LOST_HOLD_MILLIS);
             inForce.put(known.dataCentre(), held);
@@ -157,7 +192,7 @@
         }
         for (Evacuation known : List.copyOf(inForce.values())) {
             if (!known.isListed() && known.heldUntilMillis() <= nowMillis) {
-                remove(known.dataCentre(), completeRevision);
+                remove(known.dataCentre(), new Removal(completeRevision, false));
             }
         }
     }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
@@ -114,6 +114,18 @@
         assertThat(table.isEvacuated(EAST)).isFalse();
     }
 
+    /** Guards against a request that stays ignored because another router's list lacked it. */
+    @Test
+    void putsInForceAgainWhatALaterListHasAndOnlyAListLacked() {
+        table.put(EAST, 4);
+        table.replaceAll(List.of(), 6, NOW);
+        table.replaceAll(List.of(listed(EAST, 4)), 7, NOW);
+        assertThat(table.isEvacuated(EAST)).isTrue();
+        table.remove(EAST, 8);
+        table.replaceAll(List.of(listed(EAST, 4)), 9, NOW);
+        assertThat(table.isEvacuated(EAST)).isFalse();
+    }
+
     @Test
     void leavesOutTheUpstreamsOfEachEvacuatedDataCentre() {
         UpstreamTable upstreams = new UpstreamTable();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -83,7 +83,7 @@
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
             reply.setUpstreamsRevision(state.upstreamsRevision());
-            reply.setEvacuationsKnown(state.evacuations().known());
+            reply.setEvacuationsRevision(state.evacuations().completeRevision());
             for (Evacuation evacuation : state.evacuations().all()) {
                 reply.addEvacuations(GossipMessages.evacuation(evacuation, loop.nowMillis()));
             }
@@ -107,11 +107,11 @@
         if (reply.getUpstreamsRevision() == 0 || reply.getUpstreamsRevision() < state.upstreamsRevision()) {
             return;
         }
-        if (reply.getEvacuationsKnown()) {
+        if (reply.getEvacuationsRevision() > 0) {
             List<Evacuation> evacuations = reply.getEvacuationsList().stream()
                     .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
                     .toList();
-            state.evacuations().receive(evacuations, reply.getUpstreamsRevision(), source, loop.nowMillis());
+            state.evacuations().receive(evacuations, reply.getEvacuationsRevision(), source, loop.nowMillis());
         }
         List<Publication> upstreams = reply.getUpstreamsList().stream()
                 .map(GossipMessages::publication)
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -19,6 +19,7 @@
     private Consumer<List<Evacuation>> onChange = inForce -> {};
     private boolean followed;
     private boolean known;
+    private long completeRevision;
 
     /**
      * Creates evacuations that are not followed.
@@ -55,12 +56,13 @@
     }
 
     /**
-     * Returns whether all evacuations are known.
+     * Returns the revision up to which all evacuations are known. Lists of routers that do not follow evacuations raise
+     * the revision of the upstreams, but not this one.
      *
-     * @return {@code false} before the first list, and if evacuations are not followed
+     * @return the platform's revision; 0 before the first list, and if evacuations are not followed
      */
-    public boolean known() {
-        return known;
+    public long completeRevision() {
+        return known ? completeRevision : 0;
     }
 
     /**
@@ -87,6 +89,7 @@
         } else {
             table().put(document.evacuated(), document.revision());
         }
+        completeRevision = Math.max(completeRevision, document.revision());
         upstreams.changesKnownUpTo(document.revision());
         reportChanges(source);
     }
@@ -131,6 +134,7 @@
         if (followed) {
             table().replaceAll(listed, revision, nowMillis);
             known = true;
+            completeRevision = Math.max(completeRevision, revision);
             reportChanges(source);
         }
     }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -217,6 +217,38 @@
                 .containsExactly(new Evacuation(new DataCentreId("east"), 4, EvacuationTable.LOST_HOLD_MILLIS - 1_000));
     }
 
+    /**
+     * Guards against the end of an evacuation because a list of a router that does not follow evacuations raised the
+     * revision of the upstreams.
+     */
+    @Test
+    void endsNoEvacuationThatOnlyAListWithoutEvacuationsLacks() {
+        listAndFollowEvacuations();
+        ownState.evacuations().receive(List.of(), 3, "platform", 0);
+        readerState.apply(evacuation("east", 4, false), "platform");
+        own.receive(
+                NewsReply.newBuilder()
+                        .setUpstreamsRevision(6)
+                        .addUpstreams(GossipMessages.document(upstream("d", 6)))
+                        .build(),
+                "older release");
+        assertThat(ownState.upstreamsRevision()).isEqualTo(6);
+        reader.receive(own.answer(newerThan(3)), "own");
+        assertThat(readerState.upstreamsRevision()).isEqualTo(6);
+        assertThat(readerState.evacuations().all()).hasSize(1);
+    }
+
+    @Test
+    void vouchesForEvacuationsUpToTheLatestChangeThatThePlatformReported() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        readerState.apply(evacuation("east", 5, true), "platform");
+        readerState.apply(upstream("d", 6), "platform");
+        assertThat(reader.answer(newerThan(3)).getEvacuationsRevision()).isEqualTo(5);
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(own.answer(newerThan(3)).getEvacuationsRevision()).isEqualTo(5);
+    }
+
     /** Guards against an evacuation that the platform lost and that stays in force forever. */
     @Test
     void endsALostEvacuationThatIsNotRequestedAgain() {
@@ -235,11 +267,12 @@
         listAndFollowEvacuations();
         ownState.apply(evacuation("east", 2, false), "platform");
         readerState.evacuations().follow(false);
-        NewsReply silent =
-                reader.answer(newerThan(2)).toBuilder().clearEvacuationsKnown().build();
+        NewsReply silent = reader.answer(newerThan(2)).toBuilder()
+                .clearEvacuationsRevision()
+                .build();
         own.receive(silent, "reader");
         assertThat(ownState.evacuations().all()).hasSize(1);
-        assertThat(ownState.evacuations().known()).isFalse();
+        assertThat(ownState.evacuations().completeRevision()).isZero();
     }
 
     @Test
@@ -247,7 +280,7 @@
         list(readerState);
         readerState.apply(evacuation("east", 4, false), "platform");
         NewsReply reply = reader.answer(newerThan(2));
-        assertThat(reply.getEvacuationsKnown()).isFalse();
+        assertThat(reply.getEvacuationsRevision()).isZero();
         assertThat(reply.toBuilder().clearEvacuations().build().toByteString()).isEqualTo(reply.toByteString());
         assertThat(readerState.upstreamsRevision()).isEqualTo(3);
     }
