Fetch missing evacuations from peers that are not newer

A starting router whose first list of upstreams came from a router that does not follow evacuations was not ready and, at equal revisions, never asked one that does. With the platform away it waited until something changed. It now asks ready peers whose list is as new, at the usual interval between fetches.

The test of the first fetch fails without this; where evacuations are not followed nothing more is fetched.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -38,8 +38,21 @@
 
     /** Returns whether to fetch documents from a peer now, given the versions that it reported. */
     boolean shouldFetch(Peer peer, long behindMillis) {
-        return fetchPolicy.shouldFetch(
+        boolean behind = fetchPolicy.shouldFetch(
                 peer, state.configurationVersion(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
+        return behind || mayHaveMissingEvacuations(peer);
+    }
+
+    /**
+     * Returns whether to fetch from a peer because this router has upstreams but no list of evacuations, as when a
+     * router that does not follow evacuations sent the upstreams. Then no peer need have a newer revision.
+     */
+    private boolean mayHaveMissingEvacuations(Peer peer) {
+        return !state.evacuations().complete()
+                && state.upstreamsRevision() > 0
+                && peer.ready()
+                && peer.upstreamsRevision() >= state.upstreamsRevision()
+                && fetchPolicy.mayFetch(loop.nowMillis());
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -50,8 +50,12 @@
         onChange = action;
     }
 
-    /** Returns whether requests can be served without breaking an evacuation that is not known yet. */
-    boolean complete() {
+    /**
+     * Returns whether requests can be served without breaking an evacuation that is not known yet.
+     *
+     * @return {@code true} after the first list, and if evacuations are not followed
+     */
+    public boolean complete() {
         return known || !followed;
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -238,6 +238,23 @@
         assertThat(readerState.evacuations().all()).hasSize(1);
     }
 
+    /** Guards against a router that never gets ready because its first list came from one without evacuations. */
+    @Test
+    void fetchesMissingEvacuationsFromAPeerThatIsNotNewer() {
+        listAndFollowEvacuations();
+        assertThat(own.shouldFetch(peer(2), 0)).isFalse();
+        assertThat(own.shouldFetch(peer(3), 0)).isTrue();
+        own.receive(reader.answer(newerThan(2)), "reader");
+        assertThat(ownState.evacuations().complete()).isTrue();
+        assertThat(own.shouldFetch(peer(3), 0)).isFalse();
+    }
+
+    @Test
+    void fetchesNothingFromAPeerThatIsNotNewerIfEvacuationsAreNotFollowed() {
+        list(ownState);
+        assertThat(own.shouldFetch(peer(3), 0)).isFalse();
+    }
+
     @Test
     void vouchesForEvacuationsUpToTheLatestChangeThatThePlatformReported() {
         listAndFollowEvacuations();
