Tell other routers of the removal of an evacuation that was lost before

An evacuation that the platform lost is held for 60 s. If the operators wrote it again and removed it, only routers that saw the new entry were free at once; one that missed it, as it fetched only after the removal, held the data centre back up to 60 s more. Its list from another router lacked the evacuation, which means nothing for one that is held: a router that started after the loss lacks it too.

A router that knew of the loss now sends the end with its revision for as long as others may hold it (evacuations_removed). Weighed: to take a list of the new history for the end, which a router that never knew of the evacuation would send as well. Nothing is sent where nothing was lost; a test also bounds what the revision of the list costs.

The test of the exchange fails if the end is not sent.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/EvacuationTable.java
@@ -33,6 +33,7 @@
     private final Map<DataCentreId, Evacuation> inForce = new TreeMap<>();
     private final Map<DataCentreId, Removal> removals = new LinkedHashMap<>();
     private List<EvacuationChange> untakenChanges = new ArrayList<>();
+    private final Map<DataCentreId, Long> lossHeldUntilMillis = new TreeMap<>();
     private long completeRevision;
     private long changes;
 
@@ -167,6 +168,7 @@
         boolean isNew = known == null && held.revision() > removalRevision(held.dataCentre());
         if (isNew || known != null && known.isListed() && known.revision() <= held.revision()) {
             set(held, known);
+            lossHeldUntilMillis.put(held.dataCentre(), held.heldUntilMillis());
         }
     }
 
@@ -177,16 +179,40 @@
         } else if (known.isListed()) {
             Evacuation held = new Evacuation(known.dataCentre(), known.revision(), nowMillis + LOST_HOLD_MILLIS);
             inForce.put(known.dataCentre(), held);
+            lossHeldUntilMillis.put(known.dataCentre(), held.heldUntilMillis());
             changed(Kind.LOST, held);
         }
     }
 
+    /**
+     * Returns the ends of evacuations that the platform lost, and that were requested again and removed while other
+     * routers may still hold them.
+     *
+     * @return the evacuations, with the revision of the end
+     */
+    public List<Evacuation> removedAfterLoss() {
+        return lossHeldUntilMillis.keySet().stream()
+                .filter(dataCentre -> !isEvacuated(dataCentre) && removals.containsKey(dataCentre))
+                .map(dataCentre -> Evacuation.listed(dataCentre, removalRevision(dataCentre)))
+                .toList();
+    }
+
+    /**
+     * Records the end of an evacuation that another router knows, see {@link #removedAfterLoss}.
+     *
+     * @param removed the evacuation, with the revision of the end
+     */
+    public void removeLost(Evacuation removed) {
+        remove(removed.dataCentre(), new Removal(removed.revision(), false));
+    }
+
     /**
      * Ends evacuations that the platform lost and that were not requested again.
      *
      * @param nowMillis the time
      */
     public void expire(long nowMillis) {
+        lossHeldUntilMillis.values().removeIf(heldUntilMillis -> heldUntilMillis <= nowMillis);
         if (inForce.isEmpty()) {
             return;
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
@@ -126,6 +126,19 @@
         assertThat(table.isEvacuated(EAST)).isFalse();
     }
 
+    @Test
+    void passesOnTheRemovalOfALostEvacuationWhileOthersMayHoldIt() {
+        table.put(EAST, Revisions.of(1, 100));
+        table.replaceAll(List.of(), Revisions.of(2, 90), NOW);
+        assertThat(table.removedAfterLoss()).isEmpty();
+        table.put(EAST, Revisions.of(2, 91));
+        assertThat(table.removedAfterLoss()).isEmpty();
+        table.remove(EAST, Revisions.of(2, 92));
+        assertThat(table.removedAfterLoss()).containsExactly(listed(EAST, Revisions.of(2, 92)));
+        table.expire(NOW + EvacuationTable.LOST_HOLD_MILLIS);
+        assertThat(table.removedAfterLoss()).isEmpty();
+    }
+
     @Test
     void leavesOutTheUpstreamsOfEachEvacuatedDataCentre() {
         UpstreamTable upstreams = new UpstreamTable();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -100,6 +100,9 @@
             for (Evacuation evacuation : state.evacuations().all()) {
                 reply.addEvacuations(GossipMessages.evacuation(evacuation, loop.nowMillis()));
             }
+            for (Evacuation removed : state.evacuations().removedAfterLoss()) {
+                reply.addEvacuationsRemoved(GossipMessages.evacuation(removed, loop.nowMillis()));
+            }
             for (Publication upstream : state.upstreamDocuments()) {
                 if (request.getNewerOnly()) {
                     reply.addUpstreamNames(upstream.upstream().value());
@@ -124,6 +127,10 @@
             List<Evacuation> evacuations = reply.getEvacuationsList().stream()
                     .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
                     .toList();
+            List<Evacuation> removed = reply.getEvacuationsRemovedList().stream()
+                    .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
+                    .toList();
+            state.evacuations().receiveRemoved(removed);
             state.evacuations().receive(evacuations, reply.getEvacuationsRevision(), source, loop.nowMillis());
         }
         List<Publication> upstreams = reply.getUpstreamsList().stream()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -143,6 +143,26 @@
         }
     }
 
+    /**
+     * Returns the ends of evacuations that the platform lost and that other routers may still hold.
+     *
+     * @return the evacuations, with the revision of the end
+     */
+    public List<Evacuation> removedAfterLoss() {
+        return table().removedAfterLoss();
+    }
+
+    /**
+     * Applies the ends of evacuations that the platform lost; the list of the same router follows.
+     *
+     * @param removed the evacuations, with the revision of the end
+     */
+    public void receiveRemoved(Collection<Evacuation> removed) {
+        if (followed) {
+            removed.forEach(table()::removeLost);
+        }
+    }
+
     /** Ends evacuations that the platform lost and that were not requested again in time. */
     void expire(long nowMillis) {
         table().expire(nowMillis);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -255,6 +255,32 @@
         assertThat(own.shouldFetch(peer(3), 0)).isFalse();
     }
 
+    /** Guards against a hold that goes on because the evacuation was requested again and removed unseen. */
+    @Test
+    void endsALostEvacuationThatAnotherRouterSawRemoved() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        own.receive(reader.answer(newerThan(2)), "reader");
+        readerState.applyUpstreamSnapshot(
+                List.of(upstream("a", Revisions.of(1, 1))), Revisions.of(1, 1), "platform", 0);
+        readerState.evacuations().applySnapshot(List.of(), Revisions.of(1, 1), "platform", 0);
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(ownState.evacuations().all()).hasSize(1);
+        readerState.apply(evacuation("east", Revisions.of(1, 2), false), "platform");
+        readerState.apply(evacuation("east", Revisions.of(1, 3), true), "platform");
+        own.receive(reader.answer(DocumentRequest.getDefaultInstance()), "reader");
+        assertThat(ownState.evacuations().all()).isEmpty();
+    }
+
+    @Test
+    void sendsAtMostEightBytesMoreWithoutEvacuations() {
+        listAndFollowEvacuations();
+        readerState.evacuations().receive(List.of(), Revisions.of(100, 1L << 39), "platform", 0);
+        NewsReply reply = reader.answer(newerThan(2));
+        int without = reply.toBuilder().clearEvacuationsRevision().build().getSerializedSize();
+        assertThat(reply.getSerializedSize() - without).isBetween(1, 8);
+    }
+
     @Test
     void vouchesForEvacuationsUpToTheLatestChangeThatThePlatformReported() {
         listAndFollowEvacuations();
