Drop no list of upstreams for a newer entry that can't be read

An entry below op/evacuate/ with an invalid name, written between the two reads of a full read, was rejected and raised the revision of the table of upstreams past the list, which was then ignored as old. A rejected entry of an upstream that isn't listed now leaves the table alone.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -137,9 +137,9 @@
     public void receive(Collection<Evacuation> listed, long revision, String source, long nowMillis) {
         if (followed) {
             table().replaceAll(listed, revision, nowMillis);
-            known = true;
             completeRevision = Math.max(completeRevision, revision);
             reportChanges(source);
+            known = true;
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -203,17 +203,18 @@
     private void reject(Publication document, String source, ApricotException problem) {
         rejected++;
         if (!document.isConfiguration()) {
-            upstreams.remove(document.upstream(), document.revision());
+            if (upstreams.isListed(document.upstream())) {
+                upstreams.remove(document.upstream(), document.revision());
+            }
             if (rejectedUpstreams.size() >= MAX_REMEMBERED_REJECTIONS || !rejectedUpstreams.add(document.upstream())) {
                 return;
             }
         }
+        String name = document.isConfiguration()
+                ? "configuration"
+                : document.upstream().value();
         log.line("document_rejected")
-                .put(
-                        "document",
-                        document.isConfiguration()
-                                ? "configuration"
-                                : document.upstream().value())
+                .put("document", name)
                 .put("revision", Revisions.text(document.revision()))
                 .put("source", source)
                 .put("problem", Ascii.truncate(problem.getMessage(), MAX_PROBLEM_LENGTH, "..."))
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
@@ -6,6 +6,8 @@
 
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.failure.ApricotException;
+import org.apricotstack.core.failure.ErrorCode;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ServiceId;
@@ -26,6 +28,7 @@
 class PublicationFollowerTest {
 
     private static final long SEED = 1;
+    private static final String UNREADABLE = "unreadable";
 
     private final ServingLoop loop = new ServingLoop(() -> 0);
     private final DecisionLog log = new DecisionLog("host", () -> 0);
@@ -47,6 +50,9 @@
 
         @Override
         public UpstreamEntry upstream(Publication document) {
+            if (document.upstream().value().equals(UNREADABLE)) {
+                throw new ApricotException(ErrorCode.PLATFORM_PROTOCOL, "The entry cannot be read; replace it.");
+            }
             return new UpstreamEntry(
                     document.upstream(),
                     new ServiceId("service"),
@@ -92,6 +98,15 @@
                 .start();
     }
 
+    /** Guards against a list of upstreams that is dropped for a newer entry that cannot be read. */
+    @Test
+    void readsUpstreamsBesideANewerEntryThatCannotBeRead() {
+        follow(new PublicationSource.Snapshot(3, List.of(upstream("a", 1), upstream(UNREADABLE, 9))));
+        assertThat(state.upstreamsListed()).isEqualTo(1);
+        assertThat(state.upstreamsRevision()).isLessThanOrEqualTo(3);
+        assertThat(state.rejected()).isEqualTo(1);
+    }
+
     /** Guards against the loss of live upstreams that an older copy of the platform with an evacuation lacks. */
     @Test
     void holdsUpstreamsThatAnOlderCopyWithAnEvacuationLacks() {
