--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/EvacuationTableTest.java
@@ -114,6 +114,31 @@
         assertThat(table.isEvacuated(EAST)).isFalse();
     }
 
+    /** Guards against a request that stays ignored because another router's list lacked it. */
+    @Test
+    void putsInForceAgainWhatALaterListHasAndOnlyAListLacked() {
+        table.put(EAST, 4);
+        table.replaceAll(List.of(), 6, NOW);
+        table.replaceAll(List.of(listed(EAST, 4)), 7, NOW);
+        assertThat(table.isEvacuated(EAST)).isTrue();
+        table.remove(EAST, 8);
+        table.replaceAll(List.of(listed(EAST, 4)), 9, NOW);
+        assertThat(table.isEvacuated(EAST)).isFalse();
+    }
+
+    @Test
+    void passesOnTheRemovalOfALostEvacuationWhileOthersMayHoldIt() {
+        table.put(EAST, Revisions.of(1, 100));
+        table.replaceAll(List.of(), Revisions.of(2, 90), NOW);
+        assertThat(table.removedAfterLoss()).isEmpty();
+        table.put(EAST, Revisions.of(2, 91));
+        assertThat(table.removedAfterLoss()).isEmpty();
+        table.remove(EAST, Revisions.of(2, 92));
+        assertThat(table.removedAfterLoss()).containsExactly(listed(EAST, Revisions.of(2, 92)));
+        table.expire(NOW + EvacuationTable.LOST_HOLD_MILLIS);
+        assertThat(table.removedAfterLoss()).isEmpty();
+    }
+
     @Test
     void leavesOutTheUpstreamsOfEachEvacuatedDataCentre() {
         UpstreamTable upstreams = new UpstreamTable();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -38,8 +38,21 @@
 
     /** Returns whether to fetch documents from a peer now, given the versions that it reported. */
     boolean shouldFetch(Peer peer, long behindMillis) {
-        return fetchPolicy.shouldFetch(
+        boolean behind = fetchPolicy.shouldFetch(
                 peer, state.configurationVersion(), state.upstreamsRevision(), behindMillis, loop.nowMillis());
+        return behind || mayHaveMissingEvacuations(peer);
+    }
+
+    /**
+     * Returns whether to fetch from a peer because this router has upstreams but no list of evacuations, as when a
+     * router that does not follow evacuations sent the upstreams. Then no peer need have a newer revision.
+     */
+    private boolean mayHaveMissingEvacuations(Peer peer) {
+        return !state.evacuations().complete()
+                && state.upstreamsRevision() > 0
+                && peer.ready()
+                && peer.upstreamsRevision() >= state.upstreamsRevision()
+                && fetchPolicy.mayFetch(loop.nowMillis());
     }
 
     /**
@@ -83,10 +96,13 @@
         }
         if (state.upstreamsRevision() > request.getUpstreamsRevision()) {
             reply.setUpstreamsRevision(state.upstreamsRevision());
-            reply.setEvacuationsKnown(state.evacuations().known());
+            reply.setEvacuationsRevision(state.evacuations().completeRevision());
             for (Evacuation evacuation : state.evacuations().all()) {
                 reply.addEvacuations(GossipMessages.evacuation(evacuation, loop.nowMillis()));
             }
+            for (Evacuation removed : state.evacuations().removedAfterLoss()) {
+                reply.addEvacuationsRemoved(GossipMessages.evacuation(removed, loop.nowMillis()));
+            }
             for (Publication upstream : state.upstreamDocuments()) {
                 if (request.getNewerOnly()) {
                     reply.addUpstreamNames(upstream.upstream().value());
@@ -107,11 +123,15 @@
         if (reply.getUpstreamsRevision() == 0 || reply.getUpstreamsRevision() < state.upstreamsRevision()) {
             return;
         }
-        if (reply.getEvacuationsKnown()) {
+        if (reply.getEvacuationsRevision() > 0) {
             List<Evacuation> evacuations = reply.getEvacuationsList().stream()
                     .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
                     .toList();
-            state.evacuations().receive(evacuations, reply.getUpstreamsRevision(), source, loop.nowMillis());
+            List<Evacuation> removed = reply.getEvacuationsRemovedList().stream()
+                    .map(evacuation -> GossipMessages.evacuation(evacuation, loop.nowMillis()))
+                    .toList();
+            state.evacuations().receiveRemoved(removed);
+            state.evacuations().receive(evacuations, reply.getEvacuationsRevision(), source, loop.nowMillis());
         }
         List<Publication> upstreams = reply.getUpstreamsList().stream()
                 .map(GossipMessages::publication)
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -19,6 +19,7 @@
     private Consumer<List<Evacuation>> onChange = inForce -> {};
     private boolean followed;
     private boolean known;
+    private long completeRevision;
 
     /**
      * Creates evacuations that are not followed.
@@ -49,18 +50,23 @@
         onChange = action;
     }
 
-    /** Returns whether requests can be served without breaking an evacuation that is not known yet. */
-    boolean complete() {
+    /**
+     * Returns whether requests can be served without breaking an evacuation that is not known yet.
+     *
+     * @return {@code true} after the first list, and if evacuations are not followed
+     */
+    public boolean complete() {
         return known || !followed;
     }
 
     /**
-     * Returns whether all evacuations are known.
+     * Returns the revision up to which all evacuations are known. Lists of routers that do not follow evacuations raise
+     * the revision of the upstreams, but not this one.
      *
-     * @return {@code false} before the first list, and if evacuations are not followed
+     * @return the platform's revision; 0 before the first list, and if evacuations are not followed
      */
-    public boolean known() {
-        return known;
+    public long completeRevision() {
+        return known ? completeRevision : 0;
     }
 
     /**
@@ -87,6 +93,7 @@
         } else {
             table().put(document.evacuated(), document.revision());
         }
+        completeRevision = Math.max(completeRevision, document.revision());
         upstreams.changesKnownUpTo(document.revision());
         reportChanges(source);
     }
@@ -130,8 +137,29 @@
     public void receive(Collection<Evacuation> listed, long revision, String source, long nowMillis) {
         if (followed) {
             table().replaceAll(listed, revision, nowMillis);
-            known = true;
+            completeRevision = Math.max(completeRevision, revision);
             reportChanges(source);
+            known = true;
+        }
+    }
+
+    /**
+     * Returns the ends of evacuations that the platform lost and that other routers may still hold.
+     *
+     * @return the evacuations, with the revision of the end
+     */
+    public List<Evacuation> removedAfterLoss() {
+        return table().removedAfterLoss();
+    }
+
+    /**
+     * Applies the ends of evacuations that the platform lost; the list of the same router follows.
+     *
+     * @param removed the evacuations, with the revision of the end
+     */
+    public void receiveRemoved(Collection<Evacuation> removed) {
+        if (followed) {
+            removed.forEach(table()::removeLost);
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -205,7 +205,9 @@
      */
     private void reject(Publication document, String source, ApricotException problem) {
         if (!document.isConfiguration()) {
-            upstreams.remove(document.upstream(), document.revision());
+            if (upstreams.isListed(document.upstream())) {
+                upstreams.remove(document.upstream(), document.revision());
+            }
         }
         rejected.rejected(document, source, problem);
     }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/DocumentExchangeTest.java
@@ -217,17 +217,105 @@
                 .containsExactly(new Evacuation(new DataCentreId("east"), 4, EvacuationTable.LOST_HOLD_MILLIS - 1_000));
     }
 
+    /**
+     * Guards against the end of an evacuation because a list of a router that does not follow evacuations raised the
+     * revision of the upstreams.
+     */
+    @Test
+    void endsNoEvacuationThatOnlyAListWithoutEvacuationsLacks() {
+        listAndFollowEvacuations();
+        ownState.evacuations().receive(List.of(), 3, "platform", 0);
+        readerState.apply(evacuation("east", 4, false), "platform");
+        own.receive(
+                NewsReply.newBuilder()
+                        .setUpstreamsRevision(6)
+                        .addUpstreams(GossipMessages.document(upstream("d", 6)))
+                        .build(),
+                "older release");
+        assertThat(ownState.upstreamsRevision()).isEqualTo(6);
+        reader.receive(own.answer(newerThan(3)), "own");
+        assertThat(readerState.upstreamsRevision()).isEqualTo(6);
+        assertThat(readerState.evacuations().all()).hasSize(1);
+    }
+
+    /** Guards against a router that never gets ready because its first list came from one without evacuations. */
+    @Test
+    void fetchesMissingEvacuationsFromAPeerThatIsNotNewer() {
+        listAndFollowEvacuations();
+        assertThat(own.shouldFetch(peer(2), 0)).isFalse();
+        assertThat(own.shouldFetch(peer(3), 0)).isTrue();
+        own.receive(reader.answer(newerThan(2)), "reader");
+        assertThat(ownState.evacuations().complete()).isTrue();
+        assertThat(own.shouldFetch(peer(3), 0)).isFalse();
+    }
+
+    @Test
+    void fetchesNothingFromAPeerThatIsNotNewerIfEvacuationsAreNotFollowed() {
+        list(ownState);
+        assertThat(own.shouldFetch(peer(3), 0)).isFalse();
+    }
+
+    /** Guards against a hold that goes on because the evacuation was requested again and removed unseen. */
+    @Test
+    void endsALostEvacuationThatAnotherRouterSawRemoved() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        own.receive(reader.answer(newerThan(2)), "reader");
+        readerState.applyUpstreamSnapshot(
+                List.of(upstream("a", Revisions.of(1, 1))), Revisions.of(1, 1), "platform", 0);
+        readerState.evacuations().applySnapshot(List.of(), Revisions.of(1, 1), "platform", 0);
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(ownState.evacuations().all()).hasSize(1);
+        readerState.apply(evacuation("east", Revisions.of(1, 2), false), "platform");
+        readerState.apply(evacuation("east", Revisions.of(1, 3), true), "platform");
+        own.receive(reader.answer(DocumentRequest.getDefaultInstance()), "reader");
+        assertThat(ownState.evacuations().all()).isEmpty();
+    }
+
+    @Test
+    void sendsAtMostEightBytesMoreWithoutEvacuations() {
+        listAndFollowEvacuations();
+        readerState.evacuations().receive(List.of(), Revisions.of(100, 1L << 39), "platform", 0);
+        NewsReply reply = reader.answer(newerThan(2));
+        int without = reply.toBuilder().clearEvacuationsRevision().build().getSerializedSize();
+        assertThat(reply.getSerializedSize() - without).isBetween(1, 8);
+    }
+
+    @Test
+    void vouchesForEvacuationsUpToTheLatestChangeThatThePlatformReported() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        readerState.apply(evacuation("east", 5, true), "platform");
+        readerState.apply(upstream("d", 6), "platform");
+        assertThat(reader.answer(newerThan(3)).getEvacuationsRevision()).isEqualTo(5);
+        own.receive(reader.answer(newerThan(3)), "reader");
+        assertThat(own.answer(newerThan(3)).getEvacuationsRevision()).isEqualTo(5);
+    }
+
+    /** Guards against an evacuation that the platform lost and that stays in force forever. */
+    @Test
+    void endsALostEvacuationThatIsNotRequestedAgain() {
+        listAndFollowEvacuations();
+        readerState.apply(evacuation("east", 4, false), "platform");
+        readerState.evacuations().receive(List.of(), Revisions.of(1, 1), "platform", 0);
+        readerState.removeExpired(EvacuationTable.LOST_HOLD_MILLIS - 1);
+        assertThat(readerState.evacuations().all()).hasSize(1);
+        readerState.removeExpired(EvacuationTable.LOST_HOLD_MILLIS);
+        assertThat(readerState.evacuations().all()).isEmpty();
+    }
+
     /** Guards against a router that takes the list of one that does not follow evacuations for complete. */
     @Test
     void endsNoEvacuationThatAPeerDoesNotFollow() {
         listAndFollowEvacuations();
         ownState.apply(evacuation("east", 2, false), "platform");
         readerState.evacuations().follow(false);
-        NewsReply silent =
-                reader.answer(newerThan(2)).toBuilder().clearEvacuationsKnown().build();
+        NewsReply silent = reader.answer(newerThan(2)).toBuilder()
+                .clearEvacuationsRevision()
+                .build();
         own.receive(silent, "reader");
         assertThat(ownState.evacuations().all()).hasSize(1);
-        assertThat(ownState.evacuations().known()).isFalse();
+        assertThat(ownState.evacuations().completeRevision()).isZero();
     }
 
     @Test
@@ -235,7 +323,7 @@
         list(readerState);
         readerState.apply(evacuation("east", 4, false), "platform");
         NewsReply reply = reader.answer(newerThan(2));
-        assertThat(reply.getEvacuationsKnown()).isFalse();
+        assertThat(reply.getEvacuationsRevision()).isZero();
         assertThat(reply.toBuilder().clearEvacuations().build().toByteString()).isEqualTo(reply.toByteString());
         assertThat(readerState.upstreamsRevision()).isEqualTo(3);
     }
