Know new evacuations before requests of removed upstreams are sent again

Since the list of upstreams was applied before the evacuations of the same read, requests of an upstream that the list lacks were sent again at once with the old evacuations, also into a data centre whose evacuation the same read reported. The evacuations come first again. The change of history, for which the order had been turned, is recorded before they raise the revision.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -155,9 +155,8 @@
         all.documents().stream()
                 .filter(Publication::isConfiguration)
                 .forEach(document -> state.apply(document, "platform"));
-        // Evacuations raise the revision of the upstreams, by which a change of history is recognized.
-        state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
         state.evacuations().applySnapshot(evacuations, all.revision(), "platform", now);
+        state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
         startCall();
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedEvacuations.java
@@ -115,6 +115,8 @@
         if (!followed) {
             return;
         }
+        // A change of history is recognized by the revision of the upstreams, which is raised before their list comes.
+        upstreams.recordHistory(revision, nowMillis);
         // The watch reports evacuations that are newer than the list of upstreams again; only then is the table of
         // upstreams complete up to their revision.
         listed.stream()
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.publication;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 
@@ -107,6 +108,18 @@
         assertThat(state.rejected()).isEqualTo(1);
     }
 
+    /** Guards against requests that are sent again into a data centre whose evacuation the same list reports. */
+    @Test
+    void knowsOfNewEvacuationsBeforeRequestsOfRemovedUpstreamsAreSentAgain() {
+        List<Integer> inForce = new ArrayList<>();
+        state.evacuations().follow(true);
+        state.onUpstreamRemoved(ended -> inForce.add(state.evacuations().all().size()));
+        follow(
+                new PublicationSource.Snapshot(2, List.of(upstream("a", 1), upstream("b", 2))),
+                new PublicationSource.Snapshot(4, List.of(upstream("a", 1), evacuation(4))));
+        assertThat(inForce).containsExactly(1);
+    }
+
     /** Guards against the loss of live upstreams that an older copy of the platform with an evacuation lacks. */
     @Test
     void holdsUpstreamsThatAnOlderCopyWithAnEvacuationLacks() {
