Choose plain upstreams by their speed, learnt from their answers

Callers whose data centre's plain upstream turned slow waited for it while the others were idle: upstreams were compared by this router's requests in flight, failures and distance only.

Each router now compares the time of each answer with the usual time of its route (moving averages of logarithms). An upstream whose answers take 2.5 times as long as those of the fastest one is slow; its cost is the requests in flight times its slowdown, so it still gets requests when the others are busier. After 6 s without a fast answer it receives one trial request, and the next at once if that was fast. If all are slow, none is.

--- /dev/null
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ResponseTimeTableTest.java
@@ -0,0 +1,112 @@
+package org.apricotstack.core.upstream;
+
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ResponseTimeTableTest {
+
+    private static final ServiceId SERVICE = new ServiceId("service");
+    private static final UpstreamId FIRST = new UpstreamId("first");
+    private static final UpstreamId SECOND = new UpstreamId("second");
+
+    private final ResponseTimeTable table = new ResponseTimeTable();
+
+    private SpeedChange answered(UpstreamId upstream, long millis) {
+        return table.answered(SERVICE, "route", upstream, millis, 0);
+    }
+
+    private void bothAnswerInUsualTime() {
+        for (int i = 0; i < 20; i++) {
+            answered(FIRST, 30);
+            answered(SECOND, 30);
+        }
+    }
+
+    @Test
+    void findsASlowUpstreamAfterTwoAnswers() {
+        bothAnswerInUsualTime();
+        assertThat(answered(FIRST, 120)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 120)).isEqualTo(SpeedChange.SLOW);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isBetween(2.5, 4.0);
+        assertThat(table.slowdown(SERVICE, SECOND, 0)).isEqualTo(1);
+    }
+
+    @Test
+    void ignoresOneLongAnswer() {
+        bothAnswerInUsualTime();
+        assertThat(answered(FIRST, 120)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 30)).isEqualTo(SpeedChange.NONE);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+    }
+
+    @Test
+    void triesASlowUpstreamWithOneRequestAnInterval() {
+        bothAnswerInUsualTime();
+        answered(FIRST, 120);
+        answered(FIRST, 120);
+        long due = ResponseTimeTable.TRIAL_INTERVAL_MILLIS;
+        assertThat(table.slowdown(SERVICE, FIRST, due - 1)).isGreaterThan(1);
+        assertThat(table.slowdown(SERVICE, FIRST, due)).isEqualTo(1);
+        table.sent(SERVICE, FIRST, due);
+        assertThat(table.slowdown(SERVICE, FIRST, due)).isGreaterThan(1);
+        assertThat(table.slowdown(SERVICE, FIRST, 2 * due)).isEqualTo(1);
+    }
+
+    @Test
+    void usesAnUpstreamAgainAfterFastTrials() {
+        bothAnswerInUsualTime();
+        answered(FIRST, 120);
+        answered(FIRST, 120);
+        SpeedChange change = answered(FIRST, 30);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+        change = change == SpeedChange.NONE ? answered(FIRST, 30) : change;
+        assertThat(change).isEqualTo(SpeedChange.RECOVERED);
+    }
+
+    /** Guards against requests that all go elsewhere after a change that concerns all upstreams. */
+    @Test
+    void findsNoUpstreamSlowIfAllAre() {
+        bothAnswerInUsualTime();
+        for (int i = 0; i < 20; i++) {
+            answered(FIRST, 120);
+            answered(SECOND, 120);
+        }
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+        assertThat(table.slowdown(SERVICE, SECOND, 0)).isEqualTo(1);
+    }
+
+    /** Guards against an upstream that counts as slow because it receives the requests with more work. */
+    @Test
+    void comparesAnswersOfTheSameRouteOnly() {
+        for (int i = 0; i < 20; i++) {
+            table.answered(SERVICE, "short", FIRST, 30, 0);
+            table.answered(SERVICE, "long", FIRST, 300, 0);
+            table.answered(SERVICE, "short", SECOND, 30, 0);
+        }
+        for (int i = 0; i < 5; i++) {
+            assertThat(table.answered(SERVICE, "long", SECOND, 300, 0)).isEqualTo(SpeedChange.NONE);
+        }
+    }
+
+    @Test
+    void ignoresDelaysThatCallersDoNotNotice() {
+        for (int i = 0; i < 20; i++) {
+            answered(FIRST, 2);
+            answered(SECOND, 16);
+        }
+        assertThat(table.slowdown(SERVICE, SECOND, 0)).isEqualTo(1);
+    }
+
+    @Test
+    void forgetsRemovedUpstreams() {
+        bothAnswerInUsualTime();
+        answered(FIRST, 120);
+        answered(FIRST, 120);
+        table.retain(SECOND::equals);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+        assertThat(table.expectedMillis(SERVICE, "route", FIRST)).isZero();
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -20,6 +20,7 @@
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.SpeedChange;
 
 /**
  * Counters, gauges and histograms of one router. The counter of each cause exists from the start, so that it is
@@ -41,6 +42,8 @@
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
     private final Map<PassedOverCause, Counter> passedOver =
             counters(PassedOverCause.class, cause -> "passed_over." + cause.code());
+    private final Map<SpeedChange, Counter> speedChanges =
+            counters(SpeedChange.class, change -> "upstream_speed." + lower(change));
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter drainsAnnounced = registry.counter("drains.announced");
     private final Counter drainsUnreadable = registry.counter("drains.unreadable");
@@ -170,6 +173,15 @@
         passedOver.get(cause).inc();
     }
 
+    /**
+     * Counts a change of the known speed of a plain upstream.
+     *
+     * @param change what changed
+     */
+    public void speedChanged(SpeedChange change) {
+        speedChanges.get(change).inc();
+    }
+
     /** Counts a response whose rate limit cannot be parsed. */
     public void limitUnreadable() {
         limitsUnreadable.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -32,6 +32,7 @@
     private final RequestRun run;
     private final UpstreamChoice choice;
     private final long startMillis;
+    private long sentMillis;
     private UpstreamCall call;
     private ScheduledFuture<?> watchdog;
     private long silenceMillis;
@@ -47,16 +48,23 @@
         this.run = run;
         this.choice = choice;
         this.startMillis = startMillis;
+        this.sentMillis = startMillis;
     }
 
     /** Sets the call that carries the attempt and starts the watchdog with the longest allowed silence. */
     void sent(UpstreamCall carrier, long limitMillis) {
         call = carrier;
+        sentMillis = run.context().nowMillis();
         if (!finished) {
             watchdog(limitMillis);
         }
     }
 
+    /** Returns when the request was sent; when the attempt started, if it was not sent. */
+    final long sentMillis() {
+        return sentMillis;
+    }
+
     /** Records whether this attempt is charged to the retry budget. */
     void takesRetry(boolean taken) {
         takesRetry = taken;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -254,7 +254,7 @@
             return;
         }
         if (success) {
-            context.outlierDetector().succeeded(attempt.upstream().id());
+            chooser.answered(facts, attempt);
         }
         if (exchange.answerStarted()) {
             answer.release();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -21,21 +21,20 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.PlainCandidate;
+import org.apricotstack.core.upstream.PlainUpstreamSelector;
+import org.apricotstack.core.upstream.ResponseTimeTable;
+import org.apricotstack.core.upstream.SpeedChange;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.PassedOverCause;
 
-/** Chooses upstreams: engines by the placer, plain upstreams by this router's requests in flight. */
+/** Chooses upstreams: engines by the placer, plain upstreams by {@link PlainUpstreamSelector}. */
 final class UpstreamChooser {
 
-    /** Cost of a certain failure, in requests in flight, when plain upstreams are compared. */
-    private static final double FAILURE_WEIGHT = 12;
-
-    /** Cost of another data centre, in requests in flight. */
-    private static final double DISTANCE_WEIGHT = 0.6;
-
     private final ServingContext context;
     private final UpstreamGates gates;
     private final Map<UpstreamId, Integer> inFlight = new HashMap<>();
+    private final ResponseTimeTable responseTimes = new ResponseTimeTable();
     private final SilenceCheck silenceCheck;
     private long placements;
 
@@ -59,23 +58,33 @@
                         facts.profile().engine().orElseThrow(),
                         facts.prompt(context.nowMillis(), answerStarted),
                         excluded)
-                : choosePlain(facts.service(), excluded);
+                : choosePlain(facts, excluded);
     }
 
     /** Chooses an upstream of a plain service; {@code null} if none is available. */
-    private UpstreamChoice choosePlain(ServiceId service, Set<UpstreamId> excluded) {
-        UpstreamEntry best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (UpstreamEntry entry : context.upstreams().usable(service)) {
-            double cost = inFlight.getOrDefault(entry.id(), 0)
-                    + FAILURE_WEIGHT * context.outlierDetector().failureProbability(entry.id(), context.nowMillis())
-                    + (entry.dataCentre().equals(context.dataCentre()) ? 0 : DISTANCE_WEIGHT);
-            if (!excluded.contains(entry.id()) && cost < bestCost && gates.blockedMillis(entry.id()) == 0) {
-                best = entry;
-                bestCost = cost;
+    private UpstreamChoice choosePlain(RequestFacts facts, Set<UpstreamId> excluded) {
+        long now = context.nowMillis();
+        List<PlainCandidate> candidates = new ArrayList<>();
+        for (UpstreamEntry entry : context.upstreams().usable(facts.service())) {
+            if (!excluded.contains(entry.id()) && gates.blockedMillis(entry.id()) == 0) {
+                candidates.add(plainCandidate(facts, entry, now));
             }
         }
-        return best == null ? null : new UpstreamChoice(best, List.of(), null, 0, false, false, false);
+        UpstreamId best = PlainUpstreamSelector.select(candidates, facts.remainingMillis(now));
+        return best == null
+                ? null
+                : new UpstreamChoice(context.upstreams().find(best), List.of(), null, 0, false, false, false);
+    }
+
+    /** Collects what is known of a plain upstream. */
+    private PlainCandidate plainCandidate(RequestFacts facts, UpstreamEntry entry, long now) {
+        return new PlainCandidate(
+                entry.id(),
+                inFlight.getOrDefault(entry.id(), 0),
+                context.outlierDetector().failureProbability(entry.id(), now),
+                entry.dataCentre().equals(context.dataCentre()),
+                responseTimes.slowdown(facts.service(), entry.id(), now),
+                responseTimes.expectedMillis(facts.service(), facts.route().name(), entry.id()));
     }
 
     /** Chooses engines for a prompt; {@code null} if none can send a first event in time. */
@@ -198,7 +207,9 @@
     void begin(UpstreamChoice choice, long limitMillis) {
         inFlight.merge(choice.upstream().id(), 1, Integer::sum);
         context.outlierDetector().trialStarted(choice.upstream().id(), context.nowMillis());
-        if (choice.placement() != null) {
+        if (choice.placement() == null) {
+            responseTimes.sent(choice.upstream().service(), choice.upstream().id(), context.nowMillis());
+        } else {
             context.loadTable().place(choice.placement(), context.nowMillis(), limitMillis);
             context.placementGossip().placementStarted(choice.placement(), limitMillis);
         }
@@ -212,6 +223,37 @@
         }
     }
 
+    /** Records a complete, successful answer, and the response time of a plain upstream. */
+    void answered(RequestFacts facts, Attempt attempt) {
+        UpstreamId upstream = attempt.upstream().id();
+        context.outlierDetector().succeeded(upstream);
+        if (facts.runsOnEngines()) {
+            return;
+        }
+        long now = context.nowMillis();
+        responseTimes.retain(id -> context.upstreams().find(id) != null);
+        SpeedChange change = responseTimes.answered(
+                facts.service(), facts.route().name(), upstream, now - attempt.sentMillis(), now);
+        if (change != SpeedChange.NONE) {
+            reportSpeed(facts, upstream, change);
+        }
+    }
+
+    /** Logs and counts that a plain upstream turned slow or recovered. */
+    private void reportSpeed(RequestFacts facts, UpstreamId upstream, SpeedChange change) {
+        context.metrics().speedChanged(change);
+        context.log()
+                .line(change == SpeedChange.SLOW ? "upstream_slow" : "upstream_recovered")
+                .put("upstream", upstream.value())
+                .put("incarnation", upstream.incarnation())
+                .put("route", facts.route().name())
+                .put(
+                        "expected_millis",
+                        Math.round(responseTimes.expectedMillis(
+                                facts.service(), facts.route().name(), upstream)))
+                .write();
+    }
+
     /**
      * Records a failure against the responsible upstream and reports it to the other routers, unless the upstream is
      * draining.
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -85,7 +85,10 @@
             "served.unsafe",
             "stops.requests_arrived",
             "stops.requests_cut",
-            "streams.longest_pause_millis");
+            "streams.longest_pause_millis",
+            "upstream_speed.none",
+            "upstream_speed.recovered",
+            "upstream_speed.slow");
 
     /**
      * Guards against a changed metric name when an enum constant is renamed. Most names end in the name of a constant,
