Ignore other data centres' reports of failures that own requests contradict

A router still avoids an upstream at the first report from anywhere. If a request of its own that was sent after the report then succeeds, further reports of that data centre about that upstream are ignored for 10 s, or until a request of its own fails. Reports of its own data centre, of unknown senders and that an upstream is full (400 ms) always apply. The sender's data centre is known by its heartbeat; nothing changes on the wire.

A cap of the avoidance after a foreign report was weighed and not built: each router would send a trial to a dead upstream.

Answers of streams of services without engines are no longer compared with response times: their length says nothing of the upstream.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -119,7 +119,7 @@
         this.fleetSize = new FleetSize(peers, loop.nowMillis());
         this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         UniformRandomProvider random = random(options.identity().process());
-        OutlierDetector outlierDetector = new OutlierDetector();
+        OutlierDetector outlierDetector = new OutlierDetector(options.identity().dataCentre());
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
         state.onUpstreamRemoved(this::onUpstreamRemoved);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -299,7 +299,7 @@
         if (finished) {
             return;
         }
-        context.outlierDetector().succeeded(attempt.upstream().id());
+        chooser.answered(facts, attempt);
         if (!exchange.answerStarted()) {
             exchange.begin(raw.status(), PlainProtocol.withoutHopByHop(raw.headers()));
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -20,6 +20,7 @@
 import org.apricotstack.core.engine.PromptRequest;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.PlainCandidate;
 import org.apricotstack.core.upstream.PlainUpstreamSelector;
@@ -226,11 +227,11 @@
     /** Records a complete, successful answer, and the response time of a plain upstream. */
     void answered(RequestFacts facts, Attempt attempt) {
         UpstreamId upstream = attempt.upstream().id();
-        context.outlierDetector().succeeded(upstream);
-        if (facts.runsOnEngines()) {
+        long now = context.nowMillis();
+        context.outlierDetector().succeeded(upstream, attempt.sentMillis(), now);
+        if (facts.runsOnEngines() || facts.route().kind() == RequestKind.STREAMING) {
             return;
         }
-        long now = context.nowMillis();
         responseTimes.retain(id -> context.upstreams().find(id) != null);
         SpeedChange change = responseTimes.answered(
                 facts.service(), facts.route().name(), upstream, now - attempt.sentMillis(), now);
