Count the ignored reports of other data centres' failures

An operator could not see that a router doubts another data centre's reports of failures. The gauge failure_reports.ignored counts them since the start.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
@@ -59,6 +59,7 @@
     private final Map<UpstreamId, HealthRecord> healthRecords = new HashMap<>();
     private UpstreamId lastFailed;
     private long lastFailedMillis;
+    private long ignoredReports;
 
     /** The recorded health of one upstream. */
     private static final class HealthRecord {
@@ -177,6 +178,7 @@
         if (foreign && avoidMillis > FULL_AVOID_MILLIS) {
             HealthRecord health = healthRecords.computeIfAbsent(id, key -> new HealthRecord());
             if (!health.foreignReports.reported(reporter, nowMillis)) {
+                ignoredReports++;
                 return false;
             }
         }
@@ -184,6 +186,15 @@
         return true;
     }
 
+    /**
+     * Returns how many reports of other data centres were ignored.
+     *
+     * @return number of reports since the start
+     */
+    public long ignoredReports() {
+        return ignoredReports;
+    }
+
     /** Avoids an upstream for a limited time. */
     private void avoid(UpstreamId id, long avoidMillis, long nowMillis) {
         HealthRecord health = healthRecords.computeIfAbsent(id, key -> new HealthRecord());
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/OutlierDetectorTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/OutlierDetectorTest.java
@@ -102,6 +102,7 @@
         assertThat(east.reportedByPeer(ID, WEST, 700, 0)).isTrue();
         east.succeeded(ID, 10, 20);
         assertThat(east.reportedByPeer(ID, WEST, 2_500, 2_000)).isFalse();
+        assertThat(east.ignoredReports()).isEqualTo(1);
         assertThat(east.failureProbability(ID, 2_000)).isZero();
         assertThat(east.reportedByPeer(ID, NORTH, 700, 2_000)).isTrue();
         assertThat(east.reportedByPeer(ID, EAST, 700, 2_000)).isTrue();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -157,7 +157,7 @@
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
-        addGauges(loadTable, ports.unknown());
+        addGauges(outlierDetector, loadTable, ports.unknown());
     }
 
     /** Creates what all requests share. */
@@ -207,7 +207,7 @@
     }
 
     /** Registers the gauges. */
-    private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
+    private void addGauges(OutlierDetector outlierDetector, EngineLoadTable loadTable, UnknownFields unknown) {
         PublicationGauges.register(metrics, follower, state);
         GossipGauges.register(metrics, hub);
         links.register(metrics);
@@ -226,6 +226,7 @@
         metrics.gauge("limits.in_force", () -> limits.all().size());
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> gossipServer == null ? 0 : gossipServer.malformed());
+        metrics.gauge("failure_reports.ignored", outlierDetector::ignoredReports);
         metrics.gauge("log.lines_dropped", log::dropped);
     }
 
