Take out that contradicted reports of other data centres are ignored

And a report handled late, after the upstream has answered again, counts as contradicted, so that the next true outage can be ignored for 10 s.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/PeerTable.java
@@ -262,17 +262,6 @@
         return last == null ? null : last.peer().peerAddress();
     }
 
-    /**
-     * Returns the data centre of a router.
-     *
-     * @param host its host
-     * @return the data centre, or {@code null} without a heartbeat from that host
-     */
-    public DataCentreId dataCentreOf(HostId host) {
-        LastHeartbeat last = lastHeartbeats.get(host);
-        return last == null ? null : last.peer().dataCentre();
-    }
-
     /**
      * Counts the suspected routers that were active at their last heartbeat. Routers that announced that they stop are
      * not counted.
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/OutlierDetector.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.function.Predicate;
 
-import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.UpstreamId;
 
 /**
@@ -55,11 +54,9 @@
      */
     private static final long SIMULTANEOUS_MILLIS = 50;
 
-    private final DataCentreId dataCentre;
     private final Map<UpstreamId, HealthRecord> healthRecords = new HashMap<>();
     private UpstreamId lastFailed;
     private long lastFailedMillis;
-    private long ignoredReports;
 
     /** The recorded health of one upstream. */
     private static final class HealthRecord {
@@ -67,36 +64,6 @@
         private double rate;
         private long avoidUntilMillis = Long.MIN_VALUE;
         private long noOrdersUntilMillis = Long.MIN_VALUE;
-        private final ForeignReports foreignReports = new ForeignReports();
-    }
-
-    /** Creates a detector that believes the reports of all routers. */
-    public OutlierDetector() {
-        this(null);
-    }
-
-    /**
-     * Creates a detector.
-     *
-     * @param dataCentre data centre of this router, or {@code null} to believe the reports of all routers
-     */
-    public OutlierDetector(DataCentreId dataCentre) {
-        this.dataCentre = dataCentre;
-    }
-
-    /**
-     * Records that an upstream served a request, which also shows whether other data centres' reports apply here.
-     *
-     * @param id the upstream
-     * @param sentMillis when the request was sent
-     * @param nowMillis the time
-     */
-    public void succeeded(UpstreamId id, long sentMillis, long nowMillis) {
-        HealthRecord health = healthRecords.get(id);
-        if (health != null) {
-            health.foreignReports.succeeded(sentMillis, nowMillis);
-        }
-        succeeded(id);
     }
 
     /**
@@ -123,7 +90,6 @@
      */
     public long failed(UpstreamId id, FailureKind kind, long nowMillis) {
         HealthRecord health = healthRecords.computeIfAbsent(id, key -> new HealthRecord());
-        health.foreignReports.failed();
         health.consecutiveFailures++;
         health.rate += (1 - health.rate) * FAILURE_RATE_WEIGHT;
         boolean others = kind != FailureKind.NO_CONNECTION && failedSimultaneously(id, nowMillis);
@@ -146,7 +112,7 @@
      * @return milliseconds for which the upstream is avoided from now
      */
     public long rejectedAsFull(UpstreamId id, long nowMillis) {
-        avoid(id, FULL_AVOID_MILLIS, nowMillis);
+        reportedByPeer(id, FULL_AVOID_MILLIS, nowMillis);
         return FULL_AVOID_MILLIS;
     }
 
@@ -163,40 +129,13 @@
     }
 
     /**
-     * Records that another router avoids an upstream. Reports of failures from another data centre are ignored if this
-     * router's own requests contradicted earlier ones: the upstream then fails for that data centre's callers only.
-     * Reports that an upstream is at capacity, which are brief, always apply.
+     * Records that another router avoids an upstream.
      *
      * @param id the upstream
-     * @param reporter data centre of the other router, or {@code null} if unknown
      * @param avoidMillis duration from now, in milliseconds
      * @param nowMillis the time
-     * @return whether the report applies here
-     */
-    public boolean reportedByPeer(UpstreamId id, DataCentreId reporter, long avoidMillis, long nowMillis) {
-        boolean foreign = dataCentre != null && reporter != null && !reporter.equals(dataCentre);
-        if (foreign && avoidMillis > FULL_AVOID_MILLIS) {
-            HealthRecord health = healthRecords.computeIfAbsent(id, key -> new HealthRecord());
-            if (!health.foreignReports.reported(reporter, nowMillis)) {
-                ignoredReports++;
-                return false;
-            }
-        }
-        avoid(id, avoidMillis, nowMillis);
-        return true;
-    }
-
-    /**
-     * Returns how many reports of other data centres were ignored.
-     *
-     * @return number of reports since the start
      */
-    public long ignoredReports() {
-        return ignoredReports;
-    }
-
-    /** Avoids an upstream for a limited time. */
-    private void avoid(UpstreamId id, long avoidMillis, long nowMillis) {
+    public void reportedByPeer(UpstreamId id, long avoidMillis, long nowMillis) {
         HealthRecord health = healthRecords.computeIfAbsent(id, key -> new HealthRecord());
         long until = nowMillis + Math.min(MAX_AVOID_MILLIS, avoidMillis);
         health.avoidUntilMillis = Math.max(health.avoidUntilMillis, until);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -119,7 +119,7 @@
         this.fleetSize = new FleetSize(peers, loop.nowMillis());
         this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
         UniformRandomProvider random = random(options.identity().process());
-        OutlierDetector outlierDetector = new OutlierDetector(options.identity().dataCentre());
+        OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
         state.onUpstreamRemoved(this::onUpstreamRemoved);
@@ -157,7 +157,7 @@
                 loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
         stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
-        addGauges(outlierDetector, loadTable, ports.unknown());
+        addGauges(loadTable, ports.unknown());
     }
 
     /** Creates what all requests share. */
@@ -207,7 +207,7 @@
     }
 
     /** Registers the gauges. */
-    private void addGauges(OutlierDetector outlierDetector, EngineLoadTable loadTable, UnknownFields unknown) {
+    private void addGauges(EngineLoadTable loadTable, UnknownFields unknown) {
         PublicationGauges.register(metrics, follower, state);
         GossipGauges.register(metrics, hub);
         links.register(metrics);
@@ -226,7 +226,6 @@
         metrics.gauge("limits.in_force", () -> limits.all().size());
         metrics.gauge("heartbeats.malformed", () -> heartbeatPort == null ? 0 : heartbeatPort.malformed());
         metrics.gauge("news_streams.malformed", () -> gossipServer == null ? 0 : gossipServer.malformed());
-        metrics.gauge("failure_reports.ignored", outlierDetector::ignoredReports);
         metrics.gauge("log.lines_dropped", log::dropped);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -97,7 +97,7 @@
         this.streams = new OutboundGossipStreams(loop, peers, this::fullState);
         this.membershipLog = new MembershipLog(log);
         this.start = new StartPhase(loop.nowMillis());
-        this.placements = new PlacementReceiver(loadTable, outlierDetector, peers, state, start);
+        this.placements = new PlacementReceiver(loadTable, outlierDetector, state, start);
         this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready::ready, this::knownRouters);
         this.upstreams = new UpstreamGossip(
                 new SuspectChannel(loop, suspects, log, this::pendingFrame, this::activePeers),
@@ -218,7 +218,7 @@
                 placements.receive(frame, stream.sender(), loop.nowMillis());
             }
             upstreams.receive(frame, stream.sender(), sender);
-            placements.receiveAvoided(frame, stream.sender(), loop.nowMillis());
+            placements.receiveAvoided(frame, loop.nowMillis());
         } catch (ApricotException e) {
             log.line("news_rejected").put("problem", e.getMessage()).write();
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlacementReceiver.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlacementReceiver.java
@@ -6,10 +6,8 @@
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EnginePlacement;
 import org.apricotstack.core.engine.PlacementId;
-import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.serving.publication.PublishedState;
 import org.apricotstack.wire.news.Avoided;
@@ -21,21 +19,15 @@
 
     private final EngineLoadTable loadTable;
     private final OutlierDetector outlierDetector;
-    private final PeerTable peers;
     private final PublishedState state;
     private final StartPhase start;
     private long received;
 
     /** Creates a receiver without placements. */
     PlacementReceiver(
-            EngineLoadTable loadTable,
-            OutlierDetector outlierDetector,
-            PeerTable peers,
-            PublishedState state,
-            StartPhase start) {
+            EngineLoadTable loadTable, OutlierDetector outlierDetector, PublishedState state, StartPhase start) {
         this.loadTable = loadTable;
         this.outlierDetector = outlierDetector;
-        this.peers = peers;
         this.state = state;
         this.start = start;
     }
@@ -60,13 +52,12 @@
         frame.getEndedList().forEach(number -> loadTable.remove(new PlacementId(sender, number), nowMillis));
     }
 
-    /** Applies the failures that a peer observed; the sender is {@code null} if it is unknown. */
-    void receiveAvoided(NewsFrame frame, ProcessId sender, long nowMillis) {
-        DataCentreId reporter = sender == null ? null : peers.dataCentreOf(sender.host());
+    /** Applies the failures that a peer observed. */
+    void receiveAvoided(NewsFrame frame, long nowMillis) {
         for (Avoided avoided : frame.getAvoidedList()) {
             UpstreamId upstream = GossipMessages.upstream(avoided);
             if (!state.isSuperseded(upstream)) {
-                outlierDetector.reportedByPeer(upstream, reporter, avoided.getAvoidMillis(), nowMillis);
+                outlierDetector.reportedByPeer(upstream, avoided.getAvoidMillis(), nowMillis);
             }
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -299,7 +299,7 @@
         if (finished) {
             return;
         }
-        chooser.answered(facts, attempt);
+        context.outlierDetector().succeeded(attempt.upstream().id());
         if (!exchange.answerStarted()) {
             exchange.begin(raw.status(), PlainProtocol.withoutHopByHop(raw.headers()));
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -227,11 +227,11 @@
     /** Records a complete, successful answer, and the response time of a plain upstream. */
     void answered(RequestFacts facts, Attempt attempt) {
         UpstreamId upstream = attempt.upstream().id();
-        long now = context.nowMillis();
-        context.outlierDetector().succeeded(upstream, attempt.sentMillis(), now);
+        context.outlierDetector().succeeded(upstream);
         if (facts.runsOnEngines() || facts.route().kind() == RequestKind.STREAMING) {
             return;
         }
+        long now = context.nowMillis();
         responseTimes.retain(id -> context.upstreams().find(id) != null);
         SpeedChange change = responseTimes.answered(
                 facts.service(), facts.route().name(), upstream, now - attempt.sentMillis(), now);
