Mark an upstream as slow only after two long answers in a row

One answer of about 4.7 times the usual time marked an upstream as slow, and it got no requests for 6 s: a stall of the router itself, a new connection or a long answer sufficed. The moving average gives the latest answer a weight of 0.6, so one answer alone carried it over the ratio of 2.5. The test that one long answer is ignored passed only because it used 4 times.

An upstream now turns slow only if the answer before was long as well (2.5 times the fastest upstream). The test plays 4, 6 and 20 times, alternating long and usual answers, a long one beside two of 1.5 times, and a new router's second answer (30, then 150 ms); all but 4 times failed before.

Two requests in flight at one upstream during one stall of the router still give two long answers.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ResponseTimeTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ResponseTimeTable.java
@@ -12,8 +12,9 @@
  *
  * <p>The time of each answer is compared with the usual time of its route, so that routes with different work can share
  * a service. An upstream is slow if its answers take at least {@link #SLOW_RATIO} times as long as those of the fastest
- * upstream of its service; if all are equally slow, none is. A slow upstream that has not been used for {@link
- * #TRIAL_INTERVAL_MILLIS} counts as normal for one request, and for the next one as soon as that was fast.
+ * upstream of its service, also each of the last two; if all are equally slow, none is. A slow upstream that has not
+ * been used for {@link #TRIAL_INTERVAL_MILLIS} counts as normal for one request, and for the next one as soon as that
+ * was fast.
  */
 public final class ResponseTimeTable {
 
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ServiceSpeeds.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ServiceSpeeds.java
@@ -9,7 +9,7 @@
 /** The speeds of the upstreams of one service; see {@link ResponseTimeTable}. All averages are of logarithms. */
 final class ServiceSpeeds {
 
-    /** Weight of the latest answer in an upstream's recent speed: two answers of a slow upstream are enough. */
+    /** Weight of the latest answer in an upstream's recent speed: two long answers in a row are enough. */
     private static final double RECENT_WEIGHT = 0.6;
 
     /** Weight of the latest answer in an upstream's long-term speed. */
@@ -29,6 +29,7 @@
         private final MovingAverage recent = new MovingAverage(RECENT_WEIGHT);
         private final MovingAverage steady = new MovingAverage(STEADY_WEIGHT);
         private boolean slow;
+        private boolean lastAnswerLong;
         private long trialFromMillis;
 
         /** Creates the speed of an upstream of normal speed. */
@@ -59,10 +60,13 @@
         double ratio = Math.exp(speed.recent.value() - reference);
         double delayMillis = Math.exp(usual.value() + reference) * (ratio - 1);
         boolean before = speed.slow;
-        speed.slow = ratio >= (before ? ResponseTimeTable.RECOVERED_RATIO : ResponseTimeTable.SLOW_RATIO)
+        boolean answerLong = Math.exp(deviation - reference) >= ResponseTimeTable.SLOW_RATIO;
+        boolean twoLong = answerLong && speed.lastAnswerLong;
+        speed.lastAnswerLong = answerLong;
+        speed.slow = (before || twoLong)
+                && ratio >= (before ? ResponseTimeTable.RECOVERED_RATIO : ResponseTimeTable.SLOW_RATIO)
                 && delayMillis >= ResponseTimeTable.MIN_DELAY_MILLIS;
-        boolean fast = Math.exp(deviation - reference) < ResponseTimeTable.SLOW_RATIO;
-        speed.trialFromMillis = nowMillis + (fast ? 0 : ResponseTimeTable.TRIAL_INTERVAL_MILLIS);
+        speed.trialFromMillis = nowMillis + (answerLong ? ResponseTimeTable.TRIAL_INTERVAL_MILLIS : 0);
         if (speed.slow == before) {
             return SpeedChange.NONE;
         }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ResponseTimeTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ResponseTimeTableTest.java
@@ -3,6 +3,8 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -34,11 +36,32 @@
         assertThat(table.slowdown(SERVICE, SECOND, 0)).isEqualTo(1);
     }
 
+    /** Guards against a stall of the router or a new connection that marks an upstream as slow. */
+    @ParameterizedTest
+    @ValueSource(longs = {120, 180, 600})
+    void ignoresOneLongAnswer(long millis) {
+        bothAnswerInUsualTime();
+        assertThat(answered(FIRST, millis)).isEqualTo(SpeedChange.NONE);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+        assertThat(answered(FIRST, 30)).isEqualTo(SpeedChange.NONE);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+        assertThat(answered(FIRST, millis)).isEqualTo(SpeedChange.NONE);
+        assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
+    }
+
+    /** Guards against one long answer that counts for two together with one of slightly above the usual time. */
     @Test
-    void ignoresOneLongAnswer() {
+    void ignoresOneLongAnswerBesideOneOfHalfAboveTheUsualTime() {
         bothAnswerInUsualTime();
-        assertThat(answered(FIRST, 120)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 45)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 600)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 45)).isEqualTo(SpeedChange.NONE);
+    }
+
+    @Test
+    void ignoresALongSecondAnswerOfANewRouter() {
         assertThat(answered(FIRST, 30)).isEqualTo(SpeedChange.NONE);
+        assertThat(answered(FIRST, 150)).isEqualTo(SpeedChange.NONE);
         assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
     }
 
