Prefer an upstream that answers too late to one that is avoided

A slow upstream expected just after the caller's deadline (310 of 300 ms) cost 15, an avoided one (failure probability 0.95) 11.4: the request went to the one that fails. The cost of the slowdown and that of a late answer were added.

A slowdown, late or not, together with the failures now adds up to the cost of a failure with probability 0.85 at most (10.2; at another data centre 10.8). That is below 0.95, as an answer expected late may still be in time. Requests in flight come on top, as for all upstreams: with two or more at the late one, the avoided one without any is still chosen, as it is over a busy one of normal speed. Without a slowdown the costs stay exactly the same.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/PlainUpstreamSelector.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/PlainUpstreamSelector.java
@@ -10,9 +10,12 @@
  */
 public final class PlainUpstreamSelector {
 
-    /** Cost of a certain failure, or of an answer that would arrive after the deadline. */
+    /** Cost of a certain failure. */
     private static final double FAILURE_WEIGHT = 12;
 
+    /** Cost of an answer expected after the deadline; it may still be in time, unlike that of an avoided upstream. */
+    private static final double LATE_WEIGHT = 0.85 * FAILURE_WEIGHT;
+
     /** Cost of another data centre. */
     private static final double DISTANCE_WEIGHT = 0.6;
 
@@ -40,11 +43,16 @@
 
     /** Returns the cost of a candidate. Without a slowdown it is the number of requests in flight plus the weights. */
     private static double cost(PlainCandidate candidate, long remainingMillis) {
+        return candidate.inFlight()
+                + riskCost(candidate, remainingMillis)
+                + (candidate.sameDataCentre() ? 0 : DISTANCE_WEIGHT);
+    }
+
+    /** Returns the cost of a possible failure and of a slowdown; a slowdown adds up to the cost of a late answer. */
+    private static double riskCost(PlainCandidate candidate, long remainingMillis) {
+        double failureCost = FAILURE_WEIGHT * candidate.failureProbability();
         boolean late = candidate.slowdown() > 1 && candidate.expectedMillis() > remainingMillis;
-        return (candidate.inFlight() + 1) * candidate.slowdown()
-                - 1
-                + FAILURE_WEIGHT * candidate.failureProbability()
-                + (candidate.sameDataCentre() ? 0 : DISTANCE_WEIGHT)
-                + (late ? FAILURE_WEIGHT : 0);
+        double slowdownCost = late ? LATE_WEIGHT : (candidate.inFlight() + 1) * (candidate.slowdown() - 1);
+        return Math.max(failureCost, Math.min(LATE_WEIGHT, failureCost + slowdownCost));
     }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/PlainUpstreamSelectorTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/PlainUpstreamSelectorTest.java
@@ -6,6 +6,8 @@
 
 import org.apricotstack.core.id.UpstreamId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -53,6 +55,18 @@
         assertThat(PlainUpstreamSelector.select(List.of(), 100)).isNull();
     }
 
+    /** Guards against requests to an upstream that fails while a slow one would answer just after the deadline. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, true", "0, 0.14, true", "0, 0.14, false", "1, 0, true", "0, 0.8, true"})
+    void choosesAnUpstreamThatAnswersTooLateRatherThanAnAvoidedOne(int inFlight, double failure, boolean near) {
+        UpstreamId late = new UpstreamId("late");
+        PlainCandidate avoided = new PlainCandidate(new UpstreamId("avoided"), 0, 0.95, near, 1, 30);
+        PlainCandidate slow = new PlainCandidate(late, inFlight, failure, near, 4, 310);
+        assertThat(PlainUpstreamSelector.select(List.of(avoided, slow), 300)).isEqualTo(late);
+        PlainCandidate farSlow = new PlainCandidate(late, 0, failure, false, 10, 2_000);
+        assertThat(PlainUpstreamSelector.select(List.of(avoided, farSlow), 300)).isEqualTo(late);
+    }
+
     private static PlainCandidate candidate(String name, int inFlight, double slowdown) {
         return new PlainCandidate(new UpstreamId(name), inFlight, 0, true, slowdown, 30 * slowdown);
     }
