Count only answers with a result as response times

An upstream that refused requests quickly (4xx) counted as fast, so one that was slow at its work stayed in use, or was in use again, by the requests it refused; each complete answer below 500 was compared with the usual time of its route.

Only 2xx answers count now. The others still say that the upstream is up. The new test (404 and 304 in 5 ms between answers of 120 ms) fails without this; so does ignoresTheLengthsOfStreams without the rule that it is for.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -254,7 +254,7 @@
             return;
         }
         if (success) {
-            chooser.answered(facts, attempt);
+            chooser.answered(facts, attempt, raw.status());
         }
         if (exchange.answerStarted()) {
             answer.release();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.apricotstack.core.engine.EngineCandidate;
 import org.apricotstack.core.engine.EnginePart;
 import org.apricotstack.core.engine.EnginePlacement;
@@ -224,11 +226,15 @@
         }
     }
 
-    /** Records a complete, successful answer, and the response time of a plain upstream. */
-    void answered(RequestFacts facts, Attempt attempt) {
+    /**
+     * Records a complete answer that is no failure of the upstream, and the response time of a plain upstream that
+     * did the request's work: a refused request (4xx) takes less.
+     */
+    void answered(RequestFacts facts, Attempt attempt, HttpResponseStatus status) {
         UpstreamId upstream = attempt.upstream().id();
         context.outlierDetector().succeeded(upstream);
-        if (facts.runsOnEngines() || facts.route().kind() == RequestKind.STREAMING) {
+        boolean didWork = status.codeClass() == HttpStatusClass.SUCCESS;
+        if (!didWork || facts.runsOnEngines() || facts.route().kind() == RequestKind.STREAMING) {
             return;
         }
         long now = context.nowMillis();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
@@ -96,11 +97,15 @@
     }
 
     private void requestTakes(RequestFacts facts, long millis) {
+        requestTakes(facts, millis, HttpResponseStatus.OK);
+    }
+
+    private void requestTakes(RequestFacts facts, long millis, HttpResponseStatus status) {
         UpstreamChoice choice = chooser.choose(facts, false, Set.of());
         chooser.begin(choice, 1_000);
         Attempt attempt = new Attempt(null, choice, nowMillis);
         nowMillis += millis;
-        chooser.answered(facts, attempt);
+        chooser.answered(facts, attempt, status);
         chooser.end(choice);
     }
 
@@ -135,6 +140,20 @@
         assertThat(count("upstream_speed.slow")).isZero();
     }
 
+    /** Guards against a slow upstream that counts as fast because it refuses requests quickly. */
+    @Test
+    void ignoresTheTimeOfAnswersWithoutWork() {
+        for (int i = 0; i < 20; i++) {
+            requestTakes(30);
+        }
+        requestTakes(120);
+        requestTakes(FACTS, 5, HttpResponseStatus.NOT_FOUND);
+        requestTakes(FACTS, 5, HttpResponseStatus.NOT_MODIFIED);
+        requestTakes(120);
+        assertThat(choose()).isEqualTo(FAR.id());
+        assertThat(count("upstream_speed.slow")).isEqualTo(1);
+    }
+
     private long count(String name) {
         return metrics.registry().getCounters().get(name).getCount();
     }
