Keep no speeds of upstreams, services and routes that are gone

A late answer of a removed incarnation added it to the speeds again, as unlisted ones were removed before the answer was counted; until the next answer the others were compared with it. Speeds of services and usual times of routes were never dropped.

Answers of unlisted upstreams no longer count, a service goes with its last upstream, and of each service the 64 routes used last are kept.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ResponseTimeTable.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ResponseTimeTable.java
@@ -91,11 +91,11 @@
     }
 
     /**
-     * Removes upstreams that are no longer listed.
+     * Removes upstreams that are no longer listed, and services without upstreams.
      *
      * @param listed tells whether an incarnation of an upstream is listed
      */
     public void retain(Predicate<UpstreamId> listed) {
-        services.values().forEach(speeds -> speeds.retain(listed));
+        services.values().removeIf(speeds -> !speeds.retain(listed));
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ServiceSpeeds.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/ServiceSpeeds.java
@@ -1,6 +1,7 @@
 package org.apricotstack.core.upstream;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Predicate;
 
@@ -21,7 +22,15 @@
     /** Largest deviation of one answer that counts, so that a single long one does not count for many. */
     private static final double MAX_DEVIATION = Math.log(8);
 
-    private final Map<String, MovingAverage> routes = new HashMap<>();
+    /** Largest number of routes whose usual times are kept; those without answers for longest are dropped. */
+    static final int MAX_ROUTES = 64;
+
+    /** Load factor of the map of routes: the default of maps. */
+    private static final float LOAD_FACTOR = 0.75f;
+
+    /** Usual times by route, the least recently used first. */
+    private final Map<String, MovingAverage> routes = new LinkedHashMap<>(MAX_ROUTES, LOAD_FACTOR, true);
+
     private final Map<UpstreamId, Speed> upstreams = new HashMap<>();
 
     /** The speed of one upstream; 0 is the usual time of the route, from which an unknown upstream starts. */
@@ -41,7 +50,7 @@
 
     /** Records a complete answer. */
     SpeedChange answered(String route, UpstreamId upstream, long millis, long nowMillis) {
-        MovingAverage usual = routes.computeIfAbsent(route, key -> new MovingAverage(ROUTE_WEIGHT));
+        MovingAverage usual = usualTime(route);
         double time = Math.log(Math.max(1, millis));
         double deviation = usual.isEmpty() ? 0 : time - usual.value();
         double counted = Math.max(-MAX_DEVIATION, Math.min(MAX_DEVIATION, deviation));
@@ -54,6 +63,15 @@
         return update(speed, usual, counted, nowMillis);
     }
 
+    /** Returns the usual time of a route, which may be new. */
+    private MovingAverage usualTime(String route) {
+        MovingAverage usual = routes.computeIfAbsent(route, key -> new MovingAverage(ROUTE_WEIGHT));
+        if (routes.size() > MAX_ROUTES) {
+            routes.remove(routes.keySet().iterator().next());
+        }
+        return usual;
+    }
+
     /** Updates whether an upstream is slow, and when it receives its next trial request. */
     private SpeedChange update(Speed speed, MovingAverage usual, double deviation, long nowMillis) {
         double reference = reference();
@@ -111,8 +129,9 @@
         return usual == null || speed == null ? 0 : Math.exp(usual.value() + speed.recent.value());
     }
 
-    /** Removes upstreams that are no longer listed. */
-    void retain(Predicate<UpstreamId> listed) {
+    /** Removes upstreams that are no longer listed; returns whether any is left. */
+    boolean retain(Predicate<UpstreamId> listed) {
         upstreams.keySet().removeIf(id -> !listed.test(id));
+        return !upstreams.isEmpty();
     }
 }
--- a/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ResponseTimeTableTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/upstream/ResponseTimeTableTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 class ResponseTimeTableTest {
 
@@ -132,4 +133,25 @@
         assertThat(table.slowdown(SERVICE, FIRST, 0)).isEqualTo(1);
         assertThat(table.expectedMillis(SERVICE, "route", FIRST)).isZero();
     }
+
+    /** Guards against a table that grows with each service that was ever listed. */
+    @Test
+    void forgetsServicesWithoutUpstreams() {
+        bothAnswerInUsualTime();
+        table.retain(upstream -> false);
+        answered(FIRST, 300);
+        assertThat(table.expectedMillis(SERVICE, "route", FIRST)).isCloseTo(300, within(0.001));
+    }
+
+    /** Guards against a table that grows with each route that was ever configured. */
+    @Test
+    void forgetsRoutesWithoutAnswersForLong() {
+        table.answered(SERVICE, "removed", FIRST, 30, 0);
+        for (int i = 0; i < ServiceSpeeds.MAX_ROUTES; i++) {
+            answered(FIRST, 30);
+            table.answered(SERVICE, "route-" + i, FIRST, 30, 0);
+        }
+        assertThat(table.expectedMillis(SERVICE, "removed", FIRST)).isZero();
+        assertThat(table.expectedMillis(SERVICE, "route", FIRST)).isPositive();
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -239,6 +239,9 @@
         }
         long now = context.nowMillis();
         responseTimes.retain(id -> context.upstreams().find(id) != null);
+        if (context.upstreams().find(upstream) == null) {
+            return;
+        }
         SpeedChange change = responseTimes.answered(
                 facts.service(), facts.route().name(), upstream, now - attempt.sentMillis(), now);
         if (change != SpeedChange.NONE) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
@@ -154,6 +154,22 @@
         assertThat(count("upstream_speed.slow")).isEqualTo(1);
     }
 
+    /** Guards against speeds that are compared with that of an upstream that has left. */
+    @Test
+    void ignoresTheLateAnswerOfARemovedUpstream() {
+        for (int i = 0; i < 20; i++) {
+            requestTakes(30);
+        }
+        requestTakes(120);
+        requestTakes(120);
+        while (choose().equals(FAR.id())) {
+            chooser.begin(chooser.choose(FACTS, false, Set.of()), 1_000);
+        }
+        UpstreamChoice removed = new UpstreamChoice(entry("removed", EAST), List.of(), null, 0, false, false, false);
+        chooser.answered(FACTS, new Attempt(null, removed, nowMillis - 1), HttpResponseStatus.OK);
+        assertThat(choose()).isEqualTo(NEAR.id());
+    }
+
     private long count(String name) {
         return metrics.registry().getCounters().get(name).getCount();
     }
