--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -25,6 +25,7 @@
 import org.apricotstack.core.ratelimit.RateLimit;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.SpeedChange;
 
 /**
  * Counters, gauges and histograms of one router. The counter of each cause exists from the start, so that it is
@@ -53,6 +54,8 @@
     private final Map<ReservationResult.Kind, Counter> reservations =
             counters(ReservationResult.Kind.class, kind -> "reservations." + kind.code());
     private final Counter reservedInVain = registry.counter("reservations.in_vain");
+    private final Map<SpeedChange, Counter> speedChanges =
+            counters(SpeedChange.class, change -> "upstream_speed." + lower(change));
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter coldBegan = registry.counter("cold.began");
     private final Counter coldUnreadable = registry.counter("cold.unreadable");
@@ -214,6 +217,15 @@
         reservedInVain.inc(count);
     }
 
+    /**
+     * Counts a change of the known speed of a plain upstream.
+     *
+     * @param change what changed
+     */
+    public void speedChanged(SpeedChange change) {
+        speedChanges.get(change).inc();
+    }
+
     /** Counts a response whose rate limit cannot be parsed. */
     public void limitUnreadable() {
         limitsUnreadable.inc();
