--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/PlainUpstreamChoiceTest.java
@@ -11,6 +11,7 @@
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
 import org.apricotstack.core.route.RequestKind;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServiceProfile;
@@ -55,7 +56,7 @@
             null,
             null,
             null,
-            new LimitTable(),
+            LimitsInForce.advertisedOnly(new LimitTable()),
             new DenyingLimitGossip(),
             null,
             null,
