Read no cold period without a bound, or of a service without a rate

With bounds, upstreams of a service without cold_per_s got cold states, and reported them to all routers, for nothing; their entries and responses are no longer tracked. While the configuration is not known they are, as it may name a rate.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/ColdRates.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/ColdRates.java
@@ -37,6 +37,16 @@
         return true;
     }
 
+    /**
+     * Tells whether it has to be known which upstreams of a service are cold.
+     *
+     * @param service the service
+     * @return whether a bound applies to it, or may apply while its configuration is not known yet
+     */
+    default boolean tracks(ServiceId service) {
+        return enabled();
+    }
+
     /**
      * Returns the time for which an upstream of a service is cold after its start.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ColdGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ColdGate.java
@@ -34,8 +34,10 @@
 
     /** Processes what an answer states. */
     void answered(UpstreamId upstream, AdvertisedCold stated, long sentMillis) {
-        if (stated.kind() == AdvertisedCold.Kind.ABSENT
-                || !context.limits().coldRates().enabled()) {
+        UpstreamEntry entry = stated.kind() == AdvertisedCold.Kind.ABSENT
+                ? null
+                : context.upstreams().find(upstream);
+        if (entry == null || !context.limits().coldRates().tracks(entry.service())) {
             return;
         }
         if (stated.kind() == AdvertisedCold.Kind.UNREADABLE) {
@@ -52,7 +54,7 @@
 
     /** Processes a new entry; started says whether the upstream was listed for the first time. */
     void listed(UpstreamEntry entry, boolean started) {
-        if (!context.limits().coldRates().enabled()) {
+        if (!context.limits().coldRates().tracks(entry.service())) {
             return;
         }
         if (entry.cold().kind() == AdvertisedCold.Kind.UNREADABLE) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ConfiguredColdRates.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ConfiguredColdRates.java
@@ -58,6 +58,12 @@
         return service == null ? 0 : bound.permitsPerSecond(service.coldPerSecond());
     }
 
+    @Override
+    public boolean tracks(ServiceId id) {
+        ServiceProfile service = service(id);
+        return enabled() && (service == null || service.coldPerSecond() > 0);
+    }
+
     @Override
     public long startMillis(ServiceId id) {
         ServiceProfile service = service(id);
