Name each cause for which requests wait for a permit or are refused

Which requests may wait, and the cause of their refusal, were what was left after others: each cause but BACK_OFF waited for a permit, and each one that was not LIMIT or COLD was refused as upstreams_back_off. A cause added to PassedOverCause would have got both wrong silently; nothing was wrong for the present causes. Both are switches without a default now, so a new cause does not compile until it is decided on.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -225,13 +225,11 @@
                 gates.limits().addWaiting(-1);
                 sendAgain();
             });
-        } else if (availability.cause() == PassedOverCause.LIMIT) {
-            run.endWithRefusal(RefusalCause.UPSTREAM_LIMITS, availability.millis());
-        } else if (availability.cause() == PassedOverCause.COLD) {
-            run.endWithRefusal(RefusalCause.UPSTREAMS_COLD, availability.millis());
+        } else if (availability.needsPermit()) {
+            run.endWithRefusal(availability.refusal(), availability.millis());
         } else {
             long caller = facts.request().id().hashCode();
-            run.endWithRefusal(RefusalCause.UPSTREAMS_BACK_OFF, RetryAfterJitter.millis(availability.millis(), caller));
+            run.endWithRefusal(availability.refusal(), RetryAfterJitter.millis(availability.millis(), caller));
         }
     }
 
@@ -242,7 +240,7 @@
         if (progress.answerStarted()) {
             return now + availability.millis() < progress.lastMillis() + TimeoutPolicy.patienceMillis(facts.route());
         }
-        return availability.cause() != PassedOverCause.BACK_OFF
+        return availability.needsPermit()
                 && PermitWaitPolicy.isAllowed(
                         availability.millis(),
                         now - facts.arrivedMillis(),
