--- a/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/ColdScheduleTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/ColdScheduleTest.java
@@ -52,7 +52,6 @@
                     .as("requests received in a second, seed %d", seed)
                     .isLessThanOrEqualTo(ColdSimulation.MAX_IN_A_SECOND);
             used += simulation.usedShare() / SEEDS;
-            System.out.println(
             assertThat(simulation.arrivals(ColdSimulation.COLD_UNTIL_MILLIS + 500, ColdSimulation.SIMULATED_MILLIS))
                     .as("requests received once warm, seed %d", seed)
                     .isGreaterThan((long) (3.2 * ColdSimulation.TOLERATED_PER_SECOND * DEMAND_FACTOR * 0.8));
