--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuerSelection.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitIssuerSelection.java
@@ -33,11 +33,11 @@
     /**
      * Returns the selection of an issuer that some connected routers do not hear: they use another one.
      *
-     * @param deaf number of connected routers that do not hear it
+     * @param oneWayPeers number of connected routers that do not hear it
      * @param connected number of connected routers
      * @return the same issuer with the share of the routers that hear it
      */
-    public PermitIssuerSelection withoutDeaf(int deaf, int connected) {
-        return deaf == 0 ? this : new PermitIssuerSelection(host, share * (connected - deaf) / connected);
+    public PermitIssuerSelection withoutOneWayPeers(int oneWayPeers, int connected) {
+        return oneWayPeers == 0 ? this : new PermitIssuerSelection(host, share * (connected - oneWayPeers) / connected);
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitTerms.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/ratelimit/PermitTerms.java
@@ -8,7 +8,10 @@
     /** The limit holds in every single second. */
     EVERY_SECOND(250, 0.1);
 
+    /** Unused permits that accumulate apart from the rate. */
     private static final double BURST_PERMITS = 2;
+
+    /** Additional permits that accumulate, in seconds of the rate. */
     private static final double BURST_SECONDS = 0.25;
 
     private static final double MILLIS_PER_SECOND = 1_000;
--- a/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/ColdSimulation.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/ratelimit/ColdSimulation.java
@@ -10,7 +10,7 @@
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.peer.DeafRouters;
+import org.apricotstack.core.peer.OneWayPeers;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.ColdScenario.Fault;
@@ -194,7 +194,7 @@
         private long startedMillis;
         private boolean down;
         private PeerTable peers;
-        private DeafRouters deaf;
+        private OneWayPeers oneWayPeers;
         private ColdTable cold;
         private LimitAdmission admission;
         private PermitIssuerService issuerService;
@@ -209,7 +209,7 @@
             incarnation++;
             startedMillis = now();
             peers = new PeerTable();
-            deaf = new DeafRouters();
+            oneWayPeers = new OneWayPeers();
             cold = new ColdTable();
             LimitsInForce limits = new LimitsInForce(
                     new LimitTable(), cold, upstream -> BOUND.permitsPerSecond(TOLERATED_PER_SECOND), time::nowMillis);
@@ -277,7 +277,7 @@
                 List<HostId> silent = peers.suspectedHosts(routers.size(), now());
                 routers.forEach(other -> send(other, router -> {
                     router.heard(peer);
-                    router.deaf.recordHeartbeat(host, silent.contains(router.host));
+                    router.oneWayPeers.recordHeartbeat(host, silent.contains(router.host));
                 }));
             }
             if (now() < SIMULATED_MILLIS) {
@@ -291,7 +291,7 @@
             PermitIssuerSelection selected =
                     PermitIssuerSelection.of(upstream, connected, peers.silentEntryRouterCount(now()));
             if (host.equals(selected.host())) {
-                selected = selected.withoutDeaf(deaf.countAmong(connected), connected.size());
+                selected = selected.withoutOneWayPeers(oneWayPeers.countAmong(connected), connected.size());
             }
             boolean incomplete = host.equals(selected.host())
                     && now() - startedMillis < START_MILLIS
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/FleetLimitPeers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/FleetLimitPeers.java
@@ -8,7 +8,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.HostId;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.peer.DeafRouters;
+import org.apricotstack.core.peer.OneWayPeers;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.ratelimit.PermitIssuerSelection;
@@ -26,7 +26,7 @@
     private final StartPhase start;
     private final BooleanSupplier ready;
     private final IntSupplier knownRouters;
-    private final DeafRouters deaf = new DeafRouters();
+    private final OneWayPeers oneWayPeers = new OneWayPeers();
     private HeartbeatSender heartbeats;
     private HeartbeatPort port;
 
@@ -56,7 +56,7 @@
 
     /** Records which hosts a router reports as silent. */
     void silentHostsReported(HostId reporter, List<String> silentHosts) {
-        deaf.recordHeartbeat(reporter, silentHosts.contains(own.value()));
+        oneWayPeers.recordHeartbeat(reporter, silentHosts.contains(own.value()));
         if (!heartbeats.takesCallers()) {
             long now = loop.nowMillis();
             silentHosts.forEach(host -> peers.reportedSilent(new HostId(host), now));
@@ -87,7 +87,7 @@
         if (!own.equals(selected.host())) {
             return selected;
         }
-        selected = selected.withoutDeaf(deaf.countAmong(connected), connected.size());
+        selected = selected.withoutOneWayPeers(oneWayPeers.countAmong(connected), connected.size());
         boolean incomplete = !start.hasPeerPlacements(knownRouters.getAsInt(), now);
         return incomplete ? new PermitIssuerSelection(null, selected.share()) : selected;
     }
