Test that a stop goes on after one of its checks failed, failing

The steps of a stop schedule each other. If one fails, no other follows: the router ends only by the kill, with all answers in flight cut and no line that says why. The test waits for the end of the sequence in vain.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -93,7 +94,7 @@
             loop,
             callers,
             runs,
-            () -> relaysInUse,
+            this::relays,
             hub,
             new StopGate(policy, () -> OtherRouters.NONE, loadTable, new StallDetector(0)),
             () -> last,
@@ -101,6 +102,13 @@
     private final List<Heartbeat> received = new ArrayList<>();
     private DatagramSocket receiver;
 
+    private int relays() {
+        if (relaysInUse < 0) {
+            throw new IllegalStateException("relays are unknown");
+        }
+        return relaysInUse;
+    }
+
     /** Tells the other routers of the stop. */
     private final class OwnReadiness implements Readiness {
         @Override
@@ -200,6 +208,18 @@
         assertThat(done).isDone();
     }
 
+    /** Guards against a router that is killed with answers in flight as its stop went no further after a failure. */
+    @Test
+    void goesOnWithTheStopAfterOneOfItsChecksFailed() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        relaysInUse = -1;
+        loop.execute(() -> sequence.begin(nowMillis, done::countDown));
+        onLoop(() -> {});
+        relaysInUse = 0;
+        nowMillis = policy.timeline().durationMillis();
+        assertThat(done.await(WAIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     @Test
     void tellsTheOtherRoutersOfAStopAtOnce() throws IOException {
         onLoop(() -> {
