Log and count each connection that a router closes with a request in it

Callers reported requests that ended with neither an answer nor a refusal. The router closed connections in eight places without a log line or a counter, so that neither the cause nor a configuration change or signal shortly before could be found.

Each close now has a counter of its cause, and a line caller_connection_closed if a request was arriving, in flight, being answered or waiting: its id where known, its stage, the cause, the caller's address, and the ages of the configuration, of SIGTERM and of SIGHUP. When connections are closed is unchanged.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -3,12 +3,9 @@
 import java.util.List;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.core.source64.SplitMix64;
-import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
-import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.limits.ByteBudget;
 import org.apricotstack.core.peer.FleetSize;
 import org.apricotstack.core.peer.PeerTable;
@@ -84,6 +81,7 @@
     private final RequestDispatcher runs;
     private final CallerServer callers;
     private final StopPolicy stopPolicy;
+    private final ConnectionCloseLog closes;
     private final StopSequence stop;
     private RouterIdentity identity;
     private GossipServer gossipServer;
@@ -119,7 +117,7 @@
         this.stalls = new StallDetector(loop.nowMillis());
         this.fleetSize = new FleetSize(peers, loop.nowMillis());
         this.stopPolicy = new StopPolicy(options.stopTimeoutMillis(), options.addressLifetime());
-        UniformRandomProvider random = random(options.identity().process());
+        UniformRandomProvider random = ProcessRandom.of(options.identity().process());
         OutlierDetector outlierDetector = new OutlierDetector();
         EngineLoadTable loadTable = new EngineLoadTable();
         state = new PublishedState(ports.reader(), upstreams, outlierDetector, loadTable, log);
@@ -156,8 +154,9 @@
                 follower::restartIfSilent);
         StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable, stalls);
         runs = new RequestDispatcher(context(ports, outlierDetector, loadTable, calls, stopGate));
+        closes = new ConnectionCloseLog(loop, stopPolicy.timeline(), log, metrics);
         callers = new CallerServer(
-                loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE));
+                loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE), closes);
         stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
         addGauges(loadTable, ports.unknown());
@@ -199,15 +198,7 @@
         state.onDrainEnded(runs::drainEnded);
         state.onUpstreamListed(runs::upstreamListed);
         links.onSilentLink(runs::linkSilent);
-    }
-
-    /**
-     * Creates the random number generator of this process. The library's factory would load the classes of all its
-     * generators first.
-     */
-    private static UniformRandomProvider random(ProcessId process) {
-        SplitMix64 seeds = new SplitMix64(process.hashCode());
-        return new XoRoShiRo128PlusPlus(seeds.nextLong(), seeds.nextLong());
+        state.onConfigurationInForce(closes::configurationInForce);
     }
 
     /** Registers the gauges. */
@@ -368,6 +359,11 @@
                 .toList());
     }
 
+    /** Records, on the event loop, that the process was signalled to read its settings again. */
+    public void settingsReloaded() {
+        closes.reloaded();
+    }
+
     /**
      * Returns the metrics.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -1,12 +1,11 @@
 package org.apricotstack.serving.http;
 
-import java.net.InetSocketAddress;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -23,9 +22,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.apricotstack.serving.observe.ConnectionCloseCause;
 
 /** A connection from a caller; handles its requests one after the other. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -44,11 +42,12 @@
 
     private final CallerServer server;
     private final Deque<Object> pendingMessages = new ArrayDeque<>();
+    private final RequestBody body = new RequestBody();
+    private final CloseReporter reporter;
     private ChannelHandlerContext context;
     private CallerExchange exchange;
     private CallerRequestListener listener;
-    private CompositeByteBuf body;
-    private long bodyBytes;
+    private String requestId;
     private boolean bodyComplete = true;
     private boolean closing;
     private boolean headStarted;
@@ -58,6 +57,7 @@
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
         this.server = server;
+        this.reporter = new CloseReporter(server.observer());
     }
 
     @Override
@@ -90,6 +90,7 @@
     private void process(Object message) {
         try {
             if (closing && exchange == null) {
+                reportDropped(message);
                 return;
             }
             if (message instanceof HttpRequest head) {
@@ -107,12 +108,15 @@
     private void begin(HttpRequest head) {
         headStarted = false;
         lastReadMillis = server.nowMillis();
-        bodyBytes = 0;
+        body.begin();
+        requestId = null;
         bodyComplete = false;
         exchange = new CallerExchange(this, HttpUtil.isKeepAlive(head));
         listener = null;
         if (head.decoderResult().isFailure()) {
-            refuse(statusOf(head.decoderResult().cause()), "The request is not proper HTTP; send it as HTTP/1.1.");
+            refuse(
+                    DecodingErrors.status(head.decoderResult().cause()),
+                    "The request is not proper HTTP; send it as HTTP/1.1.");
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > server.limits().bodyBytes()) {
@@ -123,6 +127,7 @@
         }
         try {
             CallerRequest request = server.protocol().read(head);
+            requestId = request.id();
             if (HttpUtil.is100ContinueExpected(head)) {
                 write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
             }
@@ -132,16 +137,6 @@
         }
     }
 
-    /** Returns the status for a decoding error. */
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        return cause instanceof TooLongHttpLineException
-                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
-                : HttpResponseStatus.BAD_REQUEST;
-    }
-
     /**
      * Rejects a malformed request and closes the connection, as the start of a next request cannot be found reliably.
      */
@@ -163,19 +158,19 @@
         }
         lastReadMillis = server.nowMillis();
         if (content.decoderResult().isFailure()) {
+            report(ConnectionCloseCause.DECODE_ERROR, content.decoderResult().cause());
             callerDisconnected();
             closing = true;
             context.close();
             return;
         }
         ByteBuf data = content.content();
-        bodyBytes += data.readableBytes();
-        if (bodyBytes > server.limits().bodyBytes()) {
+        if (body.count(data) > server.limits().bodyBytes()) {
             refuseBody();
             return;
         }
         if (data.isReadable() && !exchange.ended()) {
-            appendToBody(data);
+            body.append(data);
         }
         if (content instanceof LastHttpContent && exchange != null) {
             bodyComplete = true;
@@ -183,9 +178,7 @@
             if (exchange.ended()) {
                 next(closing);
             } else {
-                ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
-                body = null;
-                listener.body(whole);
+                listener.body(body.take());
             }
         }
     }
@@ -206,26 +199,10 @@
         }
     }
 
-    /** Appends a chunk to the buffered body. */
-    private void appendToBody(ByteBuf data) {
-        if (body == null) {
-            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
-        }
-        body.addComponent(true, data.retain());
-    }
-
-    /** Releases the buffered body. */
-    private void dropBody() {
-        if (body != null) {
-            body.release();
-            body = null;
-        }
-    }
-
     /** Continues with the next request after a response. */
     void answered(boolean close) {
         closing |= close;
-        dropBody();
+        body.drop();
         if (bodyComplete) {
             next(closing);
         }
@@ -252,6 +229,7 @@
     /** Shuts down the output, and closes the connection after a delay. */
     private void closeAfterResponse() {
         closing = true;
+        pendingMessages.forEach(this::reportDropped);
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) done -> {
             Channel channel = done.channel();
             if (channel instanceof DuplexChannel duplex && channel.isActive()) {
@@ -265,8 +243,9 @@
 
     /** Aborts the connection. */
     void abort() {
+        report(ConnectionCloseCause.ABORTED_RESPONSE, null);
         closing = true;
-        dropBody();
+        body.drop();
         exchange = null;
         listener = null;
         context.close();
@@ -290,6 +269,7 @@
     private void closeIfStillIdle() {
         closesWhenIdle = false;
         if (exchange == null && !headStarted) {
+            report(ConnectionCloseCause.IDLE_AT_STOP, null);
             closing = true;
             context.close();
         }
@@ -308,12 +288,39 @@
             timedOut = !bodyComplete && silence > server.limits().idleTimeoutMillis();
         }
         if (timedOut) {
+            report(timeoutCause(), null);
             closing = true;
             callerDisconnected();
             context.close();
         }
     }
 
+    /** Returns the cause of a close because of a timeout for receiving a request. */
+    private ConnectionCloseCause timeoutCause() {
+        if (exchange != null) {
+            return ConnectionCloseCause.BODY_TIMEOUT;
+        }
+        return headStarted && !closing ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
+    }
+
+    /** Reports a request that is not processed, as the response to an earlier one closes the connection. */
+    private void reportDropped(Object message) {
+        if (message instanceof HttpRequest) {
+            reporter.report(
+                    ConnectionCloseCause.BEHIND_CLOSING_RESPONSE,
+                    RequestStage.HEAD_ARRIVING,
+                    null,
+                    context.channel(),
+                    null);
+        }
+    }
+
+    /** Reports that the connection is about to be closed, with the error that caused it or {@code null}. */
+    private void report(ConnectionCloseCause cause, Throwable error) {
+        RequestStage stage = RequestStage.of(exchange, headStarted && !closing, bodyComplete);
+        reporter.report(cause, stage, exchange == null ? null : requestId, context.channel(), error);
+    }
+
     /** Writes a message without flushing, as others follow at once. */
     void writeWithoutFlush(Object message) {
         context.write(message);
@@ -331,9 +338,7 @@
 
     /** Returns the IP address of the caller, or an empty text once the connection is closed. */
     String callerIp() {
-        return context.channel().remoteAddress() instanceof InetSocketAddress address
-                ? address.getAddress().getHostAddress()
-                : "";
+        return CloseReporter.ipOf(context.channel());
     }
 
     /** Returns whether a request has begun to arrive, or bytes of a response were not written yet. */
@@ -367,7 +372,7 @@
 
     /** Ends the run of a caller that disconnected. */
     private void callerDisconnected() {
-        dropBody();
+        body.drop();
         CallerRequestListener ended = listener;
         CallerExchange open = exchange;
         listener = null;
@@ -383,6 +388,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        boolean lost = cause instanceof IOException;
+        report(lost ? ConnectionCloseCause.CALLER_RESET : ConnectionCloseCause.HANDLER_ERROR, cause);
         ctx.close();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.apricotstack.core.failure.ErrorCode;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.route.CallerLimits;
+import org.apricotstack.serving.observe.ConnectionCloseCause;
 
 /** HTTP server for callers. */
 public final class CallerServer implements AutoCloseable {
@@ -48,6 +49,7 @@
     private final CallerHandler handler;
     private final Supplier<CallerLimits> limits;
     private final int maxConnections;
+    private final ConnectionCloseObserver observer;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel listenChannel;
     private boolean stopping;
@@ -69,6 +71,27 @@
             CallerHandler handler,
             Supplier<CallerLimits> limits,
             int maxConnections) {
+        this(loop, protocol, handler, limits, maxConnections, ConnectionCloseObserver.NONE);
+    }
+
+    /**
+     * Creates a server that does not listen yet and reports the connections that it closes.
+     *
+     * @param loop the event loop
+     * @param protocol parses the requests
+     * @param handler handles the requests
+     * @param limits the configured limits for callers that are in force
+     * @param maxConnections maximum of open connections, so that file descriptors do not run out
+     * @param observer records the connections that are closed
+     */
+    public CallerServer(
+            ServingLoop loop,
+            CallerProtocol protocol,
+            CallerHandler handler,
+            Supplier<CallerLimits> limits,
+            int maxConnections,
+            ConnectionCloseObserver observer) {
+        this.observer = observer;
         this.loop = loop;
         this.protocol = protocol;
         this.handler = handler;
@@ -118,6 +141,12 @@
     /** Sets up a new connection. */
     private void accept(Channel channel) {
         if (connections.size() >= maxConnections) {
+            observer.closed(new ConnectionClose(
+                    ConnectionCloseCause.TOO_MANY_CONNECTIONS,
+                    RequestStage.IDLE,
+                    null,
+                    CloseReporter.ipOf(channel),
+                    null));
             channel.close();
             return;
         }
@@ -221,6 +250,11 @@
         return handler;
     }
 
+    /** Returns what records the connections that are closed. */
+    ConnectionCloseObserver observer() {
+        return observer;
+    }
+
     /** Returns the time of the loop's clock, in milliseconds. */
     long nowMillis() {
         return loop.nowMillis();
--- /dev/null
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ConnectionCloseCause.java
@@ -0,0 +1,36 @@
+package org.apricotstack.serving.observe;
+
+import java.util.Locale;
+
+/** Why the router closes a connection of a caller. */
+public enum ConnectionCloseCause {
+    /** An error that the code does not expect, while a request was processed. */
+    HANDLER_ERROR,
+    /** The body of a request is not proper HTTP. */
+    DECODE_ERROR,
+    /** No request began to arrive in time. */
+    IDLE_TIMEOUT,
+    /** The headers of a request did not arrive in time. */
+    HEADER_TIMEOUT,
+    /** The body of a request did not arrive in time. */
+    BODY_TIMEOUT,
+    /** A response that was started cannot be completed. */
+    ABORTED_RESPONSE,
+    /** A request arrived behind one whose response closes the connection. */
+    BEHIND_CLOSING_RESPONSE,
+    /** The router is stopping and the connection was idle. */
+    IDLE_AT_STOP,
+    /** The maximum of open connections was reached. */
+    TOO_MANY_CONNECTIONS,
+    /** The caller reset the connection, or it was lost. */
+    CALLER_RESET;
+
+    /**
+     * Returns the name in logs and metrics.
+     *
+     * @return the name in lower case, with underscores
+     */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -56,6 +56,9 @@
     private final Counter reservedInVain = registry.counter("reservations.in_vain");
     private final Map<SpeedChange, Counter> speedChanges =
             counters(SpeedChange.class, change -> "upstream_speed." + lower(change));
+    private final Map<ConnectionCloseCause, Counter> connectionCloses =
+            counters(ConnectionCloseCause.class, cause -> "connections.closed." + cause.code());
+    private final Counter closeLinesSuppressed = registry.counter("connections.close_lines_suppressed");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter coldBegan = registry.counter("cold.began");
     private final Counter coldUnreadable = registry.counter("cold.unreadable");
@@ -256,6 +259,20 @@
         relayed.inc();
     }
 
+    /**
+     * Counts a connection of a caller that this router closes.
+     *
+     * @param cause why
+     */
+    public void connectionClosed(ConnectionCloseCause cause) {
+        connectionCloses.get(cause).inc();
+    }
+
+    /** Counts a closed connection whose log line is omitted, as there were too many. */
+    public void closeLineSuppressed() {
+        closeLinesSuppressed.inc();
+    }
+
     /** Counts a request that arrived while this router was stopping. */
     public void arrivedWhileStopping() {
         arrivedWhileStopping.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
@@ -19,6 +19,7 @@
     private ServingConfiguration decoded;
     private Publication document;
     private long ignoredRevision;
+    private Runnable onInForce = () -> {};
 
     /** Creates a holder without a configuration. */
     CurrentConfiguration(PublicationDecoder reader, DecisionLog log) {
@@ -26,6 +27,11 @@
         this.log = log;
     }
 
+    /** Sets the action after each change of the configuration. */
+    void onInForce(Runnable action) {
+        onInForce = action;
+    }
+
     /** Returns the configuration; {@code null} before the first. */
     ServingConfiguration decoded() {
         return decoded;
@@ -68,6 +74,7 @@
         decoded = configuration;
         document = read;
         write("configuration_in_force", configuration, read, source);
+        onInForce.run();
     }
 
     /** Returns whether a configuration has a lower revision than the one in force, in the same history. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -94,6 +94,11 @@
         listings.listener(action);
     }
 
+    /** Sets the action after each change of the configuration in force. */
+    public void onConfigurationInForce(Runnable action) {
+        configuration.onInForce(action);
+    }
+
     /**
      * Returns the configuration in force.
      *
