Log and count attempts that go on although their upstream is silent

An attempt whose upstream had been silent for too long either failed or went on, and nothing said that it went on, or why. A stream that was given up as silent and then cut could not be told from one that was never moved.

A line `kept_despite_silence`, once for each attempt, and a counter for each cause say which. Nothing else changes: the check of attempts, time and retry budget moves to ReplacementCheck as it was.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -45,6 +45,8 @@
     private final Map<RefusalCause, Counter> refusals = counters(RefusalCause.class, c -> "refusals." + c.code());
     private final Map<FailureKind, Counter> failures = counters(FailureKind.class, k -> "attempts.failed." + k.code());
     private final Map<FailureKind, Counter> retries = counters(FailureKind.class, k -> "retries." + k.code());
+    private final Map<KeptCause, Counter> kept =
+            counters(KeptCause.class, c -> "attempts.kept_despite_silence." + c.code());
     private final Map<RequestKind, Counter> served = counters(RequestKind.class, k -> "served." + lower(k));
     private final Map<LimitChange, Counter> limitChanges = counters(LimitChange.class, c -> "limits." + c.code());
     private final Map<String, Double> shownLimits = new ConcurrentHashMap<>();
@@ -130,6 +132,15 @@
         failures.get(kind).inc();
     }
 
+    /**
+     * Counts an attempt that was not given up although its upstream was silent.
+     *
+     * @param cause why
+     */
+    public void keptDespiteSilence(KeptCause cause) {
+        kept.get(cause).inc();
+    }
+
     /**
      * Counts a retry.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -16,6 +16,7 @@
 import org.apricotstack.serving.http.ResponseHead;
 import org.apricotstack.serving.http.UpstreamCall;
 import org.apricotstack.serving.http.UpstreamListener;
+import org.apricotstack.serving.observe.KeptCause;
 
 /**
  * One attempt to send a request to an upstream. Buffers the response until it is complete, so that another attempt can
@@ -38,6 +39,7 @@
     private long silenceMillis;
     private int watchdogGeneration;
     private boolean takesRetry;
+    private boolean kept;
     private boolean finished;
     private ResponseHead head;
     private HttpResponse raw;
@@ -96,8 +98,9 @@
         if (finished) {
             return;
         }
-        if (!run.mayRetry(FailureKind.SILENT)) {
-            watchdog(silenceMillis);
+        KeptCause obstacle = run.replacements().retryObstacle(FailureKind.SILENT);
+        if (obstacle != null) {
+            keep(obstacle);
             return;
         }
         int generation = watchdogGeneration;
@@ -119,8 +122,9 @@
         if (finished) {
             return;
         }
-        if (!run.mayRetry(FailureKind.SILENT)) {
-            watchdog(silenceMillis);
+        KeptCause obstacle = run.replacements().retryObstacle(FailureKind.SILENT);
+        if (obstacle != null) {
+            keep(obstacle);
             return;
         }
         int generation = watchdogGeneration;
@@ -130,7 +134,7 @@
             }
             if (silence.failure() != null) {
                 abandon(silence.failure());
-            } else if (run.wouldBeFasterElsewhere(this)) {
+            } else if (run.replacements().wouldBeFasterElsewhere(this)) {
                 abandon(FailureKind.PASSED_OVER);
             } else {
                 watchdog(silenceMillis);
@@ -150,14 +154,24 @@
      * as the retry budget may allow it then.
      */
     private void abandon(FailureKind kind) {
-        if (run.mayRetry(kind)) {
+        KeptCause obstacle = run.replacements().retryObstacle(kind);
+        if (obstacle == null) {
             call.cancel();
             failed(kind);
         } else {
-            watchdog(silenceMillis);
+            keep(obstacle);
         }
     }
 
+    /** Lets the attempt go on and checks it again after another silence. */
+    private void keep(KeptCause cause) {
+        if (!kept) {
+            kept = true;
+            run.replacements().keptDespiteSilence(this, cause);
+        }
+        watchdog(silenceMillis);
+    }
+
     /** Returns whether events of the response have arrived. */
     boolean answerStarted() {
         return false;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -12,6 +12,7 @@
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.KeptCause;
 import org.apricotstack.serving.observe.PassedOverCause;
 import org.apricotstack.serving.observe.RefusalCause;
 import org.apricotstack.serving.observe.SuspectFields;
@@ -157,6 +158,19 @@
                 .write();
     }
 
+    /** Logs and counts that an attempt is not given up although its upstream has been silent for too long. */
+    void keptDespiteSilence(Attempt attempt, KeptCause cause, long nowMillis) {
+        context.metrics().keptDespiteSilence(cause);
+        line("kept_despite_silence")
+                .put("attempt", attempts.sent())
+                .put("upstream", attempt.upstream().id().value())
+                .put("cause", cause.code())
+                .put("after_millis", nowMillis - attempt.startMillis())
+                .put("last_event", progress.lastEventId())
+                .put("stopping", context.stop().timeline().stopping())
+                .write();
+    }
+
     /** Logs that a helper did not reserve memory, with the free memory that this router expected there. */
     void reservationRefused(RefusedReservation refused) {
         line("reservation_refused")
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -100,16 +100,14 @@
         sender.send();
     }
 
-    /** Returns whether a stream that waits for a busy engine would get its next event sooner at another one. */
-    boolean wouldBeFasterElsewhere(Attempt attempt) {
-        return sender.wouldBeFasterElsewhere(attempt);
+    /** Returns the check whether the current attempt may be given up. */
+    ReplacementCheck replacements() {
+        return sender.replacements();
     }
 
-    /** Returns whether the current attempt may be retried after a failure; otherwise it is not given up for one. */
+    /** Returns whether the current attempt may be retried after a failure. */
     boolean mayRetry(FailureKind kind) {
-        long now = context.nowMillis();
-        return attempts.retryRefusal(kind, false, facts.remainingMillis(now)) == null
-                && retries().left(now) >= 1;
+        return replacements().retryObstacle(kind) == null;
     }
 
     /** Returns whether an attempt may still be sent to the upstreams chosen for it. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -31,6 +31,7 @@
     private final SuspectTracker suspectTracker;
     private final RequestLog log;
     private final Set<UpstreamId> excluded = new HashSet<>();
+    private final ReplacementCheck replacements;
     private ByteBuf body;
     private Attempt current;
     private ReservedHelpers reserved;
@@ -57,6 +58,12 @@
         this.progress = progress;
         this.suspectTracker = suspectTracker;
         this.log = log;
+        this.replacements = new ReplacementCheck(context, chooser, facts, attempts, progress, log, excluded);
+    }
+
+    /** Returns the check whether the attempt in flight may be given up. */
+    ReplacementCheck replacements() {
+        return replacements;
     }
 
     /** Sets the body, which the run holds until it ends. */
@@ -250,11 +257,6 @@
                 && !progress.answerStarted();
     }
 
-    /** Returns whether a stream that waits for a busy engine would get its next event sooner at another one. */
-    boolean wouldBeFasterElsewhere(Attempt attempt) {
-        return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
-    }
-
     /** Retries a little later, while the engines' capacity is worth more to other requests. */
     private void waitForCapacity() {
         if (!waitsForCapacity) {
