Go on after a task of the event loop failed, and report it

What operators saw: nothing. A failed step of a stop left the router to the kill, which cuts all answers in flight. Netty keeps the exception in a future that nobody reads.

The loop now catches what a task throws, reports it as task_failed with a counter, and runs a periodic task again. Heartbeats and the steps of a stop schedule the next round whether or not this one fails.

No log shows that this caused the reported fault; it is of its class: a failure inside the router that ends work without a word.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -84,9 +84,22 @@
         runDueSteps();
     }
 
-    /** Runs the steps that are due, and schedules the next check. */
+    /** Runs the steps that are due, and schedules the next check, also after a step that failed. */
     void runDueSteps() {
         long now = loop.nowMillis();
+        boolean ended = false;
+        try {
+            ended = stepsEnded(now);
+        } finally {
+            if (!ended) {
+                long untilEndMillis = Math.max(1, timeline.leftMillis(now));
+                loop.schedule(Math.min(CHECK_INTERVAL_MILLIS, untilEndMillis), this::runDueSteps);
+            }
+        }
+    }
+
+    /** Runs the steps that are due, and returns whether the last one was among them. */
+    private boolean stepsEnded(long now) {
         long elapsedMillis = timeline.elapsedMillis(now);
         if (policy.closesIdle(now) && !idleClosed) {
             idleClosed = true;
@@ -99,12 +112,11 @@
             waitsForOthers = true;
             phase("waits_for_others", elapsedMillis);
         }
-        if (policy.ends(open, last, now)) {
+        boolean ends = policy.ends(open, last, now);
+        if (ends) {
             end(elapsedMillis);
-        } else {
-            long untilEndMillis = Math.max(1, timeline.leftMillis(now));
-            loop.schedule(Math.min(CHECK_INTERVAL_MILLIS, untilEndMillis), this::runDueSteps);
         }
+        return ends;
     }
 
     /** Ends the requests that are still open, and the process once their responses are written. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -150,11 +150,12 @@
         return platformGossip == null || platformGossip.mustReadPlatform();
     }
 
-    /** Sends the heartbeats of a round and schedules the next one. */
+    /** Schedules the next round of heartbeats, which follows also if this one fails, and sends those of this round. */
     private void sendHeartbeats() {
         if (closed) {
             return;
         }
+        loop.schedule(intervalMillis(), this::sendHeartbeats);
         long now = loop.nowMillis();
         peers.expire(now).forEach(removed -> removeProcess(removed, now));
         membershipLog.update(peers.alive(now));
@@ -163,7 +164,6 @@
             requests.endInterval(now);
         }
         heartbeats.sendHeartbeats(now);
-        loop.schedule(intervalMillis(), this::sendHeartbeats);
     }
 
     /** Drops the placements and trials of a router process that has ended. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -29,6 +30,7 @@
     private final EventLoopGroup group;
     private final boolean epoll = Epoll.isAvailable();
     private final MonotonicClock clock;
+    private volatile Consumer<RuntimeException> failureHandler = failure -> {};
 
     /**
      * Starts the event loop.
@@ -41,6 +43,15 @@
         this.group = epoll ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
     }
 
+    /**
+     * Sets the handler of the exceptions that tasks throw.
+     *
+     * @param handler receives each exception, on the loop
+     */
+    public void onTaskFailure(Consumer<RuntimeException> handler) {
+        failureHandler = handler;
+    }
+
     /**
      * Returns the time of the clock.
      *
@@ -56,7 +67,7 @@
      * @param task the task
      */
     public void execute(Runnable task) {
-        loop().execute(task);
+        loop().execute(() -> run(task));
     }
 
     /**
@@ -67,17 +78,26 @@
      * @return a handle to cancel the task
      */
     public ScheduledFuture<?> schedule(long delayMillis, Runnable task) {
-        return loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        return loop().schedule(() -> run(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Runs a task on the loop repeatedly.
+     * Runs a task on the loop repeatedly, also after a run that failed.
      *
      * @param periodMillis delay between the end of a run and the start of the next, in milliseconds
      * @param task the task
      */
     public void scheduleWithFixedDelay(long periodMillis, Runnable task) {
-        loop().scheduleWithFixedDelay(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+        loop().scheduleWithFixedDelay(() -> run(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task, and reports its exception, which Netty would keep in a future that nobody reads. */
+    private void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            failureHandler.accept(e);
+        }
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -71,6 +71,7 @@
     private final Counter arrivedWhileStopping = registry.counter("stops.requests_arrived");
     private final Counter cutByStop = registry.counter("stops.requests_cut");
     private final Counter relayed = registry.counter("attempts.relayed");
+    private final Counter tasksFailed = registry.counter("process.tasks_failed");
     private final Counter stalls = registry.counter("process.stalls");
     private final Counter stalledMillis = registry.counter("process.stalled_millis");
     private volatile int backOffsInForce;
@@ -289,6 +290,11 @@
         arrivedWhileStopping.inc();
     }
 
+    /** Counts a task of the event loop that threw an exception. */
+    public void taskFailed() {
+        tasksFailed.inc();
+    }
+
     /**
      * Counts a stall of this process.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -70,6 +70,7 @@
             "placement.first_event_error_millis",
             "process.stalled_millis",
             "process.stalls",
+            "process.tasks_failed",
             "refusals.attempts_used",
             "refusals.body_memory",
             "refusals.ends_upstreams",
