End the call of a response that could not be processed

What callers saw: an answer that stands still until the request's time limit, though the router could send the request elsewhere. Cause: an exception of the code that processes a response was dropped; the connection stayed open and the call never ended. The connection is now closed, so that the attempt fails as cut or reset and may be retried, and the exception is reported as task_failed. Found while looking for the same cause elsewhere: no log shows that callers met it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
@@ -96,10 +96,15 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            failureHandler.accept(e);
+            taskFailed(e);
         }
     }
 
+    /** Reports an exception that ended a task. */
+    void taskFailed(RuntimeException failure) {
+        failureHandler.accept(failure);
+    }
+
     /**
      * Returns the Netty event loop.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -243,5 +243,9 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         broken = true;
         notReusable = true;
+        if (cause instanceof RuntimeException failure) {
+            pool.processingFailed(failure);
+            ctx.close();
+        }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -174,6 +174,11 @@
         return !(failure instanceof ConnectTimeoutException) && !(failure instanceof NoRouteToHostException);
     }
 
+    /** Reports an exception that was thrown while a response was processed. */
+    void processingFailed(RuntimeException failure) {
+        loop.taskFailed(failure);
+    }
+
     /** Returns the time of the event loop. */
     long nowMillis() {
         return loop.nowMillis();
