Give up a silent attempt only if another upstream takes its request

Callers of a sound upstream that fell silent for a second lost their answer: the attempt was cancelled, and only then another upstream looked for. With none, a begun stream was cut and any other request refused as possibly run, though the upstream would have gone on.

Attempt.abandon asked only whether attempts, time and retry budget allow a retry. It now also asks the chooser for another upstream, with the same rules as the next send: none, or one that is too dear for a request without an answer, is no replacement. The attempt then goes on, and the question is repeated every 100 ms, the interval at which a request without an attempt asked before; the engine is queried again only when there is a replacement. The failure is recorded against the upstream as before, once, so that new requests avoid it. Choosing without sending leaves nothing but a number of a placement behind, as the check for a faster engine does.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/KeptCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/KeptCause.java
@@ -23,6 +23,15 @@
     /** The request would have to wait for a trial of a suspected request. */
     IN_TRIAL;
 
+    /**
+     * Tells whether the request may not be sent again, whatever other upstreams could do.
+     *
+     * @return {@code false} if the attempt only lacks a replacement
+     */
+    public boolean forbidsRetry() {
+        return this == ATTEMPTS_USED || this == MAY_HAVE_RUN || this == TIME_LIMIT || this == RETRY_BUDGET;
+    }
+
     /**
      * Returns the name in logs and metrics.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -150,14 +150,17 @@
     }
 
     /**
-     * Cancels the call and reports the failure if the request may be retried now; otherwise waits for another silence,
-     * as the retry budget may allow it then.
+     * Cancels the call and reports the failure if another upstream takes the request now; otherwise lets the attempt go
+     * on, as its upstream may do so too.
      */
     private void abandon(FailureKind kind) {
-        KeptCause obstacle = run.replacements().retryObstacle(kind);
+        KeptCause obstacle = run.replacements().obstacle(this, kind);
         if (obstacle == null) {
             call.cancel();
             failed(kind);
+        } else if (kind == FailureKind.SILENT && !obstacle.forbidsRetry()) {
+            logKept(obstacle, kind);
+            awaitReplacement();
         } else {
             keep(obstacle);
         }
@@ -165,11 +168,35 @@
 
     /** Lets the attempt go on and checks it again after another silence. */
     private void keep(KeptCause cause) {
+        logKept(cause, null);
+        watchdog(silenceMillis);
+    }
+
+    /** Records that the attempt is kept, only the first time. */
+    private void logKept(KeptCause cause, FailureKind kind) {
         if (!kept) {
             kept = true;
-            run.replacements().keptDespiteSilence(this, cause);
+            run.replacements().keptDespiteSilence(this, cause, kind);
+        }
+    }
+
+    /** Checks after a short time whether another upstream can take the request of a silent upstream. */
+    private void awaitReplacement() {
+        watchdog = run.context().loop().schedule(TimeoutPolicy.RECHECK_MILLIS, this::recheckReplacement);
+    }
+
+    /** Checks the silent upstream again if another one can take the request now. */
+    private void recheckReplacement() {
+        if (finished) {
+            return;
+        }
+        if (run.replacements().obstacle(this, FailureKind.SILENT) != null) {
+            awaitReplacement();
+        } else if (choice.placement() == null) {
+            abandonAsSilent();
+        } else {
+            probeEngine();
         }
-        watchdog(silenceMillis);
     }
 
     /** Returns whether events of the response have arrived. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.run;
 
+import java.util.HashSet;
 import java.util.Set;
 
 import org.apricotstack.core.id.UpstreamId;
@@ -7,7 +8,12 @@
 import org.apricotstack.serving.observe.KeptCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
-/** Decides whether an attempt that is in flight may be given up for another one. */
+/**
+ * Decides whether an attempt that is in flight may be given up for another one.
+ *
+ * <p>An upstream may fall silent for a while and go on. An attempt is therefore given up for silence only if another
+ * upstream takes the request for certain, so that a caller never loses an answer that would have gone on.
+ */
 final class ReplacementCheck {
 
     private final ServingContext context;
@@ -50,13 +56,40 @@
         };
     }
 
+    /** Returns why a silent attempt is not given up now; {@code null} if another upstream takes the request. */
+    KeptCause obstacle(Attempt attempt, FailureKind kind) {
+        KeptCause cause = retryObstacle(kind);
+        if (cause != null) {
+            return cause;
+        }
+        UpstreamChoice choice = chooseOther(attempt);
+        if (choice == null) {
+            return KeptCause.NO_REPLACEMENT;
+        }
+        boolean declined = choice.expensive() || choice.refused();
+        return declined && !progress.answerStarted() ? KeptCause.TOO_DEAR : null;
+    }
+
+    /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
+    private UpstreamChoice chooseOther(Attempt attempt) {
+        Set<UpstreamId> others = new HashSet<>(excluded);
+        others.add(attempt.upstream().id());
+        return chooser.choose(facts, progress.answerStarted(), others);
+    }
+
     /** Returns whether a stream that waits for a busy engine would get its next event sooner at another one. */
     boolean wouldBeFasterElsewhere(Attempt attempt) {
         return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
     }
 
-    /** Records that an attempt is not given up although its upstream is silent. */
-    void keptDespiteSilence(Attempt attempt, KeptCause cause) {
+    /**
+     * Records that an attempt is not given up although its upstream is silent, and the failure of the upstream, if it
+     * is known, so that new requests avoid it.
+     */
+    void keptDespiteSilence(Attempt attempt, KeptCause cause, FailureKind failure) {
         log.keptDespiteSilence(attempt, cause, context.nowMillis());
+        if (failure != null) {
+            chooser.failed(attempt.choice(), attempt.upstream().id(), failure);
+        }
     }
 }
