Keep a silent attempt that a stopping router could not replace in time

While their router stopped, callers of a silent upstream lost requests that it would have answered: a request without an answer was given up, then refused as possibly run because a second attempt would not be complete before the end; a begun stream was moved to an engine that the end of the router cut.

The check for a replacement now asks the stop as the send does, with the longest time of the request at the other upstream, for begun streams too: the silent one may go on, while the other one is known to be too late.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -67,7 +67,17 @@
             return KeptCause.NO_REPLACEMENT;
         }
         boolean declined = choice.expensive() || choice.refused();
-        return declined && !progress.answerStarted() ? KeptCause.TOO_DEAR : null;
+        if (declined && !progress.answerStarted()) {
+            return KeptCause.TOO_DEAR;
+        }
+        return completesBeforeStop(choice) ? null : KeptCause.STOPPING;
+    }
+
+    /** Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. */
+    private boolean completesBeforeStop(UpstreamChoice choice) {
+        StopGate stop = context.stop();
+        long now = context.nowMillis();
+        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, choice, now), now);
     }
 
     /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
