Move a stream off an engine that outlasts the stop of its router

What callers saw: an answer that broke off in its middle at the end of its router. Cause: the time of a request was estimated once, before it was sent. Its engine became several times slower afterwards, and nothing looked at the begun stream again.

The estimate of a resumed stream counts the rest of the answer, not the whole. Budget, attempts and placement are asked as for any other replacement; the new kind of failure, outlasts_stop, counts nothing against the engine.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -106,6 +106,7 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
+        runs.replaceBeforeStop();
         int open = runs.open() + callers.unsettled() + relays.getAsInt();
         boolean last = lastOfDataCentre.getAsBoolean();
         if (last && !waitsForOthers && policy.ends(open, false, now)) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -23,6 +23,7 @@
     private final StreamProgress progress;
     private final RequestLog log;
     private final Set<UpstreamId> excluded;
+    private final StopOutlook outlook;
 
     /** Creates a check; the set of excluded upstreams may change later. */
     ReplacementCheck(
@@ -40,6 +41,7 @@
         this.progress = progress;
         this.log = log;
         this.excluded = excluded;
+        this.outlook = new StopOutlook(context, facts, progress);
     }
 
     /** Returns why the request may not be retried after a failure of its attempt; {@code null} if it may. */
@@ -70,14 +72,12 @@
         if (declined && !progress.answerStarted()) {
             return KeptCause.TOO_DEAR;
         }
-        return completesBeforeStop(choice) ? null : KeptCause.STOPPING;
+        return outlook.completesBeforeStop(choice, context.nowMillis()) ? null : KeptCause.STOPPING;
     }
 
-    /** Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. */
-    private boolean completesBeforeStop(UpstreamChoice choice) {
-        StopGate stop = context.stop();
-        long now = context.nowMillis();
-        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, choice, now), now);
+    /** Returns whether only another upstream would complete a begun stream before the end of this stopping router. */
+    boolean completesOnlyElsewhere(Attempt attempt) {
+        return outlook.outlastsStop(context.nowMillis()) && obstacle(attempt, FailureKind.OUTLASTS_STOP) == null;
     }
 
     /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
