Answer a request whose handler throws an exception

Callers saw their connection closed with neither an answer nor a refusal, and a pipelined request was neither answered nor closed: the exception reached exceptionCaught, or was thrown in the processing of another connection's read or a timer, where nothing closes this connection. The run went on.

CallerConnection now catches the exception where it processes a message. The handler, or the run, ends the request: 503 "internal_error not_run" if it was not sent, 502 "internal_error may_have_run" otherwise, and a response that has begun is aborted after what was written of it is flushed. If that fails, too, the connection refuses the request itself. The connection closes afterwards. The refusal has the cause INTERNAL_ERROR with a counter. A connection is removed from the server before its listener is called at its end, so that an error there does not leave it counted. An IOException is treated as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -1,22 +1,16 @@
 package org.apricotstack.serving.http;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -31,12 +25,6 @@
     /** Messages of pipelined requests that are buffered while a response is due; reading pauses beyond that. */
     private static final int MAX_PENDING_MESSAGES = 32;
 
-    /**
-     * Time for which a connection keeps reading after the last response, in milliseconds; an earlier close could reset
-     * it before the caller has read the response.
-     */
-    private static final long LINGER_MILLIS = 500;
-
     /** Time in which an idle connection reads what has arrived before it is closed, in milliseconds. */
     private static final long IDLE_CLOSE_MILLIS = 20;
 
@@ -44,32 +32,32 @@
     private final Deque<Object> pendingMessages = new ArrayDeque<>();
     private final RequestBody body = new RequestBody();
     private final CloseReporter reporter;
+    private final ReceiveTimer timer;
     private ChannelHandlerContext context;
     private CallerExchange exchange;
     private CallerRequestListener listener;
-    private String requestId;
+    private CallerRequest request;
     private boolean bodyComplete = true;
     private boolean closing;
     private boolean headStarted;
     private boolean closesWhenIdle;
-    private long lastReadMillis;
 
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
         this.server = server;
         this.reporter = new CloseReporter(server.observer());
+        this.timer = new ReceiveTimer(server);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
-        lastReadMillis = server.nowMillis();
     }
 
     /** Records that bytes arrived, before they are decoded. */
     void bytesReceived() {
         if (!headStarted) {
-            lastReadMillis = server.nowMillis();
+            timer.restart();
         }
         headStarted = true;
     }
@@ -88,9 +76,10 @@
 
     /** Processes a message of the current request. */
     private void process(Object message) {
+        CallerExchange current = exchange;
         try {
             if (closing && exchange == null) {
-                reportDropped(message);
+                reporter.dropped(message, context.channel());
                 return;
             }
             if (message instanceof HttpRequest head) {
@@ -99,6 +88,8 @@
             if (message instanceof HttpContent content) {
                 append(content);
             }
+        } catch (RuntimeException e) {
+            handlerFailed(message instanceof HttpRequest ? exchange : current, e);
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -107,9 +98,9 @@
     /** Processes a request line and headers. */
     private void begin(HttpRequest head) {
         headStarted = false;
-        lastReadMillis = server.nowMillis();
+        timer.restart();
         body.begin();
-        requestId = null;
+        request = null;
         bodyComplete = false;
         exchange = new CallerExchange(this, HttpUtil.isKeepAlive(head));
         listener = null;
@@ -126,8 +117,7 @@
             return;
         }
         try {
-            CallerRequest request = server.protocol().read(head);
-            requestId = request.id();
+            request = server.protocol().read(head);
             if (HttpUtil.is100ContinueExpected(head)) {
                 write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
             }
@@ -145,10 +135,22 @@
         closing = true;
         CallerExchange refused = exchange;
         bodyComplete = true;
-        refused.answer(
-                status,
-                new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8"),
-                Unpooled.copiedBuffer(message, StandardCharsets.UTF_8));
+        refused.answer(status, message);
+    }
+
+    /**
+     * Ends a request after an error and closes the connection after its response. The error of a request that was
+     * answered before only closes the connection.
+     */
+    private void handlerFailed(CallerExchange failed, Throwable error) {
+        report(ConnectionCloseCause.HANDLER_ERROR, error);
+        closing = true;
+        if (failed != null && failed == exchange && !failed.ended()) {
+            bodyComplete = true;
+            HandlerErrors.end(server.handler(), request, listener, failed);
+        } else if (exchange == null || exchange.ended()) {
+            next(true);
+        }
     }
 
     /** Processes a chunk of a request body. */
@@ -156,7 +158,7 @@
         if (exchange == null || bodyComplete) {
             return;
         }
-        lastReadMillis = server.nowMillis();
+        timer.restart();
         if (content.decoderResult().isFailure()) {
             report(ConnectionCloseCause.DECODE_ERROR, content.decoderResult().cause());
             callerDisconnected();
@@ -212,7 +214,7 @@
     private void next(boolean close) {
         exchange = null;
         listener = null;
-        lastReadMillis = server.nowMillis();
+        timer.restart();
         if (close) {
             closeAfterResponse();
             return;
@@ -229,16 +231,8 @@
     /** Shuts down the output, and closes the connection after a delay. */
     private void closeAfterResponse() {
         closing = true;
-        pendingMessages.forEach(this::reportDropped);
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) done -> {
-            Channel channel = done.channel();
-            if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-                duplex.shutdownOutput();
-                server.schedule(LINGER_MILLIS, channel::close);
-            } else {
-                channel.close();
-            }
-        });
+        pendingMessages.forEach(message -> reporter.dropped(message, context.channel()));
+        LingeringClose.begin(context, server);
     }
 
     /** Aborts the connection. */
@@ -248,6 +242,7 @@
         body.drop();
         exchange = null;
         listener = null;
+        context.flush();
         context.close();
     }
 
@@ -277,48 +272,28 @@
 
     /** Closes the connection if a timeout for receiving a request has passed. */
     void closeTimedOut(long nowMillis) {
-        long silence = nowMillis - lastReadMillis;
-        boolean timedOut;
-        if (exchange == null) {
-            timedOut = silence
-                    > (headStarted
-                            ? server.limits().headerTimeoutMillis()
-                            : server.limits().idleTimeoutMillis());
-        } else {
-            timedOut = !bodyComplete && silence > server.limits().idleTimeoutMillis();
-        }
-        if (timedOut) {
-            report(timeoutCause(), null);
+        ConnectionCloseCause timeout = timeout();
+        if (timeout != null && timer.hasPassed(timeout, nowMillis)) {
+            report(timeout, null);
             closing = true;
             callerDisconnected();
             context.close();
         }
     }
 
-    /** Returns the cause of a close because of a timeout for receiving a request. */
-    private ConnectionCloseCause timeoutCause() {
+    /** Returns the timeout that applies now, or {@code null} while a response is due. */
+    private ConnectionCloseCause timeout() {
         if (exchange != null) {
-            return ConnectionCloseCause.BODY_TIMEOUT;
-        }
-        return headStarted && !closing ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
-    }
-
-    /** Reports a request that is not processed, as the response to an earlier one closes the connection. */
-    private void reportDropped(Object message) {
-        if (message instanceof HttpRequest) {
-            reporter.report(
-                    ConnectionCloseCause.BEHIND_CLOSING_RESPONSE,
-                    RequestStage.HEAD_ARRIVING,
-                    null,
-                    context.channel(),
-                    null);
+            return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
         }
+        return headStarted ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
     }
 
     /** Reports that the connection is about to be closed, with the error that caused it or {@code null}. */
     private void report(ConnectionCloseCause cause, Throwable error) {
         RequestStage stage = RequestStage.of(exchange, headStarted && !closing, bodyComplete);
-        reporter.report(cause, stage, exchange == null ? null : requestId, context.channel(), error);
+        reporter.report(
+                cause, stage, exchange == null || request == null ? null : request.id(), context.channel(), error);
     }
 
     /** Writes a message without flushing, as others follow at once. */
@@ -363,11 +338,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        callerDisconnected();
+        server.closed(this);
         while (!pendingMessages.isEmpty()) {
             ReferenceCountUtil.release(pendingMessages.pollFirst());
         }
-        server.closed(this);
+        callerDisconnected();
     }
 
     /** Ends the run of a caller that disconnected. */
@@ -388,8 +363,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        boolean lost = cause instanceof IOException;
-        report(lost ? ConnectionCloseCause.CALLER_RESET : ConnectionCloseCause.HANDLER_ERROR, cause);
-        ctx.close();
+        if (cause instanceof IOException) {
+            report(ConnectionCloseCause.CALLER_RESET, cause);
+            ctx.close();
+        } else {
+            handlerFailed(exchange, cause);
+        }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -1,9 +1,12 @@
 package org.apricotstack.serving.http;
 
+import java.nio.charset.StandardCharsets;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -59,6 +62,23 @@
         connection.answered(close);
     }
 
+    /** Sends a complete response with a text. */
+    void answer(HttpResponseStatus status, String text) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        answer(status, headers, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    /** Refuses the request after an error of this program, unless it has a response; aborts one that has begun. */
+    void refuseAfterError(boolean mayHaveRun) {
+        if (answerStarted) {
+            abort();
+        } else if (mayHaveRun) {
+            answer(HttpResponseStatus.BAD_GATEWAY, "internal_error may_have_run");
+        } else {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "internal_error not_run");
+        }
+    }
+
     /**
      * Starts a response of unknown length.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerHandler.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerHandler.java
@@ -12,4 +12,15 @@
      * @return receives the body and the state of the connection
      */
     CallerRequestListener open(CallerRequest request, CallerExchange exchange);
+
+    /**
+     * Called after {@link #open} threw an exception, before anything was done for the request. The connection refuses
+     * the request if this method does not.
+     *
+     * @param request the request
+     * @param exchange sends the response
+     */
+    default void failed(CallerRequest request, CallerExchange exchange) {
+        // The connection sends the response.
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequestListener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequestListener.java
@@ -15,6 +15,14 @@
     /** Called when the caller disconnected, so that no response can reach it. */
     void disconnected();
 
+    /**
+     * Called after an error in this listener: ends the run, and refuses the request or aborts a response that has
+     * begun. The connection does both as for a request that may have run if this method does not.
+     */
+    default void failed() {
+        disconnected();
+    }
+
     /** Called when the write buffer has drained after it was full. */
     void writable();
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CloseReporter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CloseReporter.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 
 /** Reports the first cause for which the router closes a caller's connection. */
@@ -27,6 +28,13 @@
         }
     }
 
+    /** Reports a message that is not processed, as the response to an earlier request closes the connection. */
+    void dropped(Object message, Channel channel) {
+        if (message instanceof HttpRequest) {
+            report(ConnectionCloseCause.BEHIND_CLOSING_RESPONSE, RequestStage.HEAD_ARRIVING, null, channel, null);
+        }
+    }
+
     /** Returns the IP address of the caller, or an empty text once the connection is closed. */
     static String ipOf(Channel channel) {
         return channel.remoteAddress() instanceof InetSocketAddress address
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/RefusalCause.java
@@ -46,7 +46,9 @@
     /** Upstreams crash whenever they run a request with one of its prompt parts. */
     PART_ENDS_UPSTREAMS,
     /** Upstreams crashed under the same request or prompt part, which is on trial for another caller or attempt. */
-    REPEAT_IN_TRIAL;
+    REPEAT_IN_TRIAL,
+    /** An error that the code does not expect. */
+    INTERNAL_ERROR;
 
     /**
      * Returns the name in logs and metrics.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -75,9 +75,9 @@
         }
     }
 
-    /** Records that the run ended while an attempt was in flight, which may have run the request. */
-    void endedInFlight() {
-        mayHaveRun |= sent > 0;
+    /** Records that the run ended with an attempt in flight, which may have run the request, or {@code null}. */
+    void endedInFlight(Attempt inFlight) {
+        mayHaveRun |= inFlight != null && sent > 0;
     }
 
     /** Returns the number of counted attempts. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -90,6 +90,11 @@
         return run;
     }
 
+    @Override
+    public void failed(CallerRequest request, CallerExchange exchange) {
+        refuse(request, exchange, RefusalCause.INTERNAL_ERROR, 0);
+    }
+
     /** Refuses a request before a run is started. */
     private CallerRequestListener refuse(
             CallerRequest request, CallerExchange exchange, RefusalCause cause, long retryMillis) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -209,7 +209,7 @@
         }
         RefusalCause refusal = suspectTracker.refusal();
         if (refusal != null) {
-            attempts.endedInFlight();
+            attempts.endedInFlight(attempt);
             endWithRefusal(refusal);
         } else if (!trait.isShared()) {
             withdrawOrTry(attempt);
@@ -323,20 +323,20 @@
     void processEnds() {
         long now = context.nowMillis();
         log.cutByStop(sender.current(), exchange.answerStarted(), now);
-        if (sender.current() != null) {
-            attempts.endedInFlight();
-        }
+        attempts.endedInFlight(sender.current());
         endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(0, now));
     }
 
     /** Ends the run because its time limit has passed. */
     private void timedOut() {
-        if (!finished) {
-            if (sender.current() != null) {
-                attempts.endedInFlight();
-            }
-            endWithRefusal(RefusalCause.TIME_LIMIT);
-        }
+        attempts.endedInFlight(sender.current());
+        endWithRefusal(RefusalCause.TIME_LIMIT);
+    }
+
+    @Override
+    public void failed() {
+        attempts.endedInFlight(sender.current());
+        endWithRefusal(RefusalCause.INTERNAL_ERROR);
     }
 
     /** Ends the run without a response of an upstream. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallerServerFixture.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallerServerFixture.java
@@ -17,7 +17,7 @@
 
     static final String ID = "id-1";
 
-    private static final int MAX_CONNECTIONS = 10;
+    static final int MAX_CONNECTIONS = 10;
 
     private static final long IDLE_CLOSE_MILLIS = 20;
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/HandlerErrorTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/HandlerErrorTest.java
@@ -128,4 +128,50 @@
         assertThat(caller.read()).startsWith("HTTP/1.1 200");
         assertThat(caller.readToEnd()).startsWith("HTTP/1.1 503").endsWith(NOT_RUN);
     }
+
+    /** Otherwise the connections would count against the maximum for ever. */
+    @Test
+    void forgetsConnectionsWhoseListenerFailsAtTheirEnd() throws IOException {
+        for (int i = 0; i < CallerServerFixture.MAX_CONNECTIONS; i++) {
+            CompletableFuture<Boolean> opened = new CompletableFuture<>();
+            CompletableFuture<Boolean> ended = new CompletableFuture<>();
+            fixture.handler((request, exchange) -> {
+                opened.complete(true);
+                return new FailingAtTheEnd(ended);
+            });
+            caller.send(REQUEST);
+            assertThat(opened.join()).isTrue();
+            caller.close();
+            assertThat(ended.join()).isTrue();
+            fixture.run(() -> {});
+            caller = new RawConnection(fixture.address());
+        }
+        fixture.handler(CallerServerFixture::answer);
+        caller.send(REQUEST);
+        assertThat(caller.read()).startsWith("HTTP/1.1 200");
+    }
+
+    /**
+     * Throws when the caller has disconnected.
+     *
+     * @param ended completed before that
+     */
+    private record FailingAtTheEnd(CompletableFuture<Boolean> ended) implements CallerRequestListener {
+
+        @Override
+        public void body(ByteBuf body) {
+            body.release();
+        }
+
+        @Override
+        public void disconnected() {
+            ended.complete(true);
+            throw new IllegalStateException("disconnected");
+        }
+
+        @Override
+        public void writable() {
+            // Nothing waits.
+        }
+    }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -64,6 +64,7 @@
             "refusals.attempts_used",
             "refusals.body_memory",
             "refusals.ends_upstreams",
+            "refusals.internal_error",
             "refusals.may_have_run",
             "refusals.no_configuration",
             "refusals.no_room",
