Give up a silent attempt for a rate-limited upstream only with its permit

A stream whose upstream fell silent was given up when the only other upstream needed a permit, which was requested afterwards: if it was denied, the caller's answer was cut though the silent upstream would have gone on.

The permit is now requested while the attempt goes on. Once it is granted the attempt is given up and the next one uses that permit; one that is not used within 500 ms is dropped, so that it does not add to a later rate. With permits at hand nothing is later than before; otherwise the attempt is given up at the next check, 100 ms later at most.

ReplacementCheckTest fails without it: no obstacle instead of no_permit.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -154,7 +154,7 @@
      * on, as its upstream may do so too.
      */
     private void abandon(FailureKind kind) {
-        KeptCause obstacle = run.replacements().obstacle(this, kind);
+        KeptCause obstacle = run.replacements().acquire(this, kind);
         if (obstacle == null) {
             call.cancel();
             failed(kind);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -16,18 +16,26 @@
  */
 final class ReplacementCheck {
 
+    /** Time for which a permit that was granted for a replacement may be used, in milliseconds. */
+    private static final long PERMIT_MILLIS = 500;
+
     private final ServingContext context;
     private final UpstreamChooser chooser;
+    private final UpstreamGates gates;
     private final RequestFacts facts;
     private final AttemptCount attempts;
     private final StreamProgress progress;
     private final RequestLog log;
     private final Set<UpstreamId> excluded;
+    private UpstreamId permitted;
+    private long permittedMillis;
+    private boolean requestsPermit;
 
     /** Creates a check; the set of excluded upstreams may change later. */
     ReplacementCheck(
             ServingContext context,
             UpstreamChooser chooser,
+            UpstreamGates gates,
             RequestFacts facts,
             AttemptCount attempts,
             StreamProgress progress,
@@ -35,6 +43,7 @@
             Set<UpstreamId> excluded) {
         this.context = context;
         this.chooser = chooser;
+        this.gates = gates;
         this.facts = facts;
         this.attempts = attempts;
         this.progress = progress;
@@ -80,6 +89,53 @@
         return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, choice, now), now);
     }
 
+    /**
+     * Returns why a silent attempt cannot be replaced now; {@code null} if it can. An upstream with a rate limit is a
+     * replacement only once its permit is granted, which the next attempt then uses.
+     */
+    KeptCause acquire(Attempt attempt, FailureKind kind) {
+        KeptCause cause = obstacle(attempt, kind);
+        if (cause != null) {
+            return cause;
+        }
+        return acquirePermit(chooseOther(attempt).upstream().id()) ? null : KeptCause.NO_PERMIT;
+    }
+
+    /** Requests a permit for an upstream if it needs one; returns whether a request may be sent there now. */
+    private boolean acquirePermit(UpstreamId upstream) {
+        if (!gates.limits().isLimited(upstream) || isPermitted(upstream)) {
+            return true;
+        }
+        if (!requestsPermit) {
+            requestsPermit = true;
+            gates.limits().acquire(upstream, granted -> permitAnswered(upstream, granted));
+        }
+        return isPermitted(upstream);
+    }
+
+    /** Records the answer to a request for a permit. */
+    private void permitAnswered(UpstreamId upstream, boolean granted) {
+        requestsPermit = false;
+        if (granted) {
+            permitted = upstream;
+            permittedMillis = context.nowMillis();
+        }
+    }
+
+    /** Returns whether a permit for an upstream was granted recently and is not used. */
+    private boolean isPermitted(UpstreamId upstream) {
+        return upstream.equals(permitted) && context.nowMillis() - permittedMillis <= PERMIT_MILLIS;
+    }
+
+    /** Uses the permit that was granted for a replacement at an upstream; returns whether there is one. */
+    boolean usePermit(UpstreamId upstream) {
+        boolean usable = isPermitted(upstream);
+        if (usable) {
+            permitted = null;
+        }
+        return usable;
+    }
+
     /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
     private UpstreamChoice chooseOther(Attempt attempt) {
         Set<UpstreamId> others = new HashSet<>(excluded);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -58,7 +58,7 @@
         this.progress = progress;
         this.suspectTracker = suspectTracker;
         this.log = log;
-        this.replacements = new ReplacementCheck(context, chooser, facts, attempts, progress, log, excluded);
+        this.replacements = new ReplacementCheck(context, chooser, gates, facts, attempts, progress, log, excluded);
     }
 
     /** Returns the check whether the attempt in flight may be given up. */
@@ -295,7 +295,11 @@
 
     /** Requests a permit for the upstream, if it needs one, and continues the attempt. */
     private void acquire(Attempt attempt) {
-        gates.limits().acquire(attempt.upstream().id(), granted -> permitAnswered(attempt, granted));
+        if (replacements.usePermit(attempt.upstream().id())) {
+            permitAnswered(attempt, true);
+        } else {
+            gates.limits().acquire(attempt.upstream().id(), granted -> permitAnswered(attempt, granted));
+        }
     }
 
     /** Sends the request if it may be sent now; otherwise chooses another upstream. */
--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -0,0 +1,185 @@
+package org.apricotstack.serving.run;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.ratelimit.LimitChange;
+import org.apricotstack.core.ratelimit.LimitTable;
+import org.apricotstack.core.ratelimit.LimitsInForce;
+import org.apricotstack.core.ratelimit.PermitGrant;
+import org.apricotstack.core.ratelimit.RateLimit;
+import org.apricotstack.core.route.RequestKind;
+import org.apricotstack.core.route.Route;
+import org.apricotstack.core.route.ServiceProfile;
+import org.apricotstack.core.route.WeightedService;
+import org.apricotstack.core.stop.AddressLifetime;
+import org.apricotstack.core.stop.OtherRouters;
+import org.apricotstack.core.stop.StopPolicy;
+import org.apricotstack.core.time.StallDetector;
+import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.OutlierDetector;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.KeptCause;
+import org.apricotstack.serving.observe.ServingMetrics;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplacementCheckTest {
+
+    private static final ServiceId SERVICE = new ServiceId("service");
+    private static final DataCentreId EAST = new DataCentreId("east");
+    private static final UpstreamEntry SILENT = entry("silent");
+    private static final UpstreamEntry OTHER = entry("other");
+
+    /** Longer than a granted permit may be kept. */
+    private static final long LATER_MILLIS = 501;
+
+    private static final Route ROUTE = new Route(
+            "r",
+            "h",
+            "/",
+            RequestKind.SAFE,
+            1_000_000,
+            150,
+            1,
+            List.of(new WeightedService(SERVICE, 1)),
+            2,
+            true,
+            true,
+            0);
+    private static final RequestFacts FACTS = new RequestFacts(
+            null, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
+
+    private long nowMillis;
+    private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
+    private final DecisionLog log = new DecisionLog("host", () -> 0);
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final LimitTable limits = new LimitTable();
+    private final PendingPermits permits = new PendingPermits();
+    private final StopPolicy stop = new StopPolicy(8_000, new AddressLifetime(1));
+    private final EngineLoadTable loadTable = new EngineLoadTable();
+    private final ServingContext context = new ServingContext(
+            null,
+            EAST,
+            loop,
+            null,
+            upstreams,
+            new OutlierDetector(),
+            loadTable,
+            null,
+            null,
+            null,
+            null,
+            null,
+            null,
+            LimitsInForce.advertisedOnly(limits),
+            permits,
+            new RetryBudgets(5, 1_000, () -> 1),
+            null,
+            new StopGate(stop, () -> new OtherRouters(true, List.of()), loadTable, new StallDetector(0)),
+            log,
+            new ServingMetrics());
+    private final UpstreamGates gates = new UpstreamGates(context);
+    private final UpstreamChooser chooser = new UpstreamChooser(context, gates);
+    private final ReplacementCheck check = new ReplacementCheck(
+            context, chooser, gates, FACTS, new AttemptCount(ROUTE), new StreamProgress(null), null, new HashSet<>());
+    private final Attempt attempt =
+            new Attempt(null, new UpstreamChoice(SILENT, List.of(), null, 0, false, false, false), 0);
+
+    /** A permit issuer that answers when the test decides. */
+    private static final class PendingPermits implements LimitGossip {
+        private Consumer<PermitGrant> waiting;
+
+        @Override
+        public void limitChanged(UpstreamId upstream, LimitChange change, RateLimit limit) {
+            // Limit changes are not reported in these tests.
+        }
+
+        @Override
+        public void coldChanged(UpstreamId upstream, LimitChange change) {
+            // Cold periods are not reported in these tests.
+        }
+
+        @Override
+        public String permitIssuerOf(UpstreamId upstream) {
+            return "keeper";
+        }
+
+        @Override
+        public void requestPermits(UpstreamId upstream, RateLimit limit, int wanted, Consumer<PermitGrant> then) {
+            waiting = then;
+        }
+
+        @Override
+        public void charge(UpstreamId upstream, RateLimit limit, int requests) {
+            // Nothing is sent without a permit in these tests.
+        }
+    }
+
+    private static UpstreamEntry entry(String name) {
+        return new UpstreamEntry(new UpstreamId(name, 1), SERVICE, new Address("127.0.0.1", 1), EAST, 6, false, 1);
+    }
+
+    @BeforeEach
+    void list() {
+        upstreams.put(SILENT);
+        upstreams.put(OTHER);
+        context.budgets().of(SERVICE).request(0);
+    }
+
+    @AfterEach
+    void close() {
+        loop.close();
+        log.close();
+    }
+
+    private KeptCause acquire() {
+        return check.acquire(attempt, FailureKind.SILENT);
+    }
+
+    @Test
+    void replacesAnAttemptAtOnceIfAnotherUpstreamTakesTheRequest() {
+        assertThat(acquire()).isNull();
+    }
+
+    @Test
+    void keepsAnAttemptUntilAPermitForTheOtherUpstreamIsGranted() {
+        limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
+        assertThat(acquire()).isEqualTo(KeptCause.NO_PERMIT);
+        assertThat(check.usePermit(OTHER.id())).isFalse();
+        permits.waiting.accept(new PermitGrant(1, 0));
+        assertThat(acquire()).isNull();
+        assertThat(check.usePermit(OTHER.id())).isTrue();
+        assertThat(check.usePermit(OTHER.id())).isFalse();
+    }
+
+    @Test
+    void usesNoPermitThatWasGrantedForAnEarlierSilence() {
+        limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
+        acquire();
+        permits.waiting.accept(new PermitGrant(1, 0));
+        nowMillis += LATER_MILLIS;
+        assertThat(check.usePermit(OTHER.id())).isFalse();
+    }
+
+    @Test
+    void keepsAnAttemptWhileAPermitIsDenied() {
+        limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
+        acquire();
+        permits.waiting.accept(new PermitGrant(0, 900));
+        assertThat(acquire()).isEqualTo(KeptCause.NO_REPLACEMENT);
+    }
+}
