Revert the move of streams off engines that outlast a stop, as more answers were cut

The prompts are prefilled again while a third of the engines is slow, and most of the moved answers would have ended long before their limit.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -23,8 +23,6 @@
      * The router has lost its own link to the upstream, which is healthy; nothing more arrives on the connection.
      */
     LINK_LOST(true, false, false),
-    /** The router stops before the upstream would complete the response at its pace; another one completes it. */
-    OUTLASTS_STOP(true, false, false),
     /** The response violates the protocol or lacks its seal. */
     SPOILED(true, true, false),
     /** The upstream reported an error. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -106,7 +106,6 @@
             phase("closes_idle", elapsedMillis);
             callers.closeIdle();
         }
-        runs.replaceBeforeStop();
         int open = runs.open() + callers.unsettled() + relays.getAsInt();
         boolean last = lastOfDataCentre.getAsBoolean();
         if (last && !waitsForOthers && policy.ends(open, false, now)) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -204,14 +204,6 @@
         return false;
     }
 
-    /** Fails the attempt if only another upstream completes the begun response before this stopping router ends. */
-    final void replaceBeforeStop() {
-        if (answerStarted() && run.replacements().completesOnlyElsewhere(this)) {
-            call.cancel();
-            failed(FailureKind.OUTLASTS_STOP);
-        }
-    }
-
     /** Fails the attempt because the upstream process that it was sent to no longer exists. */
     final void upstreamRestarted() {
         if (call != null && !finished) {
@@ -288,12 +280,12 @@
     public void head(ResponseHead answer, HttpResponse response) {
         head = answer;
         raw = response;
-        run.answerHeadReceived(this, answer, startMillis);
+        run.answerHeadReceived(this, answer);
     }
 
     @Override
     public void lateResponse(ResponseHead answer) {
-        run.answerHeadReceived(this, answer, Long.MIN_VALUE);
+        run.lateAnswerReceived(this, answer);
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -96,36 +96,17 @@
 
     /** Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return longestMillis(facts, answerTokens(facts), choice, nowMillis);
-    }
-
-    /** Returns the length of the longest answer, in tokens; 0 if no engine runs the request. */
-    private static long answerTokens(RequestFacts facts) {
-        return facts.runsOnEngines() ? facts.answerTokens() : 0;
-    }
-
-    /**
-     * Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. An
-     * engine decodes up to the given number of tokens.
-     */
-    long longestMillis(RequestFacts facts, long tokens, UpstreamChoice choice, long nowMillis) {
-        double millis = facts.runsOnEngines()
-                ? choice.predictedMillis() + decodeMillis(facts, tokens, choice)
-                : plainMillis(facts);
+        double millis =
+                facts.runsOnEngines() ? choice.predictedMillis() + decodeMillis(facts, choice) : plainMillis(facts);
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
-    /** Estimates the usual time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
-    long usualMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return usualMillis(facts, answerTokens(facts), choice, nowMillis);
-    }
-
     /**
      * Estimates the time in which nearly all such requests are completed at the chosen upstream, in milliseconds. Few
      * answers reach the limit of their length, which the longest time assumes of each.
      */
-    long usualMillis(RequestFacts facts, long tokens, UpstreamChoice choice, long nowMillis) {
-        long longestMillis = longestMillis(facts, tokens, choice, nowMillis);
+    long usualMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        long longestMillis = longestMillis(facts, choice, nowMillis);
         if (!facts.runsOnEngines() || isShort(facts)) {
             return longestMillis;
         }
@@ -133,7 +114,7 @@
         double millisPerToken = recorded != null && recorded.size() >= MIN_RECORDED
                 ? slowestMillis(recorded, SLOWEST_SHARE)
                 : USUAL_PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
-        return Math.min(longestMillis, Math.round(choice.predictedMillis() + tokens * millisPerToken));
+        return Math.min(longestMillis, Math.round(choice.predictedMillis() + facts.answerTokens() * millisPerToken));
     }
 
     /** Returns the predicted pace of the chosen engine, in milliseconds per token. */
@@ -144,11 +125,12 @@
     }
 
     /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
-    private double decodeMillis(RequestFacts facts, long tokens, UpstreamChoice choice) {
+    private double decodeMillis(RequestFacts facts, UpstreamChoice choice) {
         double millisPerToken = PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
-        double predicted = tokens * millisPerToken;
-        double recorded =
-                isShort(facts) ? slowestMillis(shortMicros, facts) : tokens * slowestMillis(recordedMicros, facts);
+        double predicted = facts.answerTokens() * millisPerToken;
+        double recorded = isShort(facts)
+                ? slowestMillis(shortMicros, facts)
+                : facts.answerTokens() * slowestMillis(recordedMicros, facts);
         return Math.max(predicted, recorded);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -27,7 +27,6 @@
     private final StreamProgress progress;
     private final RequestLog log;
     private final Set<UpstreamId> excluded;
-    private final StopOutlook outlook;
     private UpstreamId permitted;
     private long permittedMillis;
     private boolean requestsPermit;
@@ -50,7 +49,6 @@
         this.progress = progress;
         this.log = log;
         this.excluded = excluded;
-        this.outlook = new StopOutlook(context, facts, progress);
     }
 
     /** Returns why the request may not be retried after a failure of its attempt; {@code null} if it may. */
@@ -81,12 +79,14 @@
         if (declined && !progress.answerStarted()) {
             return KeptCause.TOO_DEAR;
         }
-        return outlook.completesBeforeStop(choice, context.nowMillis()) ? null : KeptCause.STOPPING;
+        return completesBeforeStop(choice) ? null : KeptCause.STOPPING;
     }
 
-    /** Returns whether only another upstream would complete a begun stream before the end of this stopping router. */
-    boolean completesOnlyElsewhere(Attempt attempt) {
-        return outlook.outlastsStop(context.nowMillis()) && acquire(attempt, FailureKind.OUTLASTS_STOP) == null;
+    /** Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. */
+    private boolean completesBeforeStop(UpstreamChoice choice) {
+        StopGate stop = context.stop();
+        long now = context.nowMillis();
+        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, choice, now), now);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Objects;
 import java.util.Set;
 
 import io.netty.buffer.Unpooled;
@@ -211,14 +210,6 @@
         gates.expire(platformAnswers);
     }
 
-    /** Moves the streams that only other upstreams would complete before the end of this stopping router. */
-    public void replaceBeforeStop() {
-        List.copyOf(running).stream()
-                .map(RequestRun::attempt)
-                .filter(Objects::nonNull)
-                .forEach(Attempt::replaceBeforeStop);
-    }
-
     /** Ends the requests that are in flight because the process ends. */
     public void processEnds() {
         List.copyOf(running).forEach(RequestRun::processEnds);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -100,11 +100,6 @@
         sender.send();
     }
 
-    /** Returns the attempt in flight, or {@code null}. */
-    Attempt attempt() {
-        return sender.current();
-    }
-
     /** Returns the check whether the current attempt may be given up. */
     ReplacementCheck replacements() {
         return sender.replacements();
@@ -232,13 +227,22 @@
         }
     }
 
+    /** Processes the head of a response, whatever follows. */
+    void answerHeadReceived(Attempt attempt, ResponseHead answer) {
+        gates.answered(
+                attempt.upstream().id(),
+                answer,
+                attempt.startMillis(),
+                facts.request().id());
+    }
+
     /**
-     * Processes the head of a response, whatever follows. That of a late response to an earlier request comes without
-     * the time at which it was sent: its notice may start a limit, drain or back-off, but not end one.
+     * Processes the head of a late response to an earlier request; its notice may start a limit, drain or back-off, but
+     * not end one.
      */
-    void answerHeadReceived(Attempt attempt, ResponseHead answer, long sentMillis) {
+    void lateAnswerReceived(Attempt attempt, ResponseHead answer) {
         gates.answered(
-                attempt.upstream().id(), answer, sentMillis, facts.request().id());
+                attempt.upstream().id(), answer, Long.MIN_VALUE, facts.request().id());
     }
 
     /** Processes a complete response, or an upstream's error that is forwarded unchanged. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -63,13 +63,6 @@
                 : times.usualMillis(facts, choice, nowMillis);
     }
 
-    /** Estimates the longest time of the given number of tokens at the chosen upstream, in milliseconds. */
-    long longestMillis(RequestFacts facts, long tokens, UpstreamChoice choice, long nowMillis) {
-        return others.get().ready()
-                ? times.longestMillis(facts, tokens, choice, nowMillis)
-                : times.usualMillis(facts, tokens, choice, nowMillis);
-    }
-
     /** Returns whether a request of the given longest time is completed before the process ends. */
     boolean takes(long longestMillis, long nowMillis) {
         return policy.takes(longestMillis, nowMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
@@ -7,8 +7,6 @@
     private long last = -1;
     private boolean counted;
     private Attempt currentAttempt;
-    private long attemptFirstMillis;
-    private int attemptEvents;
     private long lastMillis;
     private long longestTokenGapMillis;
     private boolean answerStarted;
@@ -40,7 +38,6 @@
     boolean isFirstOf(Attempt attempt) {
         boolean first = currentAttempt != attempt;
         currentAttempt = attempt;
-        attemptEvents = first ? 0 : attemptEvents;
         return first;
     }
 
@@ -52,8 +49,6 @@
         answerStarted = true;
         lastMillis = nowMillis;
         if (id >= 0) {
-            attemptFirstMillis = attemptEvents == 0 ? nowMillis : attemptFirstMillis;
-            attemptEvents++;
             last = id;
             counted = true;
             lastEventId = Long.toString(id);
@@ -65,21 +60,6 @@
         return answerStarted;
     }
 
-    /** Returns the number of events that the caller has; 0 if they have no numbers. */
-    long events() {
-        return counted ? last + 1 : 0;
-    }
-
-    /** Returns the number of events that the current attempt has sent. */
-    int attemptEvents() {
-        return attemptEvents;
-    }
-
-    /** Returns the mean time between events of the current attempt up to now, in milliseconds. */
-    double millisPerEvent(long nowMillis) {
-        return (nowMillis - attemptFirstMillis) / (double) Math.max(1, attemptEvents);
-    }
-
     /** Returns when the last event was forwarded. */
     long lastMillis() {
         return lastMillis;
