Keep a silent attempt whose request would have to wait for a trial

While the same request, or one with the same suspected prompt part, was on trial elsewhere, a silent attempt was given up and then held or refused as repeat_in_trial. It now goes on until the request may be sent at once; one that is itself the trial may be given up, as this ends the trial.

ReplacementCheckTest#keepsAnAttemptWhoseRequestWouldWaitForATrialElsewhere finds no obstacle without it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -25,6 +25,7 @@
     private final RequestFacts facts;
     private final AttemptCount attempts;
     private final StreamProgress progress;
+    private final SuspectTracker suspectTracker;
     private final RequestLog log;
     private final Set<UpstreamId> excluded;
     private UpstreamId permitted;
@@ -39,6 +40,7 @@
             RequestFacts facts,
             AttemptCount attempts,
             StreamProgress progress,
+            SuspectTracker suspectTracker,
             RequestLog log,
             Set<UpstreamId> excluded) {
         this.context = context;
@@ -47,6 +49,7 @@
         this.facts = facts;
         this.attempts = attempts;
         this.progress = progress;
+        this.suspectTracker = suspectTracker;
         this.log = log;
         this.excluded = excluded;
     }
@@ -71,6 +74,9 @@
         if (cause != null) {
             return cause;
         }
+        if (!suspectTracker.maySendAgain()) {
+            return KeptCause.IN_TRIAL;
+        }
         UpstreamChoice choice = chooseOther(attempt);
         if (choice == null) {
             return KeptCause.NO_REPLACEMENT;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -58,7 +58,8 @@
         this.progress = progress;
         this.suspectTracker = suspectTracker;
         this.log = log;
-        this.replacements = new ReplacementCheck(context, chooser, gates, facts, attempts, progress, log, excluded);
+        this.replacements =
+                new ReplacementCheck(context, chooser, gates, facts, attempts, progress, suspectTracker, log, excluded);
     }
 
     /** Returns the check whether the attempt in flight may be given up. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectTracker.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectTracker.java
@@ -81,6 +81,11 @@
         return gate.mayContain(head()) ? shared.stricter(gate.decide(digest())) : shared;
     }
 
+    /** Returns whether the request may be sent again at once when its attempt is given up, which ends its own trial. */
+    boolean maySendAgain() {
+        return !inTrial.isEmpty() || decide().sends();
+    }
+
     /** Starts a trial if the decision requires one for this attempt. */
     void sent(SuspectDecision decision, UpstreamId upstream, long limitMillis) {
         if (decision.action() == SuspectDecision.Action.TRY) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -5,9 +5,15 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitChange;
@@ -22,11 +28,15 @@
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
+import org.apricotstack.core.suspect.ObservedCrash;
+import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.CallerRequest;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.KeptCause;
@@ -60,8 +70,19 @@
             true,
             true,
             0);
+    private static final CallerRequest REQUEST = new CallerRequest(
+            "id",
+            "h",
+            "/",
+            null,
+            CallerRequest.NO_TIMEOUT,
+            null,
+            0,
+            0,
+            List.of(),
+            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
     private static final RequestFacts FACTS = new RequestFacts(
-            null, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
+            REQUEST, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
 
     private long nowMillis;
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
@@ -69,6 +90,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final LimitTable limits = new LimitTable();
     private final PendingPermits permits = new PendingPermits();
+    private final SuspectTable suspects = new SuspectTable(new ProcessId(new HostId("router"), 1), suspect -> {});
     private final StopPolicy stop = new StopPolicy(8_000, new AddressLifetime(1));
     private final EngineLoadTable loadTable = new EngineLoadTable();
     private final ServingContext context = new ServingContext(
@@ -83,7 +105,7 @@
             null,
             null,
             null,
-            null,
+            suspects,
             null,
             LimitsInForce.advertisedOnly(limits),
             permits,
@@ -94,8 +116,17 @@
             new ServingMetrics());
     private final UpstreamGates gates = new UpstreamGates(context);
     private final UpstreamChooser chooser = new UpstreamChooser(context, gates);
+    private final SuspectTracker suspectTracker = new SuspectTracker(new SuspectGate(context, trait -> {}), FACTS);
     private final ReplacementCheck check = new ReplacementCheck(
-            context, chooser, gates, FACTS, new AttemptCount(ROUTE), new StreamProgress(null), null, new HashSet<>());
+            context,
+            chooser,
+            gates,
+            FACTS,
+            new AttemptCount(ROUTE),
+            new StreamProgress(null),
+            suspectTracker,
+            null,
+            new HashSet<>());
     private final Attempt attempt =
             new Attempt(null, new UpstreamChoice(SILENT, List.of(), null, 0, false, false, false), 0);
 
@@ -182,4 +213,16 @@
         permits.waiting.accept(new PermitGrant(0, 900));
         assertThat(acquire()).isEqualTo(KeptCause.NO_REPLACEMENT);
     }
+
+    @Test
+    void keepsAnAttemptWhoseRequestWouldWaitForATrialElsewhere() {
+        suspectTracker.body(Unpooled.EMPTY_BUFFER);
+        RequestDigest request = suspectTracker.digest();
+        ObservedCrash crash = new ObservedCrash(new UpstreamId("crashed", 1), false, nowMillis);
+        suspects.upstreamCrashed(request, crash, null, nowMillis);
+        nowMillis += LATER_MILLIS;
+        assertThat(acquire()).isNull();
+        suspects.trialStarted(request, new ProcessId(new HostId("peer"), 1), OTHER.id(), 10_000);
+        assertThat(acquire()).isEqualTo(KeptCause.IN_TRIAL);
+    }
 }
