Hold the room of a replacement until the next attempt starts

A stream that was given up as silent was cut although its replacement had just been found: before the next attempt the router checks whether the engine crashed, and meanwhile another request took the room.

The placement that the check finds is now entered at once, here and at the other routers, and the next attempt uses it. It is freed if the request ends before, or if it may no longer be used.

ReplacementCheckTest#holdsTheRoomOfAReplacementUntilTheNextAttemptStarts finds the room taken by another request without it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -3,13 +3,14 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import com.google.common.collect.Sets;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.observe.KeptCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
 /**
- * Decides whether an attempt that is in flight may be given up for another one.
+ * Chooses the upstreams of a request's next attempt, and decides whether the attempt in flight may be given up for it.
  *
  * <p>An upstream may fall silent for a while and go on. An attempt is therefore given up for silence only if another
  * upstream takes the request for certain, so that a caller never loses an answer that would have gone on.
@@ -31,6 +32,7 @@
     private UpstreamId permitted;
     private long permittedMillis;
     private boolean requestsPermit;
+    private UpstreamChoice held;
 
     /** Creates a check; the set of excluded upstreams may change later. */
     ReplacementCheck(
@@ -104,7 +106,58 @@
         if (cause != null) {
             return cause;
         }
-        return acquirePermit(chooseOther(attempt).upstream().id()) ? null : KeptCause.NO_PERMIT;
+        UpstreamChoice choice = chooseOther(attempt);
+        if (!acquirePermit(choice.upstream().id())) {
+            return KeptCause.NO_PERMIT;
+        }
+        hold(choice);
+        return null;
+    }
+
+    /**
+     * Places the request at the chosen engines, so that no other one takes the room until the next attempt starts: the
+     * attempt that is given up may first be checked for a crash of its engine.
+     */
+    private void hold(UpstreamChoice choice) {
+        release();
+        if (choice.placement() != null) {
+            held = choice;
+            chooser.begin(choice, facts.remainingMillis(context.nowMillis()));
+        }
+    }
+
+    /** Frees the room that is held for the next attempt, if there is any. */
+    void release() {
+        if (held != null) {
+            chooser.end(held);
+            held = null;
+        }
+    }
+
+    /** Chooses the next upstream, preferably none of the avoided ones; {@code null} if none can respond in time. */
+    UpstreamChoice choose(Set<UpstreamId> avoided) {
+        if (held != null
+                && !avoided.contains(held.upstream().id())
+                && !excluded.contains(held.upstream().id())
+                && gates.unavailableCause(held) == null) {
+            return held;
+        }
+        release();
+        UpstreamChoice choice = null;
+        if (!avoided.isEmpty()) {
+            choice = chooser.choose(facts, progress.answerStarted(), Sets.union(excluded, avoided));
+        }
+        return choice == null ? chooser.choose(facts, progress.answerStarted(), excluded) : choice;
+    }
+
+    /** Records the start of an attempt at the chosen upstreams. */
+    void begin(UpstreamChoice choice, long nowMillis) {
+        if (choice == held) {
+            held = null;
+        } else {
+            release();
+            chooser.begin(choice, facts.remainingMillis(nowMillis));
+        }
     }
 
     /** Requests a permit for an upstream if it needs one; returns whether a request may be sent there now. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Set;
 
-import com.google.common.collect.Sets;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.core.id.UpstreamId;
@@ -98,7 +97,7 @@
             holdOrRefuse(decision, now);
             return;
         }
-        UpstreamChoice choice = choose(decision.avoided());
+        UpstreamChoice choice = replacements.choose(decision.avoided());
         if (choice == null) {
             waitOrRefuse(now);
             return;
@@ -157,7 +156,7 @@
 
     /** Starts an attempt at the chosen upstreams. */
     private void begin(UpstreamChoice choice, long now) {
-        chooser.begin(choice, facts.remainingMillis(now));
+        replacements.begin(choice, now);
         reserved = new ReservedHelpers(context, gates, choice);
         Attempt attempt = newAttempt(choice, now);
         current = attempt;
@@ -169,15 +168,6 @@
         }
     }
 
-    /** Chooses the next upstream, preferably none of the avoided ones. */
-    private UpstreamChoice choose(Set<UpstreamId> avoided) {
-        UpstreamChoice choice = null;
-        if (!avoided.isEmpty()) {
-            choice = chooser.choose(facts, progress.answerStarted(), Sets.union(excluded, avoided));
-        }
-        return choice == null ? chooser.choose(facts, progress.answerStarted(), excluded) : choice;
-    }
-
     /**
      * Waits until the request's suspicion or the trial of an identical request is decided; refuses it if the decision
      * or its time requires that.
@@ -379,6 +369,7 @@
 
     /** Cancels the attempt in flight; its upstream detects the closed connection. */
     void cancel() {
+        replacements.release();
         Attempt last = current;
         if (last != null) {
             last.cancel();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
@@ -10,6 +11,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.HostId;
@@ -49,6 +52,7 @@
 
 class ReplacementCheckTest {
 
+    private static final ProcessId PROCESS = new ProcessId(new HostId("router"), 1);
     private static final ServiceId SERVICE = new ServiceId("service");
     private static final DataCentreId EAST = new DataCentreId("east");
     private static final UpstreamEntry SILENT = entry("silent");
@@ -70,6 +74,12 @@
             true,
             true,
             0);
+    /** Memory of an engine in tokens; the prompt of the request takes most of it. */
+    private static final long MEMORY_TOKENS = 300_000;
+
+    private static final EngineProfile ENGINE =
+            new EngineProfile(8, MEMORY_TOKENS, 50, 1, 0, 0, 200, 0, Integer.MAX_VALUE, 800);
+
     private static final CallerRequest REQUEST = new CallerRequest(
             "id",
             "h",
@@ -77,24 +87,27 @@
             null,
             CallerRequest.NO_TIMEOUT,
             null,
-            0,
-            0,
+            200_000,
+            100,
             List.of(),
             new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
     private static final RequestFacts FACTS = new RequestFacts(
             REQUEST, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
 
+    private static final RequestFacts ENGINE_FACTS = new RequestFacts(
+            REQUEST, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.of(ENGINE)), 1, 0, 1_000_000);
+
     private long nowMillis;
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
     private final DecisionLog log = new DecisionLog("host", () -> 0);
     private final UpstreamTable upstreams = new UpstreamTable();
     private final LimitTable limits = new LimitTable();
     private final PendingPermits permits = new PendingPermits();
-    private final SuspectTable suspects = new SuspectTable(new ProcessId(new HostId("router"), 1), suspect -> {});
+    private final SuspectTable suspects = new SuspectTable(PROCESS, suspect -> {});
     private final StopPolicy stop = new StopPolicy(8_000, new AddressLifetime(1));
     private final EngineLoadTable loadTable = new EngineLoadTable();
     private final ServingContext context = new ServingContext(
-            null,
+            PROCESS,
             EAST,
             loop,
             null,
@@ -104,7 +117,7 @@
             null,
             null,
             null,
-            null,
+            new NoPlacementGossip(),
             suspects,
             null,
             LimitsInForce.advertisedOnly(limits),
@@ -117,16 +130,7 @@
     private final UpstreamGates gates = new UpstreamGates(context);
     private final UpstreamChooser chooser = new UpstreamChooser(context, gates);
     private final SuspectTracker suspectTracker = new SuspectTracker(new SuspectGate(context, trait -> {}), FACTS);
-    private final ReplacementCheck check = new ReplacementCheck(
-            context,
-            chooser,
-            gates,
-            FACTS,
-            new AttemptCount(ROUTE),
-            new StreamProgress(null),
-            suspectTracker,
-            null,
-            new HashSet<>());
+    private final ReplacementCheck check = check(FACTS);
     private final Attempt attempt =
             new Attempt(null, new UpstreamChoice(SILENT, List.of(), null, 0, false, false, false), 0);
 
@@ -160,6 +164,42 @@
         }
     }
 
+    /** Reports no placements. */
+    private static final class NoPlacementGossip implements PlacementGossip {
+        @Override
+        public boolean hasPeerPlacements() {
+            return true;
+        }
+
+        @Override
+        public void placementStarted(EnginePlacement placement, long limitMillis) {}
+
+        @Override
+        public void decodeStarted(EnginePlacement placement) {}
+
+        @Override
+        public void placementEnded(EnginePlacement placement) {}
+
+        @Override
+        public void drainChanged(UpstreamId upstream) {}
+
+        @Override
+        public void upstreamAvoided(UpstreamId upstream, long millis) {}
+    }
+
+    private ReplacementCheck check(RequestFacts facts) {
+        return new ReplacementCheck(
+                context,
+                chooser,
+                gates,
+                facts,
+                new AttemptCount(ROUTE),
+                new StreamProgress(null),
+                suspectTracker,
+                null,
+                new HashSet<>());
+    }
+
     private static UpstreamEntry entry(String name) {
         return new UpstreamEntry(new UpstreamId(name, 1), SERVICE, new Address("127.0.0.1", 1), EAST, 6, false, 1);
     }
@@ -225,4 +265,25 @@
         suspects.trialStarted(request, new ProcessId(new HostId("peer"), 1), OTHER.id(), 10_000);
         assertThat(acquire()).isEqualTo(KeptCause.IN_TRIAL);
     }
+
+    @Test
+    void holdsTheRoomOfAReplacementUntilTheNextAttemptStarts() {
+        ReplacementCheck silent = check(ENGINE_FACTS);
+        assertThat(silent.acquire(attempt, FailureKind.SILENT)).isNull();
+        assertThat(check(ENGINE_FACTS).obstacle(attempt, FailureKind.SILENT)).isEqualTo(KeptCause.NO_REPLACEMENT);
+        UpstreamChoice choice = silent.choose(Set.of());
+        assertThat(choice.upstream()).isEqualTo(OTHER);
+        silent.begin(choice, nowMillis);
+        chooser.end(choice);
+        assertThat(loadTable.size()).as("placements after the end").isZero();
+    }
+
+    @Test
+    void freesTheRoomOfAReplacementThatIsNotUsed() {
+        ReplacementCheck silent = check(ENGINE_FACTS);
+        silent.acquire(attempt, FailureKind.SILENT);
+        assertThat(loadTable.size()).isEqualTo(1);
+        silent.release();
+        assertThat(loadTable.size()).isZero();
+    }
 }
