--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -3,11 +3,20 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
+import org.apricotstack.core.engine.EnginePlacement;
+import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.HostId;
+import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.LimitChange;
@@ -22,11 +31,15 @@
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
+import org.apricotstack.core.suspect.ObservedCrash;
+import org.apricotstack.core.suspect.RequestDigest;
+import org.apricotstack.core.suspect.SuspectTable;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.core.upstream.UpstreamTable;
+import org.apricotstack.serving.http.CallerRequest;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.KeptCause;
@@ -39,6 +52,7 @@
 
 class ReplacementCheckTest {
 
+    private static final ProcessId PROCESS = new ProcessId(new HostId("router"), 1);
     private static final ServiceId SERVICE = new ServiceId("service");
     private static final DataCentreId EAST = new DataCentreId("east");
     private static final UpstreamEntry SILENT = entry("silent");
@@ -60,8 +74,28 @@
             true,
             true,
             0);
+    /** Memory of an engine in tokens; the prompt of the request takes most of it. */
+    private static final long MEMORY_TOKENS = 300_000;
+
+    private static final EngineProfile ENGINE =
+            new EngineProfile(8, MEMORY_TOKENS, 50, 1, 0, 0, 200, 0, Integer.MAX_VALUE, 800);
+
+    private static final CallerRequest REQUEST = new CallerRequest(
+            "id",
+            "h",
+            "/",
+            null,
+            CallerRequest.NO_TIMEOUT,
+            null,
+            200_000,
+            100,
+            List.of(),
+            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
     private static final RequestFacts FACTS = new RequestFacts(
-            null, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
+            REQUEST, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty()), 1, 0, 1_000_000);
+
+    private static final RequestFacts ENGINE_FACTS = new RequestFacts(
+            REQUEST, ROUTE, null, SERVICE, new ServiceProfile(SERVICE, 10, Optional.of(ENGINE)), 1, 0, 1_000_000);
 
     private long nowMillis;
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
@@ -69,10 +103,11 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final LimitTable limits = new LimitTable();
     private final PendingPermits permits = new PendingPermits();
+    private final SuspectTable suspects = new SuspectTable(PROCESS, suspect -> {});
     private final StopPolicy stop = new StopPolicy(8_000, new AddressLifetime(1));
     private final EngineLoadTable loadTable = new EngineLoadTable();
     private final ServingContext context = new ServingContext(
-            null,
+            PROCESS,
             EAST,
             loop,
             null,
@@ -82,8 +117,8 @@
             null,
             null,
             null,
-            null,
-            null,
+            new NoPlacementGossip(),
+            suspects,
             null,
             LimitsInForce.advertisedOnly(limits),
             permits,
@@ -94,8 +129,8 @@
             new ServingMetrics());
     private final UpstreamGates gates = new UpstreamGates(context);
     private final UpstreamChooser chooser = new UpstreamChooser(context, gates);
-    private final ReplacementCheck check = new ReplacementCheck(
-            context, chooser, gates, FACTS, new AttemptCount(ROUTE), new StreamProgress(null), null, new HashSet<>());
+    private final SuspectTracker suspectTracker = new SuspectTracker(new SuspectGate(context, trait -> {}), FACTS);
+    private final ReplacementCheck check = check(FACTS);
     private final Attempt attempt =
             new Attempt(null, new UpstreamChoice(SILENT, List.of(), null, 0, false, false, false), 0);
 
@@ -129,6 +164,42 @@
         }
     }
 
+    /** Reports no placements. */
+    private static final class NoPlacementGossip implements PlacementGossip {
+        @Override
+        public boolean hasPeerPlacements() {
+            return true;
+        }
+
+        @Override
+        public void placementStarted(EnginePlacement placement, long limitMillis) {}
+
+        @Override
+        public void decodeStarted(EnginePlacement placement) {}
+
+        @Override
+        public void placementEnded(EnginePlacement placement) {}
+
+        @Override
+        public void drainChanged(UpstreamId upstream) {}
+
+        @Override
+        public void upstreamAvoided(UpstreamId upstream, long millis) {}
+    }
+
+    private ReplacementCheck check(RequestFacts facts) {
+        return new ReplacementCheck(
+                context,
+                chooser,
+                gates,
+                facts,
+                new AttemptCount(ROUTE),
+                new StreamProgress(null),
+                suspectTracker,
+                null,
+                new HashSet<>());
+    }
+
     private static UpstreamEntry entry(String name) {
         return new UpstreamEntry(new UpstreamId(name, 1), SERVICE, new Address("127.0.0.1", 1), EAST, 6, false, 1);
     }
@@ -182,4 +253,37 @@
         permits.waiting.accept(new PermitGrant(0, 900));
         assertThat(acquire()).isEqualTo(KeptCause.NO_REPLACEMENT);
     }
+
+    @Test
+    void keepsAnAttemptWhoseRequestWouldWaitForATrialElsewhere() {
+        suspectTracker.body(Unpooled.EMPTY_BUFFER);
+        RequestDigest request = suspectTracker.digest();
+        ObservedCrash crash = new ObservedCrash(new UpstreamId("crashed", 1), false, nowMillis);
+        suspects.upstreamCrashed(request, crash, null, nowMillis);
+        nowMillis += LATER_MILLIS;
+        assertThat(acquire()).isNull();
+        suspects.trialStarted(request, new ProcessId(new HostId("peer"), 1), OTHER.id(), 10_000);
+        assertThat(acquire()).isEqualTo(KeptCause.IN_TRIAL);
+    }
+
+    @Test
+    void holdsTheRoomOfAReplacementUntilTheNextAttemptStarts() {
+        ReplacementCheck silent = check(ENGINE_FACTS);
+        assertThat(silent.acquire(attempt, FailureKind.SILENT)).isNull();
+        assertThat(check(ENGINE_FACTS).obstacle(attempt, FailureKind.SILENT)).isEqualTo(KeptCause.NO_REPLACEMENT);
+        UpstreamChoice choice = silent.choose(Set.of());
+        assertThat(choice.upstream()).isEqualTo(OTHER);
+        silent.begin(choice, nowMillis);
+        chooser.end(choice);
+        assertThat(loadTable.size()).as("placements after the end").isZero();
+    }
+
+    @Test
+    void freesTheRoomOfAReplacementThatIsNotUsed() {
+        ReplacementCheck silent = check(ENGINE_FACTS);
+        silent.acquire(attempt, FailureKind.SILENT);
+        assertThat(loadTable.size()).isEqualTo(1);
+        silent.release();
+        assertThat(loadTable.size()).isZero();
+    }
 }
