Close a connection for a timeout only after reading what has arrived

A request whose headers or body were late was closed without a refusal.

The timeout is now the longer one of those in force when the wait began and now. Headers or a body that are late get 408 "request_timeout not_run", unless the request had its answer; an idle connection gets none.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -25,14 +24,12 @@
     /** Messages of pipelined requests that are buffered while a response is due; reading pauses beyond that. */
     private static final int MAX_PENDING_MESSAGES = 32;
 
-    /** Time in which an idle connection reads what has arrived before it is closed, in milliseconds. */
-    private static final long IDLE_CLOSE_MILLIS = 20;
-
     private final CallerServer server;
     private final Deque<Object> pendingMessages = new ArrayDeque<>();
     private final RequestBody body = new RequestBody();
     private final CloseReporter reporter;
     private final ReceiveTimer timer;
+    private final ReadBeforeClose readBeforeClose;
     private ChannelHandlerContext context;
     private CallerExchange exchange;
     private CallerRequestListener listener;
@@ -40,13 +37,13 @@
     private boolean bodyComplete = true;
     private boolean closing;
     private boolean headStarted;
-    private boolean closesWhenIdle;
 
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
         this.server = server;
         this.reporter = new CloseReporter(server.observer());
         this.timer = new ReceiveTimer(server);
+        this.readBeforeClose = new ReadBeforeClose(server);
     }
 
     @Override
@@ -56,7 +53,7 @@
 
     /** Records that bytes arrived, before they are decoded. */
     void bytesReceived() {
-        if (!headStarted) {
+        if (!headStarted && exchange == null) {
             timer.restart();
         }
         headStarted = true;
@@ -98,7 +95,7 @@
     /** Processes a request line and headers. */
     private void begin(HttpRequest head) {
         headStarted = false;
-        timer.restart();
+        timer.proceed();
         body.begin();
         request = null;
         bodyComplete = false;
@@ -132,10 +129,19 @@
      */
     private void refuse(HttpResponseStatus status, String message) {
         server.countMalformed();
+        refuseAndClose(status, message);
+    }
+
+    /** Ends the run of a request that has not arrived whole, and closes the connection after its refusal. */
+    private void refuseAndClose(HttpResponseStatus status, String message) {
+        CallerRequestListener ended = listener;
+        listener = null;
         closing = true;
-        CallerExchange refused = exchange;
         bodyComplete = true;
-        refused.answer(status, message);
+        if (ended != null) {
+            ended.disconnected();
+        }
+        exchange.answer(status, message);
     }
 
     /**
@@ -158,12 +164,9 @@
         if (exchange == null || bodyComplete) {
             return;
         }
-        timer.restart();
+        timer.proceed();
         if (content.decoderResult().isFailure()) {
-            report(ConnectionCloseCause.DECODE_ERROR, content.decoderResult().cause());
-            callerDisconnected();
-            closing = true;
-            context.close();
+            closeNow(ConnectionCloseCause.DECODE_ERROR);
             return;
         }
         ByteBuf data = content.content();
@@ -187,11 +190,6 @@
 
     /** Rejects a body that turned out to be too long. */
     private void refuseBody() {
-        CallerRequestListener ended = listener;
-        listener = null;
-        if (ended != null) {
-            ended.disconnected();
-        }
         if (exchange.ended()) {
             abort();
         } else {
@@ -252,33 +250,54 @@
      * request has not run.
      */
     void closeIfIdle() {
-        if (closing || exchange != null || headStarted) {
-            return;
+        if (!closing && exchange == null && !headStarted) {
+            readBeforeClose.begin(context, this::closeIfStillIdle);
         }
-        closesWhenIdle = true;
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(written -> server.schedule(IDLE_CLOSE_MILLIS, this::closeIfStillIdle));
     }
 
     /** Closes the connection unless a request has begun to arrive. */
     private void closeIfStillIdle() {
-        closesWhenIdle = false;
-        if (exchange == null && !headStarted) {
-            report(ConnectionCloseCause.IDLE_AT_STOP, null);
-            closing = true;
-            context.close();
+        if (!closing && exchange == null && !headStarted) {
+            closeNow(ConnectionCloseCause.IDLE_AT_STOP);
         }
     }
 
-    /** Closes the connection if a timeout for receiving a request has passed. */
+    /** Closes the connection without a response to its request. */
+    private void closeNow(ConnectionCloseCause cause) {
+        report(cause, null);
+        closing = true;
+        callerDisconnected();
+        context.close();
+    }
+
+    /** Closes the connection if a timeout for receiving a request has passed, also after what has arrived is read. */
     void closeTimedOut(long nowMillis) {
         ConnectionCloseCause timeout = timeout();
-        if (timeout != null && timer.hasPassed(timeout, nowMillis)) {
-            report(timeout, null);
-            closing = true;
-            callerDisconnected();
-            context.close();
+        if (timeout == null || !timer.hasPassed(timeout, nowMillis)) {
+            return;
+        }
+        if (closing && exchange == null) {
+            closeNow(timeout);
+        } else {
+            readBeforeClose.begin(context, this::closeIfStillTimedOut);
+        }
+    }
+
+    /** Closes the connection if a timeout has passed; a request that is arriving is refused. */
+    private void closeIfStillTimedOut() {
+        ConnectionCloseCause timeout = timeout();
+        if (timeout == null || closing && exchange == null || !timer.hasPassed(timeout, server.nowMillis())) {
+            return;
+        }
+        if (timeout == ConnectionCloseCause.IDLE_TIMEOUT || exchange != null && exchange.answerStarted()) {
+            closeNow(timeout);
+            return;
+        }
+        report(timeout, null);
+        if (exchange == null) {
+            exchange = new CallerExchange(this, false);
         }
+        refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout not_run");
     }
 
     /** Returns the timeout that applies now, or {@code null} while a response is due. */
@@ -321,7 +340,7 @@
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
         boolean unwritten = buffer != null && buffer.totalPendingWriteBytes() > 0;
         boolean arriving = exchange == null && headStarted && !closing;
-        return closesWhenIdle || arriving || unwritten;
+        return readBeforeClose.isPending() || arriving || unwritten;
     }
 
     /** Returns whether the write buffer is below its high-water mark. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
@@ -3,11 +3,17 @@
 import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 
-/** Measures how long a connection has waited for a request, its headers or its body. */
+/**
+ * Measures how long a connection has waited for a request, its headers or its body.
+ *
+ * <p>A smaller timeout of a new configuration applies only to what begins under it: a caller reuses an idle connection
+ * for as long as the timeout that it knows.
+ */
 final class ReceiveTimer {
 
     private final CallerServer server;
     private long startMillis;
+    private CallerLimits startLimits;
 
     /** Creates a timer that starts now. */
     ReceiveTimer(CallerServer server) {
@@ -15,14 +21,21 @@
         restart();
     }
 
-    /** Starts anew. */
+    /** Starts anew, under the limits now in force. */
     void restart() {
+        startLimits = server.limits();
+        proceed();
+    }
+
+    /** Starts anew, under the limits with which it was last restarted. */
+    void proceed() {
         startMillis = server.nowMillis();
     }
 
-    /** Returns whether the timeout that the cause names has passed. */
+    /** Returns whether the timeout that the cause names has passed: the longer one of the start and of now. */
     boolean hasPassed(ConnectionCloseCause timeout, long nowMillis) {
-        return nowMillis - startMillis > timeoutMillis(timeout, server.limits());
+        long limitMillis = Math.max(timeoutMillis(timeout, startLimits), timeoutMillis(timeout, server.limits()));
+        return nowMillis - startMillis > limitMillis;
     }
 
     /** Returns the timeout that the cause names. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallerServerFixture.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallerServerFixture.java
@@ -19,7 +19,7 @@
 
     static final int MAX_CONNECTIONS = 10;
 
-    private static final long IDLE_CLOSE_MILLIS = 20;
+    private static final long READ_BEFORE_CLOSE_MILLIS = 20;
 
     private volatile long nowMillis;
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
@@ -89,7 +89,7 @@
     /** Waits until a connection that was found idle before has been closed or kept. */
     void awaitIdleCheck() {
         CountDownLatch checked = new CountDownLatch(1);
-        loop.schedule(IDLE_CLOSE_MILLIS, checked::countDown);
+        loop.schedule(READ_BEFORE_CLOSE_MILLIS, checked::countDown);
         await(checked);
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/RawConnection.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/RawConnection.java
@@ -17,6 +17,7 @@
 
     RawConnection(Address address) throws IOException {
         socket = new Socket(address.ip(), address.port());
+        socket.setTcpNoDelay(true);
         socket.setSoTimeout(WAIT_TIMEOUT_MILLIS);
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ReceiveTimeoutTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ReceiveTimeoutTest.java
@@ -36,6 +36,7 @@
         caller = new RawConnection(fixture.address());
         caller.send(REQUEST);
         assertThat(caller.read()).startsWith(SERVED);
+        awaitProcessed();
     }
 
     @AfterEach
@@ -44,6 +45,11 @@
         fixture.close();
     }
 
+    /** Waits until the read that caused a response, or called the handler, has been processed. */
+    private void awaitProcessed() {
+        fixture.run(() -> {});
+    }
+
     private void sweep() {
         fixture.run(fixture.server()::closeTimedOut);
     }
@@ -145,6 +151,7 @@
         CountDownLatch opened = openUntilTheBodyIsWhole();
         caller.send(HALF_BODY);
         CallerServerFixture.await(opened);
+        awaitProcessed();
         fixture.advance(IDLE_MILLIS + 1);
         sweep();
         assertThat(caller.readToEnd()).startsWith(TIMED_OUT).endsWith("not_run");
@@ -159,6 +166,7 @@
     void sendsNoSecondResponseIfABodyDoesNotArriveInTime() throws IOException {
         caller.send(HALF_BODY);
         assertThat(caller.read()).startsWith(SERVED);
+        awaitProcessed();
         fixture.advance(IDLE_MILLIS + 1);
         sweep();
         assertThat(caller.readToEnd()).isEmpty();
@@ -182,7 +190,7 @@
     void appliesTheHeaderTimeoutToAHeadThatBeganInTheReadOfTheOneBefore() throws IOException {
         caller.send(REQUEST + HALF_HEAD);
         assertThat(caller.read()).startsWith(SERVED);
-        fixture.run(() -> {});
+        awaitProcessed();
         fixture.advance(HEADER_MILLIS + 1);
         sweep();
         assertThat(caller.readToEnd()).startsWith(TIMED_OUT);
