Recognise a request that begins in the read of the one before

A caller that pipelines lost a request when the router stopped: the first request of a read reset the mark that headers are arriving, so the half of the next one that the same read brought was taken for nothing. The connection was closed as idle at a stop, and otherwise had the idle timeout instead of the shorter one for headers.

The decoder now knows whether a request line or headers are incomplete, whatever the reads were, and the connection asks it. Blank lines between requests are no request, as before in the same read.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -30,13 +30,13 @@
     private final CloseReporter reporter;
     private final ReceiveTimer timer;
     private final ReadBeforeClose readBeforeClose;
+    private StrictRequestDecoder decoder;
     private ChannelHandlerContext context;
     private CallerExchange exchange;
     private CallerRequestListener listener;
     private CallerRequest request;
     private boolean bodyComplete = true;
     private boolean closing;
-    private boolean headStarted;
 
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
@@ -51,12 +51,21 @@
         context = ctx;
     }
 
-    /** Records that bytes arrived, before they are decoded. */
-    void bytesReceived() {
-        if (!headStarted && exchange == null) {
+    /** Sets the decoder of the connection. */
+    void decoder(StrictRequestDecoder requestDecoder) {
+        decoder = requestDecoder;
+    }
+
+    /** Records that the first byte of a request arrived. */
+    void headBegun() {
+        if (exchange == null) {
             timer.restart();
         }
-        headStarted = true;
+    }
+
+    /** Returns whether no request is processed, but a next one has begun to arrive. */
+    private boolean isHeadArriving() {
+        return exchange == null && !closing && decoder.isHeadArriving();
     }
 
     @Override
@@ -94,7 +103,6 @@
 
     /** Processes a request line and headers. */
     private void begin(HttpRequest head) {
-        headStarted = false;
         timer.proceed();
         body.begin();
         request = null;
@@ -179,7 +187,6 @@
         }
         if (content instanceof LastHttpContent && exchange != null) {
             bodyComplete = true;
-            headStarted = false;
             if (exchange.ended()) {
                 next(closing);
             } else {
@@ -250,14 +257,14 @@
      * request has not run.
      */
     void closeIfIdle() {
-        if (!closing && exchange == null && !headStarted) {
+        if (!closing && exchange == null && !isHeadArriving()) {
             readBeforeClose.begin(context, this::closeIfStillIdle);
         }
     }
 
     /** Closes the connection unless a request has begun to arrive. */
     private void closeIfStillIdle() {
-        if (!closing && exchange == null && !headStarted) {
+        if (!closing && exchange == null && !isHeadArriving()) {
             closeNow(ConnectionCloseCause.IDLE_AT_STOP);
         }
     }
@@ -305,12 +312,12 @@
         if (exchange != null) {
             return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
         }
-        return headStarted ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
+        return isHeadArriving() ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
     }
 
     /** Reports that the connection is about to be closed, with the error that caused it or {@code null}. */
     private void report(ConnectionCloseCause cause, Throwable error) {
-        RequestStage stage = RequestStage.of(exchange, headStarted && !closing, bodyComplete);
+        RequestStage stage = RequestStage.of(exchange, isHeadArriving(), bodyComplete);
         reporter.report(
                 cause, stage, exchange == null || request == null ? null : request.id(), context.channel(), error);
     }
@@ -339,8 +346,7 @@
     boolean isUnsettled() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
         boolean unwritten = buffer != null && buffer.totalPendingWriteBytes() > 0;
-        boolean arriving = exchange == null && headStarted && !closing;
-        return readBeforeClose.isPending() || arriving || unwritten;
+        return readBeforeClose.isPending() || isHeadArriving() || unwritten;
     }
 
     /** Returns whether the write buffer is below its high-water mark. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -8,8 +8,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
@@ -156,18 +154,9 @@
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(now.headerBytes())
                 .setMaxHeaderSize(now.headerBytes() + HEADER_SLACK_BYTES);
-        channel.pipeline()
-                .addLast(
-                        new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                                connection.bytesReceived();
-                                ctx.fireChannelRead(message);
-                            }
-                        },
-                        new StrictRequestDecoder(config),
-                        new HttpResponseEncoder(),
-                        connection);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(config, connection::headBegun);
+        connection.decoder(decoder);
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
     }
 
     /** Closes connections whose timeout for receiving a request has passed. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/StrictRequestDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/StrictRequestDecoder.java
@@ -1,8 +1,15 @@
 package org.apricotstack.serving.http;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 
 /**
  * Decodes requests, and rejects those with two contradicting lengths.
@@ -13,9 +20,44 @@
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
-    /** Creates a decoder. */
-    StrictRequestDecoder(HttpDecoderConfig config) {
+    /** Finds the first byte that is neither white space nor a control character, which may precede a request. */
+    private static final ByteProcessor BLANK = value -> value >= 0 && value <= ' ';
+
+    private final Runnable onHeadBegun;
+    private boolean headBegun;
+    private boolean bodyExpected;
+
+    /** Creates a decoder that calls the action with the first byte of each request line. */
+    StrictRequestDecoder(HttpDecoderConfig config, Runnable onHeadBegun) {
         super(config);
+        this.onHeadBegun = onHeadBegun;
+    }
+
+    /** Returns whether a request line or headers have begun to arrive and are not complete. */
+    boolean isHeadArriving() {
+        return headBegun;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        if (!headBegun && !bodyExpected && buffer.forEachByte(BLANK) >= 0) {
+            headBegun = true;
+            onHeadBegun.run();
+        }
+        int before = out.size();
+        super.decode(ctx, buffer, out);
+        out.subList(before, out.size()).forEach(this::decoded);
+    }
+
+    /** Records that a message was decoded. */
+    private void decoded(Object message) {
+        if (message instanceof HttpRequest) {
+            headBegun = false;
+            bodyExpected = true;
+        }
+        if (message instanceof LastHttpContent) {
+            bodyExpected = false;
+        }
     }
 
     @Override
