Judge a request by the limits with which it began

Beside a change of the configuration, callers saw proper requests refused: a body got 413 if the limit became smaller while it arrived, and headers got 431 on a connection that was accepted under a smaller limit, as the decoder kept the limit of that time.

Header and body sizes are now compared with the larger of the limits when the request began to arrive and now. CallerConnection checks the headers itself (RequestHeadCheck); the decoder has a fixed bound of 64 KiB, or the configured one if that is larger at accept. The statuses 431, 414 and 413 stay.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -58,9 +58,7 @@
 
     /** Records that the first byte of a request arrived. */
     void headBegun() {
-        if (exchange == null) {
-            timer.restart();
-        }
+        timer.restart();
     }
 
     /** Returns whether no request is processed, but a next one has begun to arrive. */
@@ -109,35 +107,24 @@
         bodyComplete = false;
         exchange = new CallerExchange(this, HttpUtil.isKeepAlive(head));
         listener = null;
-        if (head.decoderResult().isFailure()) {
-            refuse(
-                    DecodingErrors.status(head.decoderResult().cause()),
-                    "The request is not proper HTTP; send it as HTTP/1.1.");
-            return;
-        }
-        if (HttpUtil.getContentLength(head, 0L) > server.limits().bodyBytes()) {
-            refuse(
-                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "Send at most " + server.limits().bodyBytes() + " bytes.");
-            return;
-        }
         try {
+            RequestHeadCheck.check(head, timer.limits());
             request = server.protocol().read(head);
             if (HttpUtil.is100ContinueExpected(head)) {
                 write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
             }
             listener = server.handler().open(request, exchange);
         } catch (BadRequestException e) {
-            refuse(HttpResponseStatus.valueOf(e.status()), e.getMessage());
+            refuse(e);
         }
     }
 
     /**
      * Rejects a malformed request and closes the connection, as the start of a next request cannot be found reliably.
      */
-    private void refuse(HttpResponseStatus status, String message) {
+    private void refuse(BadRequestException malformed) {
         server.countMalformed();
-        refuseAndClose(status, message);
+        refuseAndClose(HttpResponseStatus.valueOf(malformed.status()), malformed.getMessage());
     }
 
     /** Ends the run of a request that has not arrived whole, and closes the connection after its refusal. */
@@ -178,7 +165,7 @@
             return;
         }
         ByteBuf data = content.content();
-        if (body.count(data) > server.limits().bodyBytes()) {
+        if (body.count(data) > timer.limits().bodyBytes()) {
             refuseBody();
             return;
         }
@@ -200,9 +187,7 @@
         if (exchange.ended()) {
             abort();
         } else {
-            refuse(
-                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "Send at most " + server.limits().bodyBytes() + " bytes.");
+            refuse(RequestHeadCheck.bodyTooLong(timer.limits()));
         }
     }
 
@@ -219,7 +204,11 @@
     private void next(boolean close) {
         exchange = null;
         listener = null;
-        timer.restart();
+        if (pendingMessages.isEmpty() && !decoder.isHeadArriving()) {
+            timer.restart();
+        } else {
+            timer.proceed();
+        }
         if (close) {
             closeAfterResponse();
             return;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -36,11 +36,8 @@
     /** Time after which a connection with unacknowledged bytes is closed, in milliseconds. */
     private static final int TCP_USER_TIMEOUT_MILLIS = 5_000;
 
-    /**
-     * Bytes that the decoder accepts beyond the configured limit, so that the response can report that the headers were
-     * too long.
-     */
-    private static final int HEADER_SLACK_BYTES = 1024;
+    /** Bytes of a request line or headers that are decoded at least; {@link RequestHeadCheck} applies the limits. */
+    private static final int DECODED_HEADER_BYTES = 64 * 1024;
 
     private final ServingLoop loop;
     private final CallerProtocol protocol;
@@ -148,12 +145,12 @@
             channel.close();
             return;
         }
-        CallerLimits now = limits.get();
         CallerConnection connection = new CallerConnection(this);
         connections.add(connection);
-        HttpDecoderConfig config = new HttpDecoderConfig()
-                .setMaxInitialLineLength(now.headerBytes())
-                .setMaxHeaderSize(now.headerBytes() + HEADER_SLACK_BYTES);
+        int headerBytes =
+                Math.max(DECODED_HEADER_BYTES, limits.get().headerBytes() + RequestHeadCheck.HEADER_SLACK_BYTES);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig().setMaxInitialLineLength(headerBytes).setMaxHeaderSize(headerBytes);
         StrictRequestDecoder decoder = new StrictRequestDecoder(config, connection::headBegun);
         connection.decoder(decoder);
         channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
@@ -4,9 +4,10 @@
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 
 /**
- * Measures how long a connection has waited for a request, its headers or its body.
+ * Measures how long a connection has waited for a request, its headers or its body, and knows the limits of what it
+ * waits for.
  *
- * <p>A smaller timeout of a new configuration applies only to what begins under it: a caller reuses an idle connection
+ * <p>A smaller limit of a new configuration applies only to what begins under it: a caller reuses an idle connection
  * for as long as the timeout that it knows.
  */
 final class ReceiveTimer {
@@ -34,8 +35,12 @@
 
     /** Returns whether the timeout that the cause names has passed: the longer one of the start and of now. */
     boolean hasPassed(ConnectionCloseCause timeout, long nowMillis) {
-        long limitMillis = Math.max(timeoutMillis(timeout, startLimits), timeoutMillis(timeout, server.limits()));
-        return nowMillis - startMillis > limitMillis;
+        return nowMillis - startMillis > timeoutMillis(timeout, limits());
+    }
+
+    /** Returns the larger limits of those of the start and those in force now. */
+    CallerLimits limits() {
+        return startLimits.larger(server.limits());
     }
 
     /** Returns the timeout that the cause names. */
