--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -25,28 +24,26 @@
     /** Messages of pipelined requests that are buffered while a response is due; reading pauses beyond that. */
     private static final int MAX_PENDING_MESSAGES = 32;
 
-    /** Time in which an idle connection reads what has arrived before it is closed, in milliseconds. */
-    private static final long IDLE_CLOSE_MILLIS = 20;
-
     private final CallerServer server;
     private final Deque<Object> pendingMessages = new ArrayDeque<>();
     private final RequestBody body = new RequestBody();
     private final CloseReporter reporter;
     private final ReceiveTimer timer;
+    private final ReadBeforeClose readBeforeClose;
+    private StrictRequestDecoder decoder;
     private ChannelHandlerContext context;
     private CallerExchange exchange;
     private CallerRequestListener listener;
     private CallerRequest request;
     private boolean bodyComplete = true;
     private boolean closing;
-    private boolean headStarted;
-    private boolean closesWhenIdle;
 
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
         this.server = server;
         this.reporter = new CloseReporter(server.observer());
         this.timer = new ReceiveTimer(server);
+        this.readBeforeClose = new ReadBeforeClose(server);
     }
 
     @Override
@@ -54,12 +51,19 @@
         context = ctx;
     }
 
-    /** Records that bytes arrived, before they are decoded. */
-    void bytesReceived() {
-        if (!headStarted) {
-            timer.restart();
-        }
-        headStarted = true;
+    /** Sets the decoder of the connection. */
+    void decoder(StrictRequestDecoder requestDecoder) {
+        decoder = requestDecoder;
+    }
+
+    /** Records that the first byte of a request arrived. */
+    void headBegun() {
+        timer.restart();
+    }
+
+    /** Returns whether no request is processed, but a next one has begun to arrive. */
+    private boolean isHeadArriving() {
+        return exchange == null && !closing && decoder.isHeadArriving();
     }
 
     @Override
@@ -97,45 +101,42 @@
 
     /** Processes a request line and headers. */
     private void begin(HttpRequest head) {
-        headStarted = false;
-        timer.restart();
+        timer.proceed();
         body.begin();
         request = null;
         bodyComplete = false;
         exchange = new CallerExchange(this, HttpUtil.isKeepAlive(head));
         listener = null;
-        if (head.decoderResult().isFailure()) {
-            refuse(
-                    DecodingErrors.status(head.decoderResult().cause()),
-                    "The request is not proper HTTP; send it as HTTP/1.1.");
-            return;
-        }
-        if (HttpUtil.getContentLength(head, 0L) > server.limits().bodyBytes()) {
-            refuse(
-                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "Send at most " + server.limits().bodyBytes() + " bytes.");
-            return;
-        }
         try {
+            RequestHeadCheck.check(head, timer.limits());
             request = server.protocol().read(head);
             if (HttpUtil.is100ContinueExpected(head)) {
                 write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
             }
             listener = server.handler().open(request, exchange);
         } catch (BadRequestException e) {
-            refuse(HttpResponseStatus.valueOf(e.status()), e.getMessage());
+            refuse(e);
         }
     }
 
     /**
      * Rejects a malformed request and closes the connection, as the start of a next request cannot be found reliably.
      */
-    private void refuse(HttpResponseStatus status, String message) {
+    private void refuse(BadRequestException malformed) {
         server.countMalformed();
+        refuseAndClose(HttpResponseStatus.valueOf(malformed.status()), malformed.getMessage());
+    }
+
+    /** Ends the run of a request that has not arrived whole, and closes the connection after its refusal. */
+    private void refuseAndClose(HttpResponseStatus status, String message) {
+        CallerRequestListener ended = listener;
+        listener = null;
         closing = true;
-        CallerExchange refused = exchange;
         bodyComplete = true;
-        refused.answer(status, message);
+        if (ended != null) {
+            ended.disconnected();
+        }
+        exchange.answer(status, message);
     }
 
     /**
@@ -158,16 +159,13 @@
         if (exchange == null || bodyComplete) {
             return;
         }
-        timer.restart();
+        timer.proceed();
         if (content.decoderResult().isFailure()) {
-            report(ConnectionCloseCause.DECODE_ERROR, content.decoderResult().cause());
-            callerDisconnected();
-            closing = true;
-            context.close();
+            closeNow(ConnectionCloseCause.DECODE_ERROR);
             return;
         }
         ByteBuf data = content.content();
-        if (body.count(data) > server.limits().bodyBytes()) {
+        if (body.count(data) > timer.limits().bodyBytes()) {
             refuseBody();
             return;
         }
@@ -176,7 +174,6 @@
         }
         if (content instanceof LastHttpContent && exchange != null) {
             bodyComplete = true;
-            headStarted = false;
             if (exchange.ended()) {
                 next(closing);
             } else {
@@ -187,17 +184,10 @@
 
     /** Rejects a body that turned out to be too long. */
     private void refuseBody() {
-        CallerRequestListener ended = listener;
-        listener = null;
-        if (ended != null) {
-            ended.disconnected();
-        }
         if (exchange.ended()) {
             abort();
         } else {
-            refuse(
-                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "Send at most " + server.limits().bodyBytes() + " bytes.");
+            refuse(RequestHeadCheck.bodyTooLong(timer.limits()));
         }
     }
 
@@ -214,7 +204,11 @@
     private void next(boolean close) {
         exchange = null;
         listener = null;
-        timer.restart();
+        if (pendingMessages.isEmpty() && !decoder.isHeadArriving()) {
+            timer.restart();
+        } else {
+            timer.proceed();
+        }
         if (close) {
             closeAfterResponse();
             return;
@@ -252,33 +246,54 @@
      * request has not run.
      */
     void closeIfIdle() {
-        if (closing || exchange != null || headStarted) {
-            return;
+        if (!closing && exchange == null && !isHeadArriving()) {
+            readBeforeClose.begin(context, this::closeIfStillIdle);
         }
-        closesWhenIdle = true;
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(written -> server.schedule(IDLE_CLOSE_MILLIS, this::closeIfStillIdle));
     }
 
     /** Closes the connection unless a request has begun to arrive. */
     private void closeIfStillIdle() {
-        closesWhenIdle = false;
-        if (exchange == null && !headStarted) {
-            report(ConnectionCloseCause.IDLE_AT_STOP, null);
-            closing = true;
-            context.close();
+        if (!closing && exchange == null && !isHeadArriving()) {
+            closeNow(ConnectionCloseCause.IDLE_AT_STOP);
         }
     }
 
-    /** Closes the connection if a timeout for receiving a request has passed. */
+    /** Closes the connection without a response to its request. */
+    private void closeNow(ConnectionCloseCause cause) {
+        report(cause, null);
+        closing = true;
+        callerDisconnected();
+        context.close();
+    }
+
+    /** Closes the connection if a timeout for receiving a request has passed, also after what has arrived is read. */
     void closeTimedOut(long nowMillis) {
         ConnectionCloseCause timeout = timeout();
-        if (timeout != null && timer.hasPassed(timeout, nowMillis)) {
-            report(timeout, null);
-            closing = true;
-            callerDisconnected();
-            context.close();
+        if (timeout == null || !timer.hasPassed(timeout, nowMillis)) {
+            return;
+        }
+        if (closing && exchange == null) {
+            closeNow(timeout);
+        } else {
+            readBeforeClose.begin(context, this::closeIfStillTimedOut);
+        }
+    }
+
+    /** Closes the connection if a timeout has passed; a request that is arriving is refused. */
+    private void closeIfStillTimedOut() {
+        ConnectionCloseCause timeout = timeout();
+        if (timeout == null || closing && exchange == null || !timer.hasPassed(timeout, server.nowMillis())) {
+            return;
+        }
+        if (timeout == ConnectionCloseCause.IDLE_TIMEOUT || exchange != null && exchange.answerStarted()) {
+            closeNow(timeout);
+            return;
+        }
+        report(timeout, null);
+        if (exchange == null) {
+            exchange = new CallerExchange(this, false);
         }
+        refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout not_run");
     }
 
     /** Returns the timeout that applies now, or {@code null} while a response is due. */
@@ -286,12 +301,12 @@
         if (exchange != null) {
             return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
         }
-        return headStarted ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
+        return isHeadArriving() ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
     }
 
     /** Reports that the connection is about to be closed, with the error that caused it or {@code null}. */
     private void report(ConnectionCloseCause cause, Throwable error) {
-        RequestStage stage = RequestStage.of(exchange, headStarted && !closing, bodyComplete);
+        RequestStage stage = RequestStage.of(exchange, isHeadArriving(), bodyComplete);
         reporter.report(
                 cause, stage, exchange == null || request == null ? null : request.id(), context.channel(), error);
     }
@@ -320,8 +335,7 @@
     boolean isUnsettled() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
         boolean unwritten = buffer != null && buffer.totalPendingWriteBytes() > 0;
-        boolean arriving = exchange == null && headStarted && !closing;
-        return closesWhenIdle || arriving || unwritten;
+        return readBeforeClose.isPending() || isHeadArriving() || unwritten;
     }
 
     /** Returns whether the write buffer is below its high-water mark. */
