Close a connection with an unwritten response only if its caller stopped reading

What callers saw: an answer cut in its middle, as a slow reader's connection counted as idle from the end of the request's run; after a configuration with a smaller idle timeout at once. Since timed-out connections first write what is due, it is not cut any more, but a caller that stops reading kept its connection for good: UnreadResponseTest.closesAConnectionWhoseResponseIsNoLongerRead failed.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -29,6 +28,7 @@
     private final RequestBody body = new RequestBody();
     private final CloseReporter reporter;
     private final ReceiveTimer timer;
+    private final WriteProgress writeProgress = new WriteProgress();
     private final ReadBeforeClose readBeforeClose;
     private StrictRequestDecoder decoder;
     private ChannelHandlerContext context;
@@ -268,11 +268,14 @@
 
     /** Closes the connection if a timeout for receiving a request has passed, also after what has arrived is read. */
     void closeTimedOut(long nowMillis) {
+        if (writeProgress.advanced(context.channel()) && exchange == null) {
+            timer.proceed();
+        }
         ConnectionCloseCause timeout = timeout();
         if (timeout == null || !timer.hasPassed(timeout, nowMillis)) {
             return;
         }
-        if (closing && exchange == null) {
+        if (timeout == ConnectionCloseCause.RESPONSE_UNREAD || closing && exchange == null) {
             closeNow(timeout);
         } else {
             readBeforeClose.begin(context, this::closeIfStillTimedOut);
@@ -285,7 +288,9 @@
         if (timeout == null || closing && exchange == null || !timer.hasPassed(timeout, server.nowMillis())) {
             return;
         }
-        if (timeout == ConnectionCloseCause.IDLE_TIMEOUT || exchange != null && exchange.answerStarted()) {
+        boolean refusable =
+                timeout == ConnectionCloseCause.HEADER_TIMEOUT || timeout == ConnectionCloseCause.BODY_TIMEOUT;
+        if (!refusable || exchange != null && exchange.answerStarted()) {
             closeNow(timeout);
             return;
         }
@@ -301,6 +306,9 @@
         if (exchange != null) {
             return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
         }
+        if (WriteProgress.unwrittenBytes(context.channel()) > 0) {
+            return ConnectionCloseCause.RESPONSE_UNREAD;
+        }
         return isHeadArriving() ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
     }
 
@@ -333,8 +341,7 @@
 
     /** Returns whether a request has begun to arrive, or bytes of a response were not written yet. */
     boolean isUnsettled() {
-        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-        boolean unwritten = buffer != null && buffer.totalPendingWriteBytes() > 0;
+        boolean unwritten = WriteProgress.unwrittenBytes(context.channel()) > 0;
         return readBeforeClose.isPending() || isHeadArriving() || unwritten;
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ConnectionCloseCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ConnectionCloseCause.java
@@ -16,6 +16,8 @@
     BODY_TIMEOUT,
     /** A response that was started cannot be completed. */
     ABORTED_RESPONSE,
+    /** The caller no longer reads a response that is not written yet. */
+    RESPONSE_UNREAD,
     /** A request arrived behind one whose response closes the connection. */
     BEHIND_CLOSING_RESPONSE,
     /** The router is stopping and the connection was idle. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -51,6 +51,7 @@
             "connections.closed.header_timeout",
             "connections.closed.idle_at_stop",
             "connections.closed.idle_timeout",
+            "connections.closed.response_unread",
             "connections.closed.too_many_connections",
             "drains.announced",
             "drains.unreadable",
