Refuse a malformed body, and cut no response that came before a body

A caller whose body turned out to be malformed saw its connection closed without a refusal. A caller whose body turned out to be too long after its response was sent had the connection closed at once, which may reset it before the response is read.

The malformed body gets 400 and the run ends. After an early response the connection is closed as after each last response: the output is shut down and what arrives is read for a while.

Both tests of UnreadBodyTest failed before (closed without an answer, closed as an aborted response) and pass now.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -161,12 +161,13 @@
         }
         timer.proceed();
         if (content.decoderResult().isFailure()) {
-            closeNow(ConnectionCloseCause.DECODE_ERROR);
+            report(ConnectionCloseCause.DECODE_ERROR, content.decoderResult().cause());
+            refuseBody(RequestHeadCheck.notProper(content.decoderResult().cause()));
             return;
         }
         ByteBuf data = content.content();
         if (body.count(data) > timer.limits().bodyBytes()) {
-            refuseBody();
+            refuseBody(RequestHeadCheck.bodyTooLong(timer.limits()));
             return;
         }
         if (data.isReadable() && !exchange.ended()) {
@@ -182,12 +183,15 @@
         }
     }
 
-    /** Rejects a body that turned out to be too long. */
-    private void refuseBody() {
+    /** Rejects a body that is too long or malformed; a response that was sent before it is not cut. */
+    private void refuseBody(BadRequestException malformed) {
         if (exchange.ended()) {
-            abort();
+            bodyComplete = true;
+            next(true);
+        } else if (exchange.answerStarted()) {
+            closeNow(ConnectionCloseCause.ABORTED_RESPONSE);
         } else {
-            refuse(RequestHeadCheck.bodyTooLong(timer.limits()));
+            refuse(malformed);
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
@@ -31,9 +31,7 @@
      */
     static void check(HttpRequest head, CallerLimits limits) {
         if (head.decoderResult().isFailure()) {
-            throw refusal(
-                    DecodingErrors.status(head.decoderResult().cause()),
-                    "The request is not proper HTTP; send it as HTTP/1.1.");
+            throw notProper(head.decoderResult().cause());
         }
         if (lineBytes(head) > limits.headerBytes()) {
             throw refusal(
@@ -50,6 +48,11 @@
         }
     }
 
+    /** Creates the refusal of a request that could not be decoded. */
+    static BadRequestException notProper(Throwable cause) {
+        return refusal(DecodingErrors.status(cause), "The request is not proper HTTP; send it as HTTP/1.1.");
+    }
+
     /** Creates the refusal of a body that is too long. */
     static BadRequestException bodyTooLong(CallerLimits limits) {
         return refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "Send at most " + limits.bodyBytes() + " bytes.");
