Retry at the same upstream after a lost link, also if there is no other

A request whose own link to its upstream was lost while another router reached it stayed on the dead connection where no second upstream took it: since the check for a replacement it needed another upstream, though the next attempt goes to the same one through the other router. A lost link is certain, as another router reaches the upstream; it is left as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -212,10 +212,14 @@
         }
     }
 
-    /** Gives up the attempt if nothing has arrived on its direct connection since the given time. */
+    /**
+     * Gives up the attempt if nothing has arrived on its direct connection since the given time; the next one may reach
+     * the same upstream through another router.
+     */
     final void linkSilent(long silentSinceMillis) {
         if (!finished && call != null && call.isSilentDirectly(silentSinceMillis)) {
-            abandon(FailureKind.LINK_LOST);
+            call.cancel();
+            failed(FailureKind.LINK_LOST);
         }
     }
 
