Take permit, room and retry of a replacement before the attempt is given up

A permit that was granted for a replacement made its own upstream count as blocked, so that it was never used: the choice is now kept with the permit. Attempts of one engine that were given up together shared one retry of the budget, and all but one of their answers were cut: the retry is taken first, and given back if it is not used. A begun stream that has been silent for longer than a sound upstream ever is, 2 s, is moved by a stopping router although the rest might not fit. A request that would no longer wait for cheaper room counts as replaceable. A permit may be used for 150 ms, less than any is valid.

ReplacementCheckTest.usesAGrantedPermitThoughNoOtherIsToBeHad and takesTheRetryOfAReplacementBeforeTheAttemptIsGivenUp guard the first two; the others have no test of their own yet.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -17,8 +17,14 @@
  */
 final class ReplacementCheck {
 
-    /** Time for which a permit that was granted for a replacement may be used, in milliseconds. */
-    private static final long PERMIT_MILLIS = 500;
+    /**
+     * Time for which a permit that was granted for a replacement may be used, in milliseconds; longer than the interval
+     * of rechecks, and shorter than any permit is valid.
+     */
+    private static final long PERMIT_MILLIS = 150;
+
+    /** Longest silence of a sound upstream, in milliseconds. */
+    private static final long SOUND_SILENCE_MILLIS = 2_000;
 
     private final ServingContext context;
     private final UpstreamChooser chooser;
@@ -32,6 +38,7 @@
     private UpstreamId permitted;
     private long permittedMillis;
     private boolean requestsPermit;
+    private boolean retryTaken;
     private UpstreamChoice held;
 
     /** Creates a check; the set of excluded upstreams may change later. */
@@ -61,7 +68,7 @@
         long now = context.nowMillis();
         RefusalCause refusal = attempts.retryRefusal(kind, false, facts.remainingMillis(now));
         if (refusal == null) {
-            return context.budgets().of(facts.service()).left(now) < 1 ? KeptCause.RETRY_BUDGET : null;
+            return hasRetry() ? null : KeptCause.RETRY_BUDGET;
         }
         return switch (refusal) {
             case MAY_HAVE_RUN -> KeptCause.MAY_HAVE_RUN;
@@ -79,15 +86,25 @@
         if (!suspectTracker.maySendAgain()) {
             return KeptCause.IN_TRIAL;
         }
-        UpstreamChoice choice = chooseOther(attempt);
+        UpstreamChoice choice = replacement(attempt);
         if (choice == null) {
             return KeptCause.NO_REPLACEMENT;
         }
-        boolean declined = choice.expensive() || choice.refused();
-        if (declined && !progress.answerStarted()) {
+        if (isDeclined(choice)) {
             return KeptCause.TOO_DEAR;
         }
-        return completesBeforeStop(choice) ? null : KeptCause.STOPPING;
+        return completesBeforeStop(choice) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
+    }
+
+    /** Returns whether the request would not be sent to the chosen upstreams now, as they are too expensive. */
+    private boolean isDeclined(UpstreamChoice choice) {
+        boolean waits = choice.expensive() && facts.mayWait(choice.predictedMillis(), context.nowMillis());
+        return !progress.answerStarted() && (choice.refused() || waits);
+    }
+
+    /** Returns whether a begun stream has been silent for longer than that of a sound upstream ever is. */
+    private boolean outlastsSoundSilence() {
+        return progress.answerStarted() && context.nowMillis() - progress.lastMillis() > SOUND_SILENCE_MILLIS;
     }
 
     /** Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. */
@@ -99,41 +116,66 @@
 
     /**
      * Returns why a silent attempt cannot be replaced now; {@code null} if it can. An upstream with a rate limit is a
-     * replacement only once its permit is granted, which the next attempt then uses.
+     * replacement only once its permit is granted, which the next attempt then uses, like the retry that is taken from
+     * the budget here.
      */
     KeptCause acquire(Attempt attempt, FailureKind kind) {
         KeptCause cause = obstacle(attempt, kind);
         if (cause != null) {
             return cause;
         }
-        UpstreamChoice choice = chooseOther(attempt);
-        if (!acquirePermit(choice.upstream().id())) {
+        hold(replacement(attempt));
+        if (!acquirePermit(held.upstream().id())) {
             return KeptCause.NO_PERMIT;
         }
-        hold(choice);
+        retryTaken = retryTaken || context.budgets().of(facts.service()).trySpend(context.nowMillis());
+        if (!retryTaken) {
+            freeRoom();
+            return KeptCause.RETRY_BUDGET;
+        }
         return null;
     }
 
     /**
-     * Places the request at the chosen engines, so that no other one takes the room until the next attempt starts: the
-     * attempt that is given up may first be checked for a crash of its engine.
+     * Records the start of an attempt at the chosen upstreams in advance, so that no other request takes the room until
+     * the next attempt starts: the attempt that is given up may first be checked for a crash of its engine.
      */
     private void hold(UpstreamChoice choice) {
-        release();
-        if (choice.placement() != null) {
+        if (choice != held) {
+            release();
             held = choice;
             chooser.begin(choice, facts.remainingMillis(context.nowMillis()));
         }
     }
 
     /** Frees the room that is held for the next attempt, if there is any. */
-    void release() {
+    private void freeRoom() {
         if (held != null) {
             chooser.end(held);
             held = null;
         }
     }
 
+    /** Frees the room and the retry that are held for the next attempt, if there are any. */
+    void release() {
+        freeRoom();
+        if (takeHeldRetry()) {
+            context.budgets().of(facts.service()).refund(context.nowMillis());
+        }
+    }
+
+    /** Returns whether a retry was taken from the budget for the next attempt, or may be taken now. */
+    boolean hasRetry() {
+        return retryTaken || context.budgets().of(facts.service()).left(context.nowMillis()) >= 1;
+    }
+
+    /** Uses the retry that was taken for the next attempt; returns whether there is one. */
+    boolean takeHeldRetry() {
+        boolean taken = retryTaken;
+        retryTaken = false;
+        return taken;
+    }
+
     /** Chooses the next upstream, preferably none of the avoided ones; {@code null} if none can respond in time. */
     UpstreamChoice choose(Set<UpstreamId> avoided) {
         if (held != null
@@ -142,7 +184,7 @@
                 && gates.unavailableCause(held) == null) {
             return held;
         }
-        release();
+        freeRoom();
         UpstreamChoice choice = null;
         if (!avoided.isEmpty()) {
             choice = chooser.choose(facts, progress.answerStarted(), Sets.union(excluded, avoided));
@@ -155,7 +197,7 @@
         if (choice == held) {
             held = null;
         } else {
-            release();
+            freeRoom();
             chooser.begin(choice, facts.remainingMillis(nowMillis));
         }
     }
@@ -178,6 +220,8 @@
         if (granted) {
             permitted = upstream;
             permittedMillis = context.nowMillis();
+        } else {
+            release();
         }
     }
 
@@ -195,6 +239,12 @@
         return usable;
     }
 
+    /** Returns the upstreams that take the request of an attempt; {@code null} if none can now. */
+    private UpstreamChoice replacement(Attempt attempt) {
+        boolean usable = held != null && isPermitted(held.upstream().id()) && gates.unavailableCause(held) == null;
+        return usable ? held : chooseOther(attempt);
+    }
+
     /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
     private UpstreamChoice chooseOther(Attempt attempt) {
         Set<UpstreamId> others = new HashSet<>(excluded);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -158,7 +158,7 @@
         if (cause == null && !exchange.answerStarted() && !sender.mayComplete(now)) {
             cause = RefusalCause.STOPPING;
         }
-        if (cause == null && attempts.arrivals() > 0 && retries().left(now) < 1) {
+        if (cause == null && attempts.arrivals() > 0 && !replacements().hasRetry()) {
             cause = RefusalCause.RETRY_BUDGET;
         }
         log.failed(attempt, kind, cause, now);
@@ -369,6 +369,7 @@
     private void close() {
         if (!finished) {
             finished = true;
+            replacements().release();
             timeLimit.cancel(false);
             if (body != null) {
                 body.release();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -329,7 +329,8 @@
         if (attempts.arrivals() == 0) {
             return true;
         }
-        boolean taken = context.budgets().of(facts.service()).trySpend(context.nowMillis());
+        boolean taken = replacements.takeHeldRetry()
+                || context.budgets().of(facts.service()).trySpend(context.nowMillis());
         attempt.takesRetry(taken);
         return taken;
     }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -59,7 +59,7 @@
     private static final UpstreamEntry OTHER = entry("other");
 
     /** Longer than a granted permit may be kept. */
-    private static final long LATER_MILLIS = 501;
+    private static final long LATER_MILLIS = 151;
 
     private static final Route ROUTE = new Route(
             "r",
@@ -237,6 +237,27 @@
         assertThat(check.usePermit(OTHER.id())).isFalse();
     }
 
+    /** Guards against a permit that is never used, as its upstream counts as blocked until the next one is due. */
+    @Test
+    void usesAGrantedPermitThoughNoOtherIsToBeHad() {
+        limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
+        acquire();
+        permits.waiting.accept(new PermitGrant(1, 900));
+        assertThat(acquire()).isNull();
+        assertThat(check.choose(Set.of()).upstream()).isEqualTo(OTHER);
+        assertThat(check.usePermit(OTHER.id())).isTrue();
+    }
+
+    /** Guards against attempts that are given up together for one retry. */
+    @Test
+    void takesTheRetryOfAReplacementBeforeTheAttemptIsGivenUp() {
+        double leftBefore = context.budgets().of(SERVICE).left(nowMillis);
+        assertThat(acquire()).isNull();
+        assertThat(context.budgets().of(SERVICE).left(nowMillis)).isEqualTo(leftBefore - 1);
+        check.release();
+        assertThat(context.budgets().of(SERVICE).left(nowMillis)).isEqualTo(leftBefore);
+    }
+
     @Test
     void usesNoPermitThatWasGrantedForAnEarlierSilence() {
         limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
