Test limits that grow or shrink while a request arrives or waits

A mutant that applies only the limits of the start passed all tests; the one for a body that a larger limit allows fails with it.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ChangedLimitsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ChangedLimitsTest.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.http;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 import org.apricotstack.core.route.CallerLimits;
@@ -61,6 +62,37 @@
         assertThat(caller.read()).startsWith(SERVED);
     }
 
+    @Test
+    void servesABodyThatALargerLimitAllowsOnceItArrives() throws IOException {
+        connect(SMALL_LIMITS);
+        CountDownLatch opened = new CountDownLatch(1);
+        fixture.handler((request, exchange) -> {
+            opened.countDown();
+            return new AnsweringListener(exchange);
+        });
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        CallerServerFixture.await(opened);
+        fixture.limits(LARGE_LIMITS);
+        caller.send("3e8\r\n" + "x".repeat(1_000) + "\r\n0\r\n\r\n");
+        assertThat(caller.read()).startsWith(SERVED);
+    }
+
+    /** The second request waits behind the first one, during whose run the limits become smaller. */
+    @Test
+    void servesAPipelinedRequestThatWasProperWhenItArrived() throws IOException {
+        connect(LARGE_LIMITS);
+        CompletableFuture<CallerExchange> first = new CompletableFuture<>();
+        fixture.handler((request, exchange) ->
+                first.complete(exchange) ? DiscardingRequestListener.INSTANCE : new AnsweringListener(exchange));
+        caller.send(REQUEST + LONG_HEAD_BEGIN + LONG_HEAD_END);
+        CallerExchange exchange = first.join();
+        fixture.run(() -> {});
+        fixture.limits(SMALL_LIMITS);
+        fixture.run(() -> CallerServerFixture.answer(null, exchange));
+        assertThat(caller.read()).startsWith(SERVED);
+        assertThat(caller.read()).startsWith(SERVED);
+    }
+
     @Test
     void servesHeadersThatTheConfigurationInForceAllows() throws IOException {
         connect(SMALL_LIMITS);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ReceiveTimeoutTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/ReceiveTimeoutTest.java
@@ -132,6 +132,17 @@
         assertThat(caller.read()).startsWith(SERVED);
     }
 
+    @Test
+    void closesAConnectionOnceThatTwoSweepsFindTimedOut() throws IOException {
+        fixture.advance(IDLE_MILLIS + 1);
+        fixture.run(() -> {
+            fixture.server().closeTimedOut();
+            fixture.server().closeTimedOut();
+        });
+        assertThat(caller.readToEnd()).isEmpty();
+        assertThat(fixture.causes()).containsExactly(ConnectionCloseCause.IDLE_TIMEOUT);
+    }
+
     @Test
     void refusesAHeadThatDoesNotArriveInTime() throws IOException {
         caller.send(HALF_HEAD);
