Count only the rest of a begun stream for the end of a stop, and record the failure of a kept upstream

A stopping router compared the whole answer's longest time with the time left before it moved a begun stream, so that one of which nearly all was forwarded stayed at a dead engine. It now counts the tokens that are not forwarded yet (CompletionTimesTest.assumesOnlyTheRestOfAStreamThatHasBegun). The failure of an upstream whose attempt is kept was recorded only if that was the first cause; now it is recorded the first time it is known, whatever was logged before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -40,6 +40,7 @@
     private int watchdogGeneration;
     private boolean takesRetry;
     private boolean kept;
+    private boolean failureReported;
     private boolean finished;
     private ResponseHead head;
     private HttpResponse raw;
@@ -93,14 +94,21 @@
         }
     }
 
-    /** Abandons the attempt if its engine is dead; otherwise waits for the rest of the allowed silence. */
-    private void probeEngine() {
+    /** Returns whether the attempt may be given up for silence; otherwise watches it again. */
+    private boolean mayBeGivenUp() {
         if (finished) {
-            return;
+            return false;
         }
         KeptCause obstacle = run.replacements().retryObstacle(FailureKind.SILENT);
         if (obstacle != null) {
             keep(obstacle);
+        }
+        return obstacle == null;
+    }
+
+    /** Abandons the attempt if its engine is dead; otherwise waits for the rest of the allowed silence. */
+    private void probeEngine() {
+        if (!mayBeGivenUp()) {
             return;
         }
         int generation = watchdogGeneration;
@@ -119,12 +127,7 @@
 
     /** Abandons the attempt if the cause of the silence or the load of other engines justifies a retry. */
     private void checkSilenceCause() {
-        if (finished) {
-            return;
-        }
-        KeptCause obstacle = run.replacements().retryObstacle(FailureKind.SILENT);
-        if (obstacle != null) {
-            keep(obstacle);
+        if (!mayBeGivenUp()) {
             return;
         }
         int generation = watchdogGeneration;
@@ -172,11 +175,15 @@
         watchdog(silenceMillis);
     }
 
-    /** Records that the attempt is kept, only the first time. */
+    /** Records that the attempt is kept, and the failure of its upstream if it is known, each only the first time. */
     private void logKept(KeptCause cause, FailureKind kind) {
         if (!kept) {
             kept = true;
-            run.replacements().keptDespiteSilence(this, cause, kind);
+            run.replacements().keptDespiteSilence(this, cause);
+        }
+        if (kind != null && !failureReported) {
+            failureReported = true;
+            run.replacements().upstreamFailed(this, kind);
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -96,17 +96,33 @@
 
     /** Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        double millis =
-                facts.runsOnEngines() ? choice.predictedMillis() + decodeMillis(facts, choice) : plainMillis(facts);
+        return longestMillis(facts, 0, choice, nowMillis);
+    }
+
+    /** Estimates the same for a stream of which some tokens were already forwarded. */
+    long longestMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
+        double millis = facts.runsOnEngines()
+                ? choice.predictedMillis() + decodeMillis(facts, remainingTokens(facts, forwardedTokens), choice)
+                : plainMillis(facts);
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
+    /** Returns the length of the longest rest of an answer, in tokens. */
+    private static long remainingTokens(RequestFacts facts, long forwardedTokens) {
+        return Math.max(1, facts.answerTokens() - forwardedTokens);
+    }
+
     /**
      * Estimates the time in which nearly all such requests are completed at the chosen upstream, in milliseconds. Few
      * answers reach the limit of their length, which the longest time assumes of each.
      */
     long usualMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        long longestMillis = longestMillis(facts, choice, nowMillis);
+        return usualMillis(facts, 0, choice, nowMillis);
+    }
+
+    /** Estimates the same for a stream of which some tokens were already forwarded. */
+    long usualMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
+        long longestMillis = longestMillis(facts, forwardedTokens, choice, nowMillis);
         if (!facts.runsOnEngines() || isShort(facts)) {
             return longestMillis;
         }
@@ -114,7 +130,8 @@
         double millisPerToken = recorded != null && recorded.size() >= MIN_RECORDED
                 ? slowestMillis(recorded, SLOWEST_SHARE)
                 : USUAL_PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
-        return Math.min(longestMillis, Math.round(choice.predictedMillis() + facts.answerTokens() * millisPerToken));
+        long tokens = remainingTokens(facts, forwardedTokens);
+        return Math.min(longestMillis, Math.round(choice.predictedMillis() + tokens * millisPerToken));
     }
 
     /** Returns the predicted pace of the chosen engine, in milliseconds per token. */
@@ -125,12 +142,11 @@
     }
 
     /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
-    private double decodeMillis(RequestFacts facts, UpstreamChoice choice) {
+    private double decodeMillis(RequestFacts facts, long tokens, UpstreamChoice choice) {
         double millisPerToken = PREFILL_FACTOR * predictedMillisPerToken(facts, choice);
-        double predicted = facts.answerTokens() * millisPerToken;
-        double recorded = isShort(facts)
-                ? slowestMillis(shortMicros, facts)
-                : facts.answerTokens() * slowestMillis(recordedMicros, facts);
+        double predicted = tokens * millisPerToken;
+        double recorded =
+                isShort(facts) ? slowestMillis(shortMicros, facts) : tokens * slowestMillis(recordedMicros, facts);
         return Math.max(predicted, recorded);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -111,7 +111,14 @@
     private boolean completesBeforeStop(UpstreamChoice choice) {
         StopGate stop = context.stop();
         long now = context.nowMillis();
-        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, choice, now), now);
+        return !stop.timeline().stopping() || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, now), now);
+    }
+
+    /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
+    private long forwardedTokens() {
+        return facts.runsOnEngines()
+                ? progress.events() * facts.profile().engine().orElseThrow().decodeStepsPerBatchStep()
+                : 0;
     }
 
     /**
@@ -257,14 +264,13 @@
         return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
     }
 
-    /**
-     * Records that an attempt is not given up although its upstream is silent, and the failure of the upstream, if it
-     * is known, so that new requests avoid it.
-     */
-    void keptDespiteSilence(Attempt attempt, KeptCause cause, FailureKind failure) {
+    /** Records that an attempt is not given up although its upstream is silent. */
+    void keptDespiteSilence(Attempt attempt, KeptCause cause) {
         log.keptDespiteSilence(attempt, cause, context.nowMillis());
-        if (failure != null) {
-            chooser.failed(attempt.choice(), attempt.upstream().id(), failure);
-        }
+    }
+
+    /** Records a failure of the upstream of an attempt that is kept, so that new requests avoid it. */
+    void upstreamFailed(Attempt attempt, FailureKind failure) {
+        chooser.failed(attempt.choice(), attempt.upstream().id(), failure);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -55,12 +55,14 @@
      * While no other router is ready, the slowest answers do not count: a rejected caller would have nowhere to go.
      */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        if (choice == null) {
-            return times.leastMillis(facts, nowMillis);
-        }
+        return choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, nowMillis);
+    }
+
+    /** Estimates the longest time of the rest of a stream, of which some tokens were forwarded, in milliseconds. */
+    long restMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
         return others.get().ready()
-                ? times.longestMillis(facts, choice, nowMillis)
-                : times.usualMillis(facts, choice, nowMillis);
+                ? times.longestMillis(facts, forwardedTokens, choice, nowMillis)
+                : times.usualMillis(facts, forwardedTokens, choice, nowMillis);
     }
 
     /** Returns whether a request of the given longest time is completed before the process ends. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamProgress.java
@@ -60,6 +60,11 @@
         return answerStarted;
     }
 
+    /** Returns the number of events that the caller has; 0 if they have no numbers. */
+    long events() {
+        return counted ? last + 1 : 0;
+    }
+
     /** Returns when the last event was forwarded. */
     long lastMillis() {
         return lastMillis;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -124,6 +124,14 @@
                 .isEqualTo(Math.round(100 + 1_000 * millisPerToken));
     }
 
+    /** Guards against a stream that a stopping router does not move, though only little of its answer is left. */
+    @Test
+    void assumesOnlyTheRestOfAStreamThatHasBegun() {
+        double millisPerToken = 1.25 * (1 + 0.01 + 5 * 0.004);
+        assertThat(times.longestMillis(facts(true, 1_000), 950, choice(100), 0))
+                .isEqualTo(Math.round(100 + 50 * millisPerToken));
+    }
+
     @Test
     void assumesTheSlowestRecentAnswerInProportionToItsLimit() {
         record(facts(true, 1_000), 40, 100, 600);
