Hold the room of a replacement only once its permit is granted

Found by the review of the mends: the room was held while a permit was awaited. A request then met its own held room, found no replacement and stayed at a dead engine (run: NO_PERMIT, after the permit had expired NO_REPLACEMENT for good); a stream that went on kept the room to its end; a denial for one upstream freed the room and the retry of another. The choice is now only remembered until its permit is there, and the room is held right before the attempt is given up. ReplacementCheckTest.holdsNoRoomWhileAPermitIsAwaited fails without it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -38,6 +38,7 @@
     private UpstreamId permitted;
     private long permittedMillis;
     private boolean requestsPermit;
+    private UpstreamChoice awaitsPermit;
     private boolean retryTaken;
     private UpstreamChoice held;
 
@@ -131,10 +132,11 @@
         if (cause != null) {
             return cause;
         }
-        hold(replacement(attempt));
-        if (!acquirePermit(held.upstream().id())) {
+        UpstreamChoice choice = replacement(attempt);
+        if (!acquirePermit(choice)) {
             return KeptCause.NO_PERMIT;
         }
+        hold(choice);
         retryTaken = retryTaken || context.budgets().of(facts.service()).trySpend(context.nowMillis());
         if (!retryTaken) {
             freeRoom();
@@ -210,12 +212,14 @@
     }
 
     /** Requests a permit for an upstream if it needs one; returns whether a request may be sent there now. */
-    private boolean acquirePermit(UpstreamId upstream) {
+    private boolean acquirePermit(UpstreamChoice choice) {
+        UpstreamId upstream = choice.upstream().id();
         if (!gates.limits().isLimited(upstream) || isPermitted(upstream)) {
             return true;
         }
         if (!requestsPermit) {
             requestsPermit = true;
+            awaitsPermit = choice;
             gates.limits().acquire(upstream, granted -> permitAnswered(upstream, granted));
         }
         return isPermitted(upstream);
@@ -227,8 +231,6 @@
         if (granted) {
             permitted = upstream;
             permittedMillis = context.nowMillis();
-        } else {
-            release();
         }
     }
 
@@ -248,8 +250,10 @@
 
     /** Returns the upstreams that take the request of an attempt; {@code null} if none can now. */
     private UpstreamChoice replacement(Attempt attempt) {
-        boolean usable = held != null && isPermitted(held.upstream().id()) && gates.unavailableCause(held) == null;
-        return usable ? held : chooseOther(attempt);
+        boolean usable = awaitsPermit != null
+                && isPermitted(awaitsPermit.upstream().id())
+                && gates.unavailableCause(awaitsPermit) == null;
+        return usable ? awaitsPermit : chooseOther(attempt);
     }
 
     /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -248,6 +248,18 @@
         assertThat(check.usePermit(OTHER.id())).isTrue();
     }
 
+    /** Guards against a request whose own held room keeps it at a dead engine. */
+    @Test
+    void holdsNoRoomWhileAPermitIsAwaited() {
+        limits.reportedByPeer(OTHER.id(), new RateLimit(1, 0));
+        ReplacementCheck silent = check(ENGINE_FACTS);
+        assertThat(silent.acquire(attempt, FailureKind.SILENT)).isEqualTo(KeptCause.NO_PERMIT);
+        assertThat(loadTable.size()).isZero();
+        permits.waiting.accept(new PermitGrant(1, 0));
+        nowMillis += LATER_MILLIS;
+        assertThat(silent.acquire(attempt, FailureKind.SILENT)).isEqualTo(KeptCause.NO_PERMIT);
+    }
+
     /** Guards against attempts that are given up together for one retry. */
     @Test
     void takesTheRetryOfAReplacementBeforeTheAttemptIsGivenUp() {
