Let streams, datagrams and the event loop of the exchange between routers be replaced

The spread of a configuration can then be tested with a whole fleet in virtual time. No change of behaviour: the timeouts of the platform's calls move to the port that both its adapter and a test implement.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/DocumentExchange.java
@@ -66,7 +66,7 @@
     }
 
     /** Requests the documents that a peer knows and this router lacks. */
-    void fetch(Peer peer, OutboundGossipStream stream, EncodedFrame greeting) {
+    void fetch(Peer peer, GossipStream stream, EncodedFrame greeting) {
         // One less than the known revision, as the lists may differ at the same revision.
         long known = Math.max(0, state.upstreamsRevision() - 1);
         NewsFrame request = NewsFrame.newBuilder()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/FleetLimitPeers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/FleetLimitPeers.java
@@ -28,7 +28,7 @@
     private final IntSupplier knownRouters;
     private final OneWayPeers oneWayPeers = new OneWayPeers();
     private HeartbeatSender heartbeats;
-    private HeartbeatPort port;
+    private DatagramPort port;
 
     /** Creates peers that cannot be reached until {@link #sendThrough} is called. */
     FleetLimitPeers(
@@ -49,7 +49,7 @@
     }
 
     /** Sets the senders that reach the other routers. */
-    void sendThrough(HeartbeatSender sender, HeartbeatPort datagrams) {
+    void sendThrough(HeartbeatSender sender, DatagramPort datagrams) {
         heartbeats = sender;
         port = datagrams;
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -44,6 +44,7 @@
     private final FleetLimitPeers limitPeers;
     private final UpstreamGossip upstreams;
     private final RequestRate requests;
+    private final PendingFrame pending;
     private final InFlightPlacements inFlight = new InFlightPlacements();
     private final StartPhase start;
     private final PlacementReceiver placements;
@@ -51,7 +52,6 @@
     private final BooleanSupplier readsPlatform;
     private HeartbeatSender heartbeats;
     private PlatformGossip platformGossip;
-    private NewsFrame.Builder collectedFrame;
     private long rateIntervalStartMillis;
     private boolean closed;
 
@@ -95,14 +95,15 @@
         this.readsPlatform = readsPlatform;
         this.documents = new DocumentExchange(loop, state, log, onBehind);
         this.streams = new OutboundGossipStreams(loop, peers, this::fullState);
+        this.pending = new PendingFrame(loop, streams);
         this.membershipLog = new MembershipLog(log);
         this.start = new StartPhase(loop.nowMillis());
         this.placements = new PlacementReceiver(loadTable, outlierDetector, state, start);
         this.limitPeers = new FleetLimitPeers(loop, own, peers, state, start, ready::ready, this::knownRouters);
         this.upstreams = new UpstreamGossip(
-                new SuspectChannel(loop, suspects, log, this::pendingFrame, this::activePeers),
-                new LimitChannel(loop, limits, limitPeers, log, this::pendingFrame),
-                new DrainChannel(loop, drains, limitPeers, log, this::pendingFrame));
+                new SuspectChannel(loop, suspects, log, pending::frame, this::activePeers),
+                new LimitChannel(loop, limits, limitPeers, log, pending::frame),
+                new DrainChannel(loop, drains, limitPeers, log, pending::frame));
         this.rateIntervalStartMillis = loop.nowMillis();
         this.requests = new RequestRate(rateIntervalStartMillis);
     }
@@ -114,6 +115,12 @@
      * @param port sends and receives datagrams
      */
     public void start(RouterIdentity self, HeartbeatPort port) {
+        start(self, port, OutboundGossipStreams.tcp(loop));
+    }
+
+    /** Starts sending heartbeats through any port, with streams of any kind. */
+    void start(RouterIdentity self, DatagramPort port, GossipStreamOpener opener) {
+        streams.createWith(opener);
         port.onFrame(this::datagram);
         OwnHeartbeat own = new OwnHeartbeat(loop, self, peers, state, ready, requests, readsPlatform);
         peers.addAddress(self.peerAddress());
@@ -259,24 +266,24 @@
         requests.count();
         inFlight.place(placement, limitMillis, loop.nowMillis());
         heartbeats.onPlacement();
-        pendingFrame().addPlaced(GossipMessages.placed(placement, limitMillis));
+        pending.frame().addPlaced(GossipMessages.placed(placement, limitMillis));
     }
 
     @Override
     public void decodeStarted(EnginePlacement placement) {
         inFlight.startDecoding(placement.id());
-        pendingFrame().addWriting(placement.id().number());
+        pending.frame().addWriting(placement.id().number());
     }
 
     @Override
     public void placementEnded(EnginePlacement placement) {
         inFlight.remove(placement.id());
-        pendingFrame().addEnded(placement.id().number());
+        pending.frame().addEnded(placement.id().number());
     }
 
     @Override
     public void upstreamAvoided(UpstreamId upstream, long avoidMillis) {
-        pendingFrame().addAvoided(GossipMessages.avoided(upstream, avoidMillis));
+        pending.frame().addAvoided(GossipMessages.avoided(upstream, avoidMillis));
     }
 
     @Override
@@ -320,22 +327,6 @@
         return upstreams.limits();
     }
 
-    /** Returns the frame that is sent at the end of this turn of the event loop. */
-    private NewsFrame.Builder pendingFrame() {
-        if (collectedFrame == null) {
-            collectedFrame = NewsFrame.newBuilder();
-            loop.execute(this::flush);
-        }
-        return collectedFrame;
-    }
-
-    /** Sends the collected updates. */
-    private void flush() {
-        EncodedFrame frame = EncodedFrame.of(collectedFrame.build());
-        collectedFrame = null;
-        streams.sendToActive(frame);
-    }
-
     /**
      * Returns the number of known routers, alive or not, including this one.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatPort.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatPort.java
@@ -24,7 +24,7 @@
  * <p>A datagram may be lost; the next heartbeat makes up for it. What must arrive goes over an {@link
  * OutboundGossipStream}.
  */
-public final class HeartbeatPort implements AutoCloseable {
+public final class HeartbeatPort implements DatagramPort, AutoCloseable {
 
     private final Channel channel;
     private BiConsumer<NewsFrame, Address> listener = (frame, sender) -> {};
@@ -53,13 +53,13 @@
         channel = bound.channel();
     }
 
-    /** Sets the listener for frames and their senders; it is called on the event loop. */
-    void onFrame(BiConsumer<NewsFrame, Address> newListener) {
+    @Override
+    public void onFrame(BiConsumer<NewsFrame, Address> newListener) {
         listener = newListener;
     }
 
-    /** Sends a heartbeat. */
-    void send(Address address, EncodedFrame frame) {
+    @Override
+    public void send(Address address, EncodedFrame frame) {
         channel.writeAndFlush(
                 new DatagramPacket(frame.buffer(), new InetSocketAddress(address.ip(), address.port())),
                 channel.voidPromise());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatSender.java
@@ -41,7 +41,7 @@
     private final OwnHeartbeat own;
     private final PeerTable peers;
     private final OutboundGossipStreams streams;
-    private final HeartbeatPort port;
+    private final DatagramPort port;
     private final StartPhase start;
     private final Address ownAddress;
     private final LongSupplier intervalMillis;
@@ -57,7 +57,7 @@
             OwnHeartbeat own,
             PeerTable peers,
             OutboundGossipStreams streams,
-            HeartbeatPort port,
+            DatagramPort port,
             StartPhase start,
             Address ownAddress,
             LongSupplier intervalMillis,
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStream.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStream.java
@@ -25,7 +25,7 @@
  * simulated day a restarted router counted 70 placements where 40 were in flight, for eight seconds. So a stream that
  * missed an update sends all in-flight placements as soon as it can send again, and the peer drops the rest.
  */
-final class OutboundGossipStream implements AutoCloseable {
+final class OutboundGossipStream implements GossipStream {
 
     /** Time without a reply after which the connection is closed, in milliseconds. */
     private static final long SILENT_MILLIS = 1_800;
@@ -68,10 +68,8 @@
         return address;
     }
 
-    /**
-     * Sends a heartbeat, and opens the stream first if there is none; the next heartbeat follows after the given time.
-     */
-    void heartbeat(EncodedFrame frame, long nextMillis) {
+    @Override
+    public void heartbeat(EncodedFrame frame, long nextMillis) {
         silenceTimeoutMillis = Math.max(SILENT_MILLIS, SILENT_HEARTBEATS * nextMillis);
         long now = loop.nowMillis();
         if (channel != null && now - lastReplyMillis > silenceTimeoutMillis) {
@@ -86,11 +84,8 @@
         }
     }
 
-    /**
-     * Sends an update and returns whether the stream was writable; a lost update is not queued, as it would be
-     * outdated later.
-     */
-    boolean send(EncodedFrame frame) {
+    @Override
+    public boolean send(EncodedFrame frame) {
         boolean open = isOpen();
         if (open) {
             syncIfNeeded();
@@ -101,8 +96,8 @@
         return open;
     }
 
-    /** Records that an update was not sent to this peer, so that it needs the full state before the next one. */
-    void markOutOfSync() {
+    @Override
+    public void markOutOfSync() {
         outOfSync = true;
     }
 
@@ -119,13 +114,13 @@
         return channel != null && channel.isActive();
     }
 
-    /** Returns whether updates can be sent. */
-    boolean isOpen() {
+    @Override
+    public boolean isOpen() {
         return isConnected() && channel.isWritable();
     }
 
-    /** Requests documents; opens the stream first if there is none, or if the peer has been silent for too long. */
-    boolean fetch(EncodedFrame heartbeat, NewsFrame request) {
+    @Override
+    public boolean fetch(EncodedFrame heartbeat, NewsFrame request) {
         heartbeat(heartbeat, 0);
         if (isConnected()) {
             write(EncodedFrame.of(request));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStreams.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStreams.java
@@ -19,7 +19,8 @@
     private final ServingLoop loop;
     private final PeerTable peers;
     private final Supplier<NewsFrame> fullState;
-    private final Map<Address, OutboundGossipStream> streams = new HashMap<>();
+    private GossipStreamOpener opener;
+    private final Map<Address, GossipStream> streams = new HashMap<>();
     private final Map<Address, Peer> reported = new HashMap<>();
 
     /** Creates a set without streams; a peer that missed updates gets the full state. */
@@ -27,14 +28,24 @@
         this.loop = loop;
         this.peers = peers;
         this.fullState = fullState;
+        this.opener = tcp(loop);
+    }
+
+    /** Sets how streams are created. */
+    void createWith(GossipStreamOpener newOpener) {
+        opener = newOpener;
+    }
+
+    /** Returns how streams over TCP connections are created. */
+    static GossipStreamOpener tcp(ServingLoop loop) {
+        return (address, handler, fullState, onClosed) ->
+                new OutboundGossipStream(loop, address, handler, fullState, onClosed);
     }
 
     /** Returns the stream to a router; a closed connection reveals at once that the peer stopped or is cut off. */
-    OutboundGossipStream open(Address address, GossipHandler handler) {
+    GossipStream open(Address address, GossipHandler handler) {
         return streams.computeIfAbsent(
-                address,
-                to -> new OutboundGossipStream(
-                        loop, to, handler, fullState, () -> peers.connectionLost(to, loop.nowMillis())));
+                address, to -> opener.create(to, handler, fullState, () -> peers.connectionLost(to, loop.nowMillis())));
     }
 
     /** Records what a router reported of itself; returns whether it was unknown before. */
@@ -111,7 +122,7 @@
 
     /** Returns whether updates can be sent to the router at an address. */
     boolean isOpen(Address address) {
-        OutboundGossipStream stream = streams.get(address);
+        GossipStream stream = streams.get(address);
         return stream != null && stream.isOpen();
     }
 
@@ -124,7 +135,7 @@
 
     @Override
     public void close() {
-        streams.values().forEach(OutboundGossipStream::close);
+        streams.values().forEach(GossipStream::close);
         streams.clear();
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
@@ -38,9 +38,24 @@
      * @param clock the clock of all code on the loop
      */
     public ServingLoop(MonotonicClock clock) {
+        this(clock, newGroup());
+    }
+
+    /**
+     * Uses an event loop, whose timers have to agree with the clock.
+     *
+     * @param clock the clock of all code on the loop
+     * @param group a group with one thread
+     */
+    public ServingLoop(MonotonicClock clock, EventLoopGroup group) {
         this.clock = clock;
+        this.group = group;
+    }
+
+    /** Starts a group with one thread. */
+    private static EventLoopGroup newGroup() {
         DefaultThreadFactory threads = new DefaultThreadFactory("serving", false);
-        this.group = epoll ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
+        return Epoll.isAvailable() ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
@@ -10,6 +10,12 @@
  */
 public interface PublicationSource {
 
+    /** Timeout of a read, in milliseconds; a slow platform takes 0.2 s, a large configuration a little more. */
+    long READ_TIMEOUT_MILLIS = 1_500;
+
+    /** Added to the time that the platform is asked to wait, in milliseconds, for the timeout of a watch. */
+    long WATCH_TIMEOUT_MARGIN_MILLIS = 1_000;
+
     /**
      * A snapshot of all published documents.
      *
