--- /dev/null
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -0,0 +1,191 @@
+package org.apricotstack.serving.gossip;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.apricotstack.core.failure.ApricotException;
+import org.apricotstack.core.failure.ErrorCode;
+import org.apricotstack.core.id.Address;
+import org.apricotstack.core.id.DataCentreId;
+import org.apricotstack.core.id.ServiceId;
+import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.route.AccountKeys;
+import org.apricotstack.core.route.CallerLimits;
+import org.apricotstack.core.route.RouteTable;
+import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.publication.Publication;
+import org.apricotstack.serving.publication.PublicationDecoder;
+import org.apricotstack.serving.publication.PublicationSource;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * A platform in virtual time. To a router that it is silent to, it answers no call, and its open watches end only with
+ * their timeout.
+ */
+final class VirtualPlatform {
+
+    /** Time for a request and its response, in milliseconds. */
+    private static final long ROUND_TRIP_MILLIS = 5;
+
+    private static final String UPSTREAM = "engine";
+
+    private final Set<Object> silentTo = new HashSet<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final List<Publication> documents = new ArrayList<>();
+    private long revision;
+    private long calls;
+
+    /** Publishes one upstream and the first configuration. */
+    VirtualPlatform() {
+        documents.add(new Publication(new UpstreamId(UPSTREAM), ++revision, new byte[0], false));
+        documents.add(configuration(1, ++revision));
+    }
+
+    /** Decodes documents of which only the version matters. */
+    static final class VersionDecoder implements PublicationDecoder {
+        @Override
+        public ServingConfiguration configuration(Publication document) {
+            long version = Long.parseLong(new String(document.content(), StandardCharsets.UTF_8));
+            return new ServingConfiguration(
+                    version, new RouteTable(List.of()), Map.of(), CallerLimits.DEFAULT, new AccountKeys(Map.of()));
+        }
+
+        @Override
+        public UpstreamEntry upstream(Publication document) {
+            return new UpstreamEntry(
+                    document.upstream(),
+                    new ServiceId("service"),
+                    new Address("127.0.0.1", 1),
+                    new DataCentreId("a"),
+                    4,
+                    false,
+                    document.revision());
+        }
+    }
+
+    private static Publication configuration(long version, long revision) {
+        return new Publication(null, revision, Long.toString(version).getBytes(StandardCharsets.UTF_8), false);
+    }
+
+    /** Publishes a configuration and answers the open watches. */
+    void publish(long version) {
+        documents.removeIf(Publication::isConfiguration);
+        documents.add(configuration(version, ++revision));
+        watches.removeIf(Watch::isEnded);
+        List.copyOf(watches).forEach(Watch::answerIfChanged);
+    }
+
+    /** Stops answering a router, also the calls that it has open. */
+    void silence(Object router) {
+        silentTo.add(router);
+    }
+
+    long calls() {
+        return calls;
+    }
+
+    /** Returns the platform as one router reaches it. */
+    PublicationSource source(Object router, ServingLoop loop) {
+        return new Source(router, loop);
+    }
+
+    /** An open watch. */
+    private final class Watch {
+
+        private final Object router;
+        private final ServingLoop loop;
+        private final long after;
+        private final MonoSink<PublicationSource.Changes> sink;
+        private boolean ended;
+
+        Watch(Object router, ServingLoop loop, long after, MonoSink<PublicationSource.Changes> sink) {
+            this.router = router;
+            this.loop = loop;
+            this.after = after;
+            this.sink = sink;
+            sink.onDispose(() -> ended = true);
+        }
+
+        boolean isEnded() {
+            return ended;
+        }
+
+        void answerIfChanged() {
+            if (revision > after) {
+                answer();
+            }
+        }
+
+        void answer() {
+            if (ended || silentTo.contains(router)) {
+                return;
+            }
+            ended = true;
+            PublicationSource.Changes changes = new PublicationSource.Changes(
+                    revision,
+                    documents.stream()
+                            .filter(document -> document.revision() > after)
+                            .toList(),
+                    false);
+            loop.schedule(ROUND_TRIP_MILLIS / 2, () -> sink.success(changes));
+        }
+    }
+
+    /** The platform as one router reaches it. */
+    private final class Source implements PublicationSource {
+
+        private final Object router;
+        private final ServingLoop loop;
+
+        Source(Object router, ServingLoop loop) {
+            this.router = router;
+            this.loop = loop;
+        }
+
+        @Override
+        public Mono<Snapshot> readAll() {
+            return call(
+                    2 * ROUND_TRIP_MILLIS, READ_TIMEOUT_MILLIS, () -> new Snapshot(revision, List.copyOf(documents)));
+        }
+
+        @Override
+        public Mono<Changes> awaitChanges(long after, long waitMillis) {
+            return Mono.create(sink -> {
+                calls++;
+                Watch watch = new Watch(router, loop, after, sink);
+                loop.schedule(ROUND_TRIP_MILLIS / 2, () -> {
+                    watches.add(watch);
+                    watch.answerIfChanged();
+                });
+                loop.schedule(waitMillis, watch::answer);
+                loop.schedule(waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS, () -> sink.error(timeout()));
+            });
+        }
+
+        /** Answers a call from the state at that time, or ends it with the timeout. */
+        private <T> Mono<T> call(long roundTripMillis, long timeoutMillis, Supplier<T> answer) {
+            return Mono.create(sink -> {
+                calls++;
+                loop.schedule(roundTripMillis, () -> {
+                    if (!silentTo.contains(router)) {
+                        sink.success(answer.get());
+                    }
+                });
+                loop.schedule(timeoutMillis, () -> sink.error(timeout()));
+            });
+        }
+
+        private ApricotException timeout() {
+            return new ApricotException(
+                    ErrorCode.PLATFORM_PROTOCOL, "The platform did not answer; the call is repeated.");
+        }
+    }
+}
