Announce and fetch a configuration without waiting for heartbeats

Callers saw a request run under a key that had been taken away more than 3 s before. One part of these 3 s is the spread between routers: a router decided whether to fetch only when a heartbeat arrived, a standby router waited 600 ms more, a lost datagram or fetch cost another interval, and a router whose reader was lost waited 900 ms for it first.

Now the first router of a data centre that has a configuration announces it to all others there and to two of each other data centre, and each other router to two more. A fetch is due at a time and not at a heartbeat, from any peer that has the configuration; while it is unanswered, the next one goes to another peer after 150 ms. Upstreams keep their policy.

Ruled out: a shorter grace and shorter heartbeats alone, which leave the waits added up and cost datagrams at all times.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -129,7 +129,7 @@
         upstreams.suspects().sendThrough(heartbeats);
         limitPeers.sendThrough(heartbeats, port);
         platformGossip = new PlatformGossip(
-                loop, this, state, documents, streams, heartbeats, readsPlatform, this::knownRouters);
+                loop, this, state, peers, documents, streams, heartbeats, readsPlatform, this::knownRouters);
         sendHeartbeats();
         loop.scheduleWithFixedDelay(PlatformReaderSelection.HEARTBEAT_MILLIS, platformGossip::sendHeartbeats);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/HeartbeatSender.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.gossip;
 
+import java.util.Collection;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -111,6 +112,14 @@
         }
     }
 
+    /** Sends a heartbeat to some routers now. */
+    void sendTo(Collection<Peer> receivers) {
+        EncodedFrame frame = greeting();
+        for (Peer receiver : receivers) {
+            port.send(receiver.peerAddress(), frame);
+        }
+    }
+
     /** Sends a heartbeat to each router that is due one, or to all if forced or if its content changed. */
     private void send(boolean toAll, long nowMillis) {
         boolean changedOrForced = update(nowMillis) || toAll;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.peer.EntryRouters;
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerFetchPolicy;
+import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.PlatformReaderSelection;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.publication.PublishedState;
@@ -29,6 +30,7 @@
     private final HeartbeatSender heartbeats;
     private final BooleanSupplier readsPlatform;
     private final IntSupplier knownRouters;
+    private final ConfigurationSpread configurations;
     private final PlatformReaderSelection readerSelection = new PlatformReaderSelection();
     private final ReportedPlatformState reported = new ReportedPlatformState();
 
@@ -37,6 +39,7 @@
             ServingLoop loop,
             GossipHandler handler,
             PublishedState state,
+            PeerTable peers,
             DocumentExchange documents,
             OutboundGossipStreams streams,
             HeartbeatSender heartbeats,
@@ -50,6 +53,8 @@
         this.heartbeats = heartbeats;
         this.readsPlatform = readsPlatform;
         this.knownRouters = knownRouters;
+        this.configurations = new ConfigurationSpread(
+                loop, handler, state, peers, documents, streams, heartbeats, this::mustReadPlatform);
     }
 
     /** Returns whether the fleet is so large that its routers share the published state. */
@@ -88,6 +93,7 @@
     void recordPeer(Peer peer, boolean peerReadsPlatform, int upstreamsListed) {
         long now = loop.nowMillis();
         readerSelection.recordHeartbeat(peer, peerReadsPlatform, now);
+        configurations.recordPeer(peer);
         boolean reliesOnReader = !mustReadPlatform();
         boolean isReader = reliesOnReader && readerSelection.reliesOn(heartbeats.peer(), peer, now);
         long reportDelayMillis = isReader ? 0 : PlatformReaderSelection.HEARTBEAT_MILLIS;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
@@ -27,9 +27,13 @@
         this.log = log;
     }
 
-    /** Sets the action after each change of the configuration. */
+    /** Adds an action after each change of the configuration. */
     void onInForce(Runnable action) {
-        onInForce = action;
+        Runnable previous = onInForce;
+        onInForce = () -> {
+            previous.run();
+            action.run();
+        };
     }
 
     /** Returns the configuration; {@code null} before the first. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -94,7 +94,7 @@
         listings.listener(action);
     }
 
-    /** Sets the action after each change of the configuration in force. */
+    /** Adds an action after each change of the configuration in force. */
     public void onConfigurationInForce(Runnable action) {
         configuration.onInForce(action);
     }
