Say how old a router's knowledge of the platform may be

The logs of the incident could not show since when a reader was unanswered: an open watch looks the same whether the platform is silent or has nothing new. Each response now dates the knowledge of a router, heartbeats pass the date on to those that know as much, and the gauge platform.age_millis shows it. The new line configuration_announced says how long after the first report of a peer a version came into force, and how old the knowledge was by then.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/peer/ConfigurationFetchPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/peer/ConfigurationFetchPolicy.java
@@ -91,6 +91,19 @@
         return claims.values().stream().anyMatch(claim -> claim.local() && claim.version() >= version);
     }
 
+    /**
+     * Returns when a peer first reported a version, or a newer one, that was not in force here.
+     *
+     * @param version the version
+     * @return the time, in milliseconds; empty if no peer reported it
+     */
+    public OptionalLong firstReportMillis(long version) {
+        return claims.values().stream()
+                .filter(claim -> claim.version() >= version)
+                .mapToLong(Claim::sinceMillis)
+                .min();
+    }
+
     /**
      * Returns when the next fetch is due.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.gossip;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
@@ -8,6 +9,7 @@
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
 
 /** Announces each configuration as soon as it is in force, and fetches one that peers have and this router lacks. */
@@ -21,6 +23,7 @@
     private final OutboundGossipStreams streams;
     private final HeartbeatSender heartbeats;
     private final BooleanSupplier followsPlatform;
+    private final DecisionLog log;
     private final ConfigurationFetchPolicy policy = new ConfigurationFetchPolicy();
     private final AnnouncementTargets targets = new AnnouncementTargets();
     private long timerDueMillis = Long.MAX_VALUE;
@@ -34,7 +37,8 @@
             DocumentExchange documents,
             OutboundGossipStreams streams,
             HeartbeatSender heartbeats,
-            BooleanSupplier followsPlatform) {
+            BooleanSupplier followsPlatform,
+            DecisionLog log) {
         this.loop = loop;
         this.handler = handler;
         this.state = state;
@@ -43,15 +47,26 @@
         this.streams = streams;
         this.heartbeats = heartbeats;
         this.followsPlatform = followsPlatform;
+        this.log = log;
         state.onConfigurationInForce(this::announce);
     }
 
     /** Announces the configuration that has just come into force. */
     private void announce() {
         long version = state.configurationVersion();
+        long now = loop.nowMillis();
         boolean first = !policy.isKnownLocally(version);
+        OptionalLong firstReport = policy.firstReportMillis(version);
         policy.inForce(version);
-        heartbeats.sendTo(targets.choose(heartbeats.peer(), peers.alive(loop.nowMillis()), first, version));
+        List<Peer> told = targets.choose(heartbeats.peer(), peers.alive(now), first, version);
+        heartbeats.sendTo(told);
+        log.line("configuration_announced")
+                .put("version", version)
+                .put("first_in_data_centre", first)
+                .put("told", told.size())
+                .put("behind_millis", firstReport.isPresent() ? now - firstReport.getAsLong() : 0)
+                .put("platform_age_millis", state.freshness().ageMillis(now))
+                .write();
     }
 
     /** Records which configuration a peer has, and fetches it when that is due. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -129,7 +129,7 @@
         upstreams.suspects().sendThrough(heartbeats);
         limitPeers.sendThrough(heartbeats, port);
         platformGossip = new PlatformGossip(
-                loop, this, state, peers, documents, streams, heartbeats, readsPlatform, this::knownRouters);
+                loop, this, state, peers, documents, streams, heartbeats, readsPlatform, this::knownRouters, log);
         sendHeartbeats();
         loop.scheduleWithFixedDelay(PlatformReaderSelection.HEARTBEAT_MILLIS, platformGossip::sendHeartbeats);
     }
@@ -243,7 +243,7 @@
             removeProcess(previous, now);
         }
         heartbeat.getPeerAddressesList().forEach(address -> peers.addAddress(Address.parse(address)));
-        platformGossip.recordPeer(peer, heartbeat.getReadsPlatform(), heartbeat.getUpstreamsListed());
+        platformGossip.recordPeer(peer, heartbeat);
         limitPeers.silentHostsReported(process.host(), heartbeat.getSilentHostsList());
         heartbeats.openTo(peer);
         if (isNew && heartbeat.getPeerAddressesCount() < MIN_ADDRESSES_TO_SKIP_INTRODUCTION) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OwnHeartbeat.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OwnHeartbeat.java
@@ -130,7 +130,8 @@
     private EncodedFrame frame(boolean takesCallers, long nextMillis, List<Address> addresses) {
         Heartbeat.Builder heartbeat = GossipMessages.heartbeat(peer(takesCallers, nextMillis))
                 .setReadsPlatform(readsPlatform.getAsBoolean())
-                .setUpstreamsListed(state.upstreamsListed());
+                .setUpstreamsListed(state.upstreamsListed())
+                .setPlatformAgeMillis((int) (state.freshness().ageMillis(loop.nowMillis()) + 1));
         if (takesCallers) {
             peers.suspectedHosts(MAX_SILENT_HOSTS, loop.nowMillis())
                     .forEach(host -> heartbeat.addSilentHosts(host.value()));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
@@ -9,7 +9,9 @@
 import org.apricotstack.core.peer.PeerTable;
 import org.apricotstack.core.peer.PlatformReaderSelection;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.wire.news.Heartbeat;
 
 /** Shares the published state among the routers of a data centre, of which one follows the platform. */
 final class PlatformGossip {
@@ -44,7 +46,8 @@
             OutboundGossipStreams streams,
             HeartbeatSender heartbeats,
             BooleanSupplier readsPlatform,
-            IntSupplier knownRouters) {
+            IntSupplier knownRouters,
+            DecisionLog log) {
         this.loop = loop;
         this.handler = handler;
         this.state = state;
@@ -54,7 +57,7 @@
         this.readsPlatform = readsPlatform;
         this.knownRouters = knownRouters;
         this.configurations = new ConfigurationSpread(
-                loop, handler, state, peers, documents, streams, heartbeats, this::mustReadPlatform);
+                loop, handler, state, peers, documents, streams, heartbeats, this::mustReadPlatform, log);
     }
 
     /** Returns whether the fleet is so large that its routers share the published state. */
@@ -90,9 +93,10 @@
      * Records which versions a peer knows and whether it follows the platform, and fetches documents from it if it
      * knows more than the platform, or the platform reader of this data centre, has reported to this router.
      */
-    void recordPeer(Peer peer, boolean peerReadsPlatform, int upstreamsListed) {
+    void recordPeer(Peer peer, Heartbeat heartbeat) {
         long now = loop.nowMillis();
-        readerSelection.recordHeartbeat(peer, peerReadsPlatform, now);
+        readerSelection.recordHeartbeat(peer, heartbeat.getReadsPlatform(), now);
+        recordFreshness(peer, heartbeat.getPlatformAgeMillis() - 1, now);
         configurations.recordPeer(peer);
         boolean reliesOnReader = !mustReadPlatform();
         boolean isReader = reliesOnReader && readerSelection.reliesOn(heartbeats.peer(), peer, now);
@@ -100,8 +104,17 @@
         long coalesceMillis = isShared() && !heartbeats.takesCallers() ? STANDBY_COALESCE_MILLIS : 0;
         boolean behind = documents.shouldFetch(
                 peer, coalesceMillis + (reliesOnReader ? reportDelayMillis : PeerFetchPolicy.PLATFORM_GRACE_MILLIS));
-        if (behind || isReader && documents.hasDifferentUpstreams(peer, upstreamsListed)) {
+        if (behind || isReader && documents.hasDifferentUpstreams(peer, heartbeat.getUpstreamsListed())) {
             documents.fetch(peer, streams.open(peer.peerAddress(), handler), heartbeats.greeting());
         }
     }
+
+    /** Records that this router knows all that a peer knows, which knew everything some time ago. */
+    private void recordFreshness(Peer peer, long ageMillis, long nowMillis) {
+        if (ageMillis >= 0
+                && peer.configurationVersion() <= state.configurationVersion()
+                && peer.upstreamsRevision() <= state.upstreamsRevision()) {
+            state.freshness().verified(nowMillis - ageMillis);
+        }
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -74,6 +74,7 @@
     private boolean idle;
     private long restartedMillis = Long.MIN_VALUE / 2;
     private long currentCallId;
+    private long callStartedMillis;
     private long historyChanges;
     private long calls;
     private long faults;
@@ -120,6 +121,7 @@
             return;
         }
         calls++;
+        callStartedMillis = loop.nowMillis();
         call.update(
                 readAll
                         ? source.readAll().subscribe(all -> onSnapshot(callId, all), error -> onFailure(callId, error))
@@ -157,6 +159,7 @@
                 .forEach(document -> state.apply(document, "platform"));
         state.evacuations().applySnapshot(evacuations, all.revision(), "platform", now);
         state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
+        state.freshness().verified(callStartedMillis);
         startCall();
     }
 
@@ -183,6 +186,8 @@
                         .put("revision", Revisions.text(changes.revision()))
                         .write();
                 readAll = true;
+            } else {
+                state.freshness().verified(loop.nowMillis());
             }
             known = lastReported;
         }
@@ -328,6 +333,15 @@
         return Revisions.history(known);
     }
 
+    /**
+     * Returns how old the knowledge of this router may be.
+     *
+     * @return time since which something unknown may have been published, in milliseconds; -1 if nothing is known
+     */
+    public long ageMillis() {
+        return state.freshness().ageMillis(loop.nowMillis());
+    }
+
     /**
      * Returns the number of failed calls.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -19,6 +19,7 @@
     public static void register(ServingMetrics metrics, PublicationFollower follower, PublishedState state) {
         metrics.gauge("platform.calls", follower::calls);
         metrics.gauge("platform.faults", follower::faults);
+        metrics.gauge("platform.age_millis", follower::ageMillis);
         metrics.gauge("platform.history", follower::history);
         metrics.gauge("platform.histories_begun", follower::historyChanges);
         metrics.gauge("platform.followed", () -> follower.isFollowing() ? 1 : 0);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -2,16 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.peer.PlatformFreshness;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.upstream.OutlierDetector;
 import org.apricotstack.core.upstream.Revisions;
@@ -35,7 +34,8 @@
     private final OutlierDetector outlierDetector;
     private final EngineLoadTable loadTable;
     private final ListingNotifier listings;
-    private final Map<UpstreamId, Publication> upstreamDocuments = new HashMap<>();
+    private final UpstreamDocuments upstreamDocuments = new UpstreamDocuments();
+    private final PlatformFreshness freshness = new PlatformFreshness();
     private final RejectedDocuments rejected;
     private Consumer<UpstreamEntry> onUpstreamRemoved = ended -> {};
     private Consumer<UpstreamId> onDrainEnded = upstream -> {};
@@ -150,7 +150,7 @@
      * @return the documents
      */
     public List<Publication> upstreamDocuments() {
-        return List.copyOf(upstreamDocuments.values());
+        return upstreamDocuments.all();
     }
 
     /**
@@ -171,6 +171,15 @@
         return evacuations;
     }
 
+    /**
+     * Returns how old this knowledge may be.
+     *
+     * @return the time up to which everything that was published is known
+     */
+    public PlatformFreshness freshness() {
+        return freshness;
+    }
+
     /**
      * Returns the number of documents that could not be decoded.
      *
@@ -222,7 +231,7 @@
         UpstreamEntry entry = reader.upstream(document);
         rejected.accepted(document.upstream());
         if (upstreams.put(entry)) {
-            upstreamDocuments.put(document.upstream(), document);
+            upstreamDocuments.put(document);
             log.line("upstream_listed")
                     .put("upstream", entry.id().value())
                     .put("incarnation", entry.id().incarnation())
@@ -290,7 +299,7 @@
             }
         }
         upstreams.replaceAll(entries, revision, nowMillis);
-        documents.forEach(this::keepDocumentIfListed);
+        documents.forEach(document -> upstreamDocuments.putIfSource(document, upstreams.listed(document.upstream())));
         upstreamsKnown = true;
         handleRemovedUpstreams(source);
         log.line("upstreams_read")
@@ -300,14 +309,6 @@
                 .write();
     }
 
-    /** Keeps a document for other routers if the listed entry was decoded from it. */
-    private void keepDocumentIfListed(Publication document) {
-        UpstreamEntry listed = upstreams.listed(document.upstream());
-        if (listed != null && listed.revision() == document.revision()) {
-            upstreamDocuments.put(document.upstream(), document);
-        }
-    }
-
     /**
      * Applies changes to the list of upstreams; upstreams that are not named are removed.
      *
