Check the platform once a second, so that a silent watch no longer hides changes

Callers saw a request run under a key that had been taken away 3.3 s before, at a router that knew of no newer configuration; nor did any other. The platform had fallen silent to the readers of all three data centres. Class of the fault: a fixed time without evidence, here the 2.5 to 4.0 s of a watch and 1.0 s more, counted as knowledge; the number of watches that could end it earlier had shrunk with the fleet's readers from all routers to three.

Now each response dates the knowledge of a router, and heartbeats pass the date on. Once it is 1.0 s old, the first router of a fixed order reads the configuration and the platform's revision; while it has not announced a success, the next one follows 0.1 s later, first one of each data centre, then the second ones, nine in all. A revision that the own watch has not reported 0.3 s later is read in full. A router that was frozen checks at once, also if it only relies on a reader.

Ruled out: shorter watches, which cost a call a second for each reader and leave all readers silent at once; a second reader in each data centre, which doubles the calls of each change.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -135,8 +135,7 @@
                 log);
         connections = new UpstreamConnections(loop, links.opener(), links.table());
         HttpCalls calls = new HttpCalls(loop, connections);
-        follower = new PublicationFollower(
-                loop, ports.source().apply(calls), state, log, random, this::platformReaders, this::mustReadPlatform);
+        follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
         suspects = new SuspectTable(options.identity().process(), new CauseLog(loop, log));
         hub = new GossipHub(
                 loop,
@@ -241,7 +240,7 @@
         heartbeatPort = new HeartbeatPort(loop, identity.peerAddress());
         addSeedAddresses(options.seeds());
         loop.execute(() -> {
-            follower.start();
+            follower.start(hub);
             hub.start(identity, heartbeatPort);
             loop.scheduleWithFixedDelay(SWEEP_INTERVAL_MILLIS, this::sweep);
             new StallWatch(loop, stalls, metrics, log, follower::resync).start();
@@ -254,16 +253,6 @@
         return fleetSize.share(options.retrySlack(), loop.nowMillis());
     }
 
-    /** Returns the approximate number of routers that follow the platform at the same time. */
-    private int platformReaders() {
-        return hub.platformReaders();
-    }
-
-    /** Returns whether this router has to follow the platform itself. */
-    private boolean mustReadPlatform() {
-        return hub.mustReadPlatform();
-    }
-
     /** Closes connections to an upstream that was removed or restarted, and ends attempts at a restarted one. */
     private void onUpstreamRemoved(UpstreamEntry entry) {
         connections.closeIdleTo(entry.address());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -21,6 +21,7 @@
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublishedState;
+import org.apricotstack.serving.publication.ReaderDuty;
 import org.apricotstack.serving.run.PlacementGossip;
 import org.apricotstack.wire.news.DocumentRequest;
 import org.apricotstack.wire.news.Heartbeat;
@@ -28,7 +29,7 @@
 import org.apricotstack.wire.news.NewsReply;
 
 /** Sends this router's state updates to all others and applies theirs. */
-public final class GossipHub implements GossipHandler, PlacementGossip, AutoCloseable {
+public final class GossipHub implements GossipHandler, PlacementGossip, ReaderDuty, AutoCloseable {
 
     /** A router whose first heartbeat has fewer addresses is sent more; more than there are seeds. */
     private static final int MIN_ADDRESSES_TO_SKIP_INTRODUCTION = 5;
@@ -139,24 +140,28 @@
         platformGossip.reportChanges();
     }
 
-    /**
-     * Returns the approximate number of routers that follow the platform at the same time.
-     *
-     * @return all of a small fleet, one of each data centre of a large one
-     */
+    @Override
     public int platformReaders() {
         return platformGossip == null ? 1 : platformGossip.readers();
     }
 
-    /**
-     * Returns whether this router has to follow the platform itself.
-     *
-     * @return whether the fleet is small, or no other router of this data centre does so for it
-     */
+    @Override
     public boolean mustReadPlatform() {
         return platformGossip == null || platformGossip.mustReadPlatform();
     }
 
+    @Override
+    public long checkAgeMillis() {
+        return platformGossip == null ? Long.MAX_VALUE : platformGossip.checkAgeMillis();
+    }
+
+    @Override
+    public void announceVerified() {
+        if (platformGossip != null) {
+            platformGossip.announceVerified();
+        }
+    }
+
     /** Schedules the next round of heartbeats, which follows also if this one fails, and sends those of this round. */
     private void sendHeartbeats() {
         if (closed) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
@@ -7,6 +7,7 @@
 import org.apricotstack.core.peer.Peer;
 import org.apricotstack.core.peer.PeerFetchPolicy;
 import org.apricotstack.core.peer.PeerTable;
+import org.apricotstack.core.peer.PlatformCheckers;
 import org.apricotstack.core.peer.PlatformReaderSelection;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -33,6 +34,8 @@
     private final BooleanSupplier readsPlatform;
     private final IntSupplier knownRouters;
     private final ConfigurationSpread configurations;
+    private final PeerTable peers;
+    private final PlatformCheckers checkers = new PlatformCheckers();
     private final PlatformReaderSelection readerSelection = new PlatformReaderSelection();
     private final ReportedPlatformState reported = new ReportedPlatformState();
 
@@ -56,6 +59,7 @@
         this.heartbeats = heartbeats;
         this.readsPlatform = readsPlatform;
         this.knownRouters = knownRouters;
+        this.peers = peers;
         this.configurations = new ConfigurationSpread(
                 loop, handler, state, peers, documents, streams, heartbeats, this::mustReadPlatform, log);
     }
@@ -89,6 +93,19 @@
         return !isShared() || readerSelection.mustReadPlatform(heartbeats.peer(), loop.nowMillis());
     }
 
+    /** Returns at which age of its knowledge this router checks the platform. */
+    long checkAgeMillis() {
+        return checkers.checkAgeMillis(heartbeats.peer(), peers.alive(loop.nowMillis()));
+    }
+
+    /** Announces to the routers that would check next that this router has just verified its knowledge. */
+    void announceVerified() {
+        Peer own = heartbeats.peer();
+        heartbeats.sendTo(checkers.order(own, peers.alive(loop.nowMillis())).stream()
+                .filter(peer -> !peer.process().equals(own.process()))
+                .toList());
+    }
+
     /**
      * Records which versions a peer knows and whether it follows the platform, and fetches documents from it if it
      * knows more than the platform, or the platform reader of this data centre, has reported to this router.
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -1,8 +1,6 @@
 package org.apricotstack.serving.publication;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotstack.core.upstream.Revisions;
@@ -62,9 +60,9 @@
     private final PublishedState state;
     private final DecisionLog log;
     private final UniformRandomProvider random;
-    private final IntSupplier followingRouters;
-    private final BooleanSupplier mustFollow;
+    private final PlatformVerifier verifier;
     private final Disposable.Swap call = Disposables.swap();
+    private ReaderDuty duty;
     private long known;
     private boolean readAll = true;
     private boolean afterChange;
@@ -87,36 +85,42 @@
      * @param state receives what is read
      * @param log receives losses and recoveries of the platform
      * @param random jitter for the calls
-     * @param followingRouters number of routers that follow the platform at the same time
-     * @param mustFollow whether this router has to follow the platform, rather than learn of changes from a peer
      */
     public PublicationFollower(
             ServingLoop loop,
             PublicationSource source,
             PublishedState state,
             DecisionLog log,
-            UniformRandomProvider random,
-            IntSupplier followingRouters,
-            BooleanSupplier mustFollow) {
+            UniformRandomProvider random) {
         this.loop = loop;
         this.source = source;
         this.state = state;
         this.log = log;
         this.random = random;
-        this.followingRouters = followingRouters;
-        this.mustFollow = mustFollow;
+        this.verifier = new PlatformVerifier(loop, source, state, this, log);
         this.lastAnswerMillis = loop.nowMillis();
     }
 
-    /** Starts following the platform. */
-    public void start() {
+    /**
+     * Starts following the platform.
+     *
+     * @param readerDuty what this router has to do at the platform
+     */
+    public void start(ReaderDuty readerDuty) {
+        duty = readerDuty;
         startCall();
+        verifier.start(readerDuty);
     }
 
     /** Starts the next call, or none while a peer reports the platform's changes to this router. */
     private void startCall() {
+        startCall(false);
+    }
+
+    /** Starts the next call, or none while a peer reports the platform's changes and the call is not forced. */
+    private void startCall(boolean forced) {
         long callId = ++currentCallId;
-        idle = known > 0 && !mustFollow.getAsBoolean();
+        idle = !forced && known > 0 && !duty.mustReadPlatform();
         if (idle) {
             return;
         }
@@ -135,7 +139,7 @@
             afterChange = false;
             return MAX_WAIT_AFTER_CHANGE_MILLIS / 4 + random.nextLong(MAX_WAIT_AFTER_CHANGE_MILLIS * 3 / 4);
         }
-        long added = Math.min(MAX_ADDED_WAIT_MILLIS, ADDED_WAIT_MILLIS_PER_ROUTER * followingRouters.getAsInt());
+        long added = Math.min(MAX_ADDED_WAIT_MILLIS, ADDED_WAIT_MILLIS_PER_ROUTER * duty.platformReaders());
         return MIN_WAIT_MILLIS + random.nextLong(Math.max(1, added));
     }
 
@@ -159,7 +163,7 @@
                 .forEach(document -> state.apply(document, "platform"));
         state.evacuations().applySnapshot(evacuations, all.revision(), "platform", now);
         state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
-        state.freshness().verified(callStartedMillis);
+        verifier.verified(callStartedMillis);
         startCall();
     }
 
@@ -187,7 +191,7 @@
                         .write();
                 readAll = true;
             } else {
-                state.freshness().verified(loop.nowMillis());
+                verifier.verified(loop.nowMillis());
             }
             known = lastReported;
         }
@@ -263,7 +267,7 @@
 
     /** Starts following again if this router has to; called several times a second. */
     public void resumeIfNeeded() {
-        if (idle && mustFollow.getAsBoolean()) {
+        if (idle && duty.mustReadPlatform()) {
             // This router made no calls meanwhile, so the time without a response is no outage.
             lastAnswerMillis = loop.nowMillis();
             startCall();
@@ -291,10 +295,25 @@
         }
     }
 
-    /** Reads a full snapshot again, because this process was stalled and may have missed changes. */
+    /** Looks for changes that were missed because this process was stalled. */
     public void resync() {
+        if (idle) {
+            verifier.check();
+        } else {
+            readNow();
+        }
+    }
+
+    /** Reads a full snapshot, also if a peer reports the platform's changes to this router. */
+    void readNow() {
         readAll = true;
-        startCall();
+        startCall(true);
+    }
+
+    /** Returns whether all changes up to a revision are known here, from the platform or from peers. */
+    boolean knows(long revision) {
+        long fromPeers = Math.max(state.configurationRevision(), state.upstreamsRevision());
+        return revision <= (isFollowing() ? known : Math.max(known, fromPeers));
     }
 
     /**
@@ -333,6 +352,33 @@
         return Revisions.history(known);
     }
 
+    /**
+     * Returns the number of checks for changes that no watch reported.
+     *
+     * @return checks since the start
+     */
+    public long checks() {
+        return verifier.checks();
+    }
+
+    /**
+     * Returns the number of checks that failed.
+     *
+     * @return checks since the start
+     */
+    public long failedChecks() {
+        return verifier.failedChecks();
+    }
+
+    /**
+     * Returns how often a check found a change that no watch had reported.
+     *
+     * @return changes since the start
+     */
+    public long missedChanges() {
+        return verifier.missedChanges();
+    }
+
     /**
      * Returns how old the knowledge of this router may be.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -19,6 +19,9 @@
     public static void register(ServingMetrics metrics, PublicationFollower follower, PublishedState state) {
         metrics.gauge("platform.calls", follower::calls);
         metrics.gauge("platform.faults", follower::faults);
+        metrics.gauge("platform.checks", follower::checks);
+        metrics.gauge("platform.checks_failed", follower::failedChecks);
+        metrics.gauge("platform.changes_missed", follower::missedChanges);
         metrics.gauge("platform.age_millis", follower::ageMillis);
         metrics.gauge("platform.history", follower::history);
         metrics.gauge("platform.histories_begun", follower::historyChanges);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.publication;
 
 import java.util.List;
+import java.util.Optional;
 
 import reactor.core.publisher.Mono;
 
@@ -13,6 +14,9 @@
     /** Timeout of a read, in milliseconds; a slow platform takes 0.2 s, a large configuration a little more. */
     long READ_TIMEOUT_MILLIS = 1_500;
 
+    /** Timeout of a check, in milliseconds; twice the response time of a slow platform. */
+    long CHECK_TIMEOUT_MILLIS = 400;
+
     /** Added to the time that the platform is asked to wait, in milliseconds, for the timeout of a watch. */
     long WATCH_TIMEOUT_MARGIN_MILLIS = 1_000;
 
@@ -34,6 +38,21 @@
      */
     record Changes(long revision, List<Publication> documents, boolean resyncRequired) {}
 
+    /**
+     * The configuration as of one moment.
+     *
+     * @param revision the platform's revision, which counts changes of all documents
+     * @param configuration the configuration, if there is one
+     */
+    record Check(long revision, Optional<Publication> configuration) {}
+
+    /**
+     * Reads the configuration and the platform's revision, with a short timeout.
+     *
+     * @return the state at the time of the response
+     */
+    Mono<Check> check();
+
     /**
      * Reads all published documents.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -150,6 +150,18 @@
             this.loop = loop;
         }
 
+        @Override
+        public Mono<Check> check() {
+            return call(
+                    ROUND_TRIP_MILLIS,
+                    CHECK_TIMEOUT_MILLIS,
+                    () -> new Check(
+                            revision,
+                            documents.stream()
+                                    .filter(Publication::isConfiguration)
+                                    .findFirst()));
+        }
+
         @Override
         public Mono<Snapshot> readAll() {
             return call(
