Run no request whose caller has left before it was read

After an overloaded or frozen router came back, it read the requests of callers that had given up meanwhile and sent each to an upstream, reserved memory for it or asked for a permit, before it read the close behind the request. The work began later than half a second after the close had reached the router.

Now a connection is read until nothing is left, and a request starts only after that, if its connection is still open. This is the stage before a run exists, where no line of a request could show the work; found by reading, not shown to be the cause of the users' GONE.

Pipelined requests of a caller that stays run as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -1,8 +1,6 @@
 package org.apricotstack.serving.http;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -20,11 +18,8 @@
 /** A connection from a caller; handles its requests one after the other. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Messages of pipelined requests that are buffered while a response is due; reading pauses beyond that. */
-    private static final int MAX_PENDING_MESSAGES = 32;
-
     private final CallerServer server;
-    private final Deque<Object> pendingMessages = new ArrayDeque<>();
+    private final PipelinedMessages pendingMessages = new PipelinedMessages();
     private final RequestBody body = new RequestBody();
     private final CloseReporter reporter;
     private final ReceiveTimer timer;
@@ -69,10 +64,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (exchange != null && bodyComplete) {
-            pendingMessages.addLast(message);
-            if (pendingMessages.size() > MAX_PENDING_MESSAGES) {
-                ctx.channel().config().setAutoRead(false);
-            }
+            pendingMessages.add(message, ctx.channel());
             return;
         }
         process(message);
@@ -119,9 +111,7 @@
         }
     }
 
-    /**
-     * Rejects a malformed request and closes the connection, as the start of a next request cannot be found reliably.
-     */
+    /** Rejects a malformed request and closes the connection, as the next request cannot be found reliably. */
     private void refuse(BadRequestException malformed) {
         server.countMalformed();
         refuseAndClose(HttpResponseStatus.valueOf(malformed.status()), malformed.getMessage());
@@ -178,11 +168,24 @@
             if (exchange.ended()) {
                 next(closing);
             } else {
-                listener.body(body.take());
+                runAfterRead(exchange);
             }
         }
     }
 
+    /** Runs a request once all is read that arrived with it, which may be the close of a caller that has left. */
+    private void runAfterRead(CallerExchange arrived) {
+        context.executor().execute(() -> {
+            try {
+                if (arrived == exchange && context.channel().isActive()) {
+                    listener.body(body.take());
+                }
+            } catch (RuntimeException e) {
+                handlerFailed(arrived, e);
+            }
+        });
+    }
+
     /** Rejects a body that is too long or malformed; a response that was sent before it is not cut. */
     private void refuseBody(BadRequestException malformed) {
         if (exchange.ended()) {
@@ -219,7 +222,7 @@
         }
         context.channel().config().setAutoRead(true);
         while (!pendingMessages.isEmpty() && (exchange == null || !bodyComplete)) {
-            process(pendingMessages.pollFirst());
+            process(pendingMessages.poll());
         }
         if (exchange == null && server.closesIdle()) {
             closeIfIdle();
@@ -364,9 +367,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
-        while (!pendingMessages.isEmpty()) {
-            ReferenceCountUtil.release(pendingMessages.pollFirst());
-        }
+        pendingMessages.release();
         callerDisconnected();
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -39,6 +40,9 @@
     /** Bytes of a request line or headers that are decoded at least; {@link RequestHeadCheck} applies the limits. */
     private static final int DECODED_HEADER_BYTES = 64 * 1024;
 
+    /** Number of reads from a connection before others get their turn. */
+    private static final int MAX_READS_PER_TURN = 16;
+
     private final ServingLoop loop;
     private final CallerProtocol protocol;
     private final CallerHandler handler;
@@ -109,6 +113,12 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
+                // Reads until nothing is left, so that the close of a caller is read together with its request.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS_PER_TURN))
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNREAD_BYTES / 2, MAX_UNREAD_BYTES))
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/RawConnection.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/RawConnection.java
@@ -11,6 +11,7 @@
 final class RawConnection implements AutoCloseable {
 
     private static final int WAIT_TIMEOUT_MILLIS = 15_000;
+    private static final int LINGER_SECONDS = 10;
     private static final String LENGTH = "content-length: ";
 
     private final Socket socket;
@@ -53,6 +54,18 @@
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
     }
 
+    /** Closes the connection, and returns once the other side's system has received the close. */
+    void closeAndAwaitReceipt() throws IOException {
+        socket.setSoLinger(true, LINGER_SECONDS);
+        socket.close();
+    }
+
+    /** Resets the connection. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
