--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/ConfigurationSpreadInTimeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/ConfigurationSpreadInTimeTest.java
@@ -1,11 +1,16 @@
 package org.apricotstack.serving.gossip;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
 import org.apricotstack.core.peer.PlatformCheckers;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,6 +40,12 @@
     /** Number of routers above which heartbeats are so rare that the fleet settles later. */
     private static final int LARGE = 100;
 
+    /** Size of the fleet that suffers losses of all kinds, and how many. */
+    private static final int MIXED_ROUTERS = 20;
+
+    private static final int MIXED_STEPS = 30;
+    private static final int MIXED_STEP_MILLIS = 1_500;
+
     private static final int READERS = 3;
     private static final long FROZEN_MILLIS = 3_000;
     private static final long CALM_MILLIS = 20_000;
@@ -108,6 +119,40 @@
         }
     }
 
+    /** Guards against a router that returns to an older configuration, or keeps one, after losses of all kinds. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void neverGoesBackAndConvergesWhateverIsLostFrozenOrSilent(long seed) {
+        UniformRandomProvider random = new SplitMix64(seed);
+        try (VirtualFleet fleet = settled(MIXED_ROUTERS, seed)) {
+            Map<VirtualFleet.Router, Long> newest = new HashMap<>();
+            long version = 1;
+            for (int step = 0; step < MIXED_STEPS; step++) {
+                List<VirtualFleet.Router> some = new ArrayList<>(fleet.routers());
+                some.removeIf(router -> random.nextDouble() < 0.7);
+                switch (random.nextInt(5)) {
+                    case 0 -> some.forEach(fleet.platform()::silence);
+                    case 1 -> fleet.platform().answerAll();
+                    case 2 -> fleet.stop(some);
+                    case 3 -> fleet.resume(fleet.routers());
+                    default -> fleet.lose(random.nextDouble() / 2);
+                }
+                version++;
+                fleet.platform().publish(version);
+                fleet.advance(random.nextInt(MIXED_STEP_MILLIS));
+                for (VirtualFleet.Router router : fleet.routers()) {
+                    long now = router.configurationVersion();
+                    assertThat(now).isGreaterThanOrEqualTo(newest.getOrDefault(router, 0L));
+                    newest.put(router, now);
+                }
+            }
+            fleet.platform().answerAll();
+            fleet.resume(fleet.routers());
+            fleet.lose(0);
+            assertThat(fleet.millisUntilInForce(version, PATIENCE_MILLIS)).isLessThan(PUBLICATION_BOUND_MILLIS);
+        }
+    }
+
     /** The price of the checks: while watches are silent, one call a second for the whole fleet. */
     @ParameterizedTest
     @CsvSource({"58, 1", "83, 1"})
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
@@ -206,8 +206,8 @@
             });
         }
 
-        DataCentreId dataCentre() {
-            return identity.dataCentre();
+        long configurationVersion() {
+            return state.configurationVersion();
         }
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -88,6 +88,11 @@
         silentTo.add(router);
     }
 
+    /** Answers all routers again. */
+    void answerAll() {
+        silentTo.clear();
+    }
+
     long calls() {
         return calls;
     }
