Read everything when a check finds a configuration that may not be the only change

Now the question is asked before the configuration is applied. The test fails without this at 58 and 83 routers.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PlatformVerifier.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PlatformVerifier.java
@@ -90,21 +90,27 @@
     private void onCheck(Check check, long sentMillis) {
         checking = false;
         backOffMillis = PlatformCheckers.CHECK_AGE_MILLIS;
+        // Asked first, as the configuration alone does not show that older changes of upstreams are known.
+        boolean known = follower.knows(check.revision());
         check.configuration().ifPresent(document -> state.apply(document, "platform_check"));
-        if (follower.knows(check.revision())) {
+        if (known) {
             verified(sentMillis);
         } else if (follower.isFollowing()) {
             loop.schedule(WATCH_GRACE_MILLIS, () -> readIfStillUnknown(check.revision()));
         } else {
-            readIfStillUnknown(check.revision());
+            readMissedChanges(check.revision());
         }
     }
 
     /** Reads everything if a change is still unknown that a check has found. */
     private void readIfStillUnknown(long revision) {
-        if (follower.knows(revision)) {
-            return;
+        if (!follower.knows(revision)) {
+            readMissedChanges(revision);
         }
+    }
+
+    /** Reads everything, as a check has found a change that is unknown here. */
+    private void readMissedChanges(long revision) {
         missedChanges++;
         log.line("platform_check_found")
                 .put("revision", Revisions.text(revision))
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/ConfigurationSpreadInTimeTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/ConfigurationSpreadInTimeTest.java
@@ -153,6 +153,22 @@
         }
     }
 
+    /** Guards against a checker that takes a newer configuration as evidence that it knows the upstreams too. */
+    @ParameterizedTest
+    @CsvSource({"58, 1", "58, 2", "83, 1"})
+    void learnsOfAnUpstreamThatWasPublishedBeforeAConfigurationWhileThePlatformIsSilentToItsReaders(
+            int routers, long seed) {
+        try (VirtualFleet fleet = settled(routers, seed)) {
+            readersAndOthers(fleet, READERS, 0).forEach(fleet.platform()::silence);
+            fleet.platform().publishUpstream("second");
+            fleet.platform().publish(2);
+            fleet.advance(PUBLICATION_BOUND_MILLIS);
+            assertThat(fleet.routers())
+                    .filteredOn(router -> router.upstreamsListed() == 2)
+                    .isNotEmpty();
+        }
+    }
+
     /** The price of the checks: while watches are silent, one call a second for the whole fleet. */
     @ParameterizedTest
     @CsvSource({"58, 1", "83, 1"})
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
@@ -206,6 +206,10 @@
             });
         }
 
+        int upstreamsListed() {
+            return state.upstreamsListed();
+        }
+
         long configurationVersion() {
             return state.configurationVersion();
         }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -83,6 +83,13 @@
         List.copyOf(watches).forEach(Watch::answerIfChanged);
     }
 
+    /** Publishes another upstream and answers the open watches. */
+    void publishUpstream(String name) {
+        documents.add(new Publication(new UpstreamId(name), ++revision, new byte[0], false));
+        watches.removeIf(Watch::isEnded);
+        List.copyOf(watches).forEach(Watch::answerIfChanged);
+    }
+
     /** Stops answering a router, also the calls that it has open. */
     void silence(Object router) {
         silentTo.add(router);
