Let the test of announcements fail without them

AnnouncementTargetsTest compared with the constants of the class under test, so no announcements to other data centres (REMOTE_FAN_OUT of 0) would have passed every test. Change: the expected numbers stand in the test; its names, and the field of the log line configuration_announced, use plain terms.

--- a/apricotstack-core/src/test/java/org/apricotstack/core/peer/AnnouncementTargetsTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/peer/AnnouncementTargetsTest.java
@@ -46,26 +46,26 @@
     }
 
     @Test
-    void tellsItsWholeDataCentreAndSomeOfEachOtherIfItIsTheFirst() {
-        List<Peer> told = targets.choose(own, others, true, 2);
-        assertThat(count(told, "east")).isEqualTo(ROUTERS_PER_DATA_CENTRE);
-        assertThat(count(told, "west")).isEqualTo(AnnouncementTargets.REMOTE_FAN_OUT);
-        assertThat(count(told, "south")).isEqualTo(AnnouncementTargets.REMOTE_FAN_OUT);
+    void choosesItsWholeDataCentreAndTwoOfEachOtherForTheFirstRouter() {
+        List<Peer> chosen = targets.choose(own, others, true, 2);
+        assertThat(count(chosen, "east")).isEqualTo(ROUTERS_PER_DATA_CENTRE);
+        assertThat(count(chosen, "west")).isEqualTo(2);
+        assertThat(count(chosen, "south")).isEqualTo(2);
     }
 
     @Test
-    void tellsAFewOfItsDataCentreIfAnotherRouterToldItsDataCentre() {
-        List<Peer> told = targets.choose(own, others, false, 2);
-        assertThat(told).hasSize(AnnouncementTargets.FAN_OUT);
-        assertThat(count(told, "east")).isEqualTo(AnnouncementTargets.FAN_OUT);
+    void choosesTwoOfItsDataCentreForEachFurtherRouter() {
+        List<Peer> chosen = targets.choose(own, others, false, 2);
+        assertThat(chosen).hasSize(2);
+        assertThat(count(chosen, "east")).isEqualTo(2);
     }
 
     @Test
-    void tellsOtherRoutersOfEachVersion() {
-        Set<Peer> told = new HashSet<>();
+    void choosesOtherRoutersForEachVersion() {
+        Set<Peer> chosen = new HashSet<>();
         for (int version = 2; version < 30; version++) {
-            told.addAll(targets.choose(own, others, false, version));
+            chosen.addAll(targets.choose(own, others, false, version));
         }
-        assertThat(told).hasSize(ROUTERS_PER_DATA_CENTRE);
+        assertThat(chosen).hasSize(ROUTERS_PER_DATA_CENTRE);
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
@@ -58,12 +58,12 @@
         boolean first = !policy.isKnownLocally(version);
         OptionalLong firstReport = policy.firstReportMillis(version);
         policy.inForce(version);
-        List<Peer> told = targets.choose(heartbeats.peer(), peers.alive(now), first, version);
-        heartbeats.sendTo(told);
+        List<Peer> receivers = targets.choose(heartbeats.peer(), peers.alive(now), first, version);
+        heartbeats.sendTo(receivers);
         log.line("configuration_announced")
                 .put("version", version)
                 .put("first_in_data_centre", first)
-                .put("told", told.size())
+                .put("receivers", receivers.size())
                 .put("behind_millis", firstReport.isPresent() ? now - firstReport.getAsLong() : 0)
                 .put("platform_age_millis", state.freshness().ageMillis(now))
                 .write();
