Reject one document for whatever its decoder throws

What was seen: one entry nested 600 deep took the list of upstreams from every router. Its decoder threw a StackOverflowError, and PublishedState caught only ApricotException, so any other exception or error of a decoder ended the whole list, at each read again.

RejectingDecoder wraps the decoder of the platform and turns any exception or error into the ApricotException that PublishedState and CurrentConfiguration already handle: the document is rejected, counted and logged with its key and cause (at most 200 characters), the others of the list are applied, and the configuration in force stays. An OutOfMemoryError rejects the document too: ending the process for it would end every router at each start for as long as the document stands.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -56,14 +56,14 @@
             OutlierDetector outlierDetector,
             EngineLoadTable loadTable,
             DecisionLog log) {
-        this.reader = reader;
+        this.reader = new RejectingDecoder(reader);
         this.upstreams = upstreams;
         this.outlierDetector = outlierDetector;
         this.loadTable = loadTable;
         this.log = log;
         this.evacuations = new PublishedEvacuations(upstreams, log);
         this.listings = new ListingNotifier(upstreams);
-        this.configuration = new CurrentConfiguration(reader, log);
+        this.configuration = new CurrentConfiguration(this.reader, log);
         this.rejected = new RejectedDocuments(log);
     }
 
