--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -20,6 +20,8 @@
 /** Logs and counts the events of one request, with the figures that its decisions were based on. */
 final class RequestLog {
 
+    private static final int PERCENT = 100;
+
     private final ServingContext context;
     private final RequestFacts facts;
     private final AttemptCount attempts;
@@ -38,7 +40,10 @@
         return context.log().request(event, facts.request().id());
     }
 
-    /** Logs the arrival; while this router is stopping with the time that is left and the caller's IP address. */
+    /**
+     * Logs the arrival; while this router is stopping with the time that is left, whether another router is ready, and
+     * the caller's IP address.
+     */
     void arrived(String callerIp) {
         StopTimeline stop = context.stop().timeline();
         DecisionLog.Line line = line("arrived")
@@ -57,7 +62,8 @@
         if (stop.stopping()) {
             line.put("caller", callerIp)
                     .put("stopping_millis", stop.elapsedMillis(facts.arrivedMillis()))
-                    .put("stop_left_millis", stop.leftMillis(facts.arrivedMillis()));
+                    .put("stop_left_millis", stop.leftMillis(facts.arrivedMillis()))
+                    .put("ready_router", context.stop().others().ready());
         }
         line.write();
     }
@@ -80,7 +86,7 @@
 
     /**
      * Logs an attempt and the upstreams that were skipped for it; on a stopping router also the longest time of the
-     * request.
+     * request, whether another router is ready, and the pace that the chosen engine last reported.
      */
     void sent(UpstreamChoice choice, SkippedUpstreams skipped, long longestMillis, long nowMillis) {
         skipped.byCause().forEach(this::count);
@@ -104,11 +110,20 @@
                 .put("board", context.loadTable().size());
         StopGate stop = context.stop();
         if (stop.timeline().stopping()) {
-            line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis)).put("longest_millis", longestMillis);
+            line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
+                    .put("longest_millis", longestMillis)
+                    .put("ready_router", stop.others().ready())
+                    .put("pace_percent", pacePercent(choice));
         }
         line.write();
     }
 
+    /** Returns the time that the chosen engine takes for a token, in percent of the published one. */
+    private long pacePercent(UpstreamChoice choice) {
+        return Math.round(
+                PERCENT * context.loadTable().load(choice.upstream().id()).slowdown());
+    }
+
     /** Counts an attempt for which upstreams were skipped. */
     private void count(PassedOverCause cause, List<UpstreamEntry> upstreams) {
         if (!upstreams.isEmpty()) {
