Go on after a task of the loop that ends with an error

ServingLoop caught only RuntimeException.

The loop now reports errors as it reports exceptions, and goes on. LineRate holds the limit that ConnectionCloseLog had of its own.

VirtualTime wraps what a task throws in an AssertionError, as a Throwable can't be rethrown there; it's as strict as before. ServingMetricsTest names the new counter.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ConnectionCloseLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ConnectionCloseLog.java
@@ -10,6 +10,7 @@
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.observe.LineRate;
 import org.apricotstack.serving.observe.ServingMetrics;
 
 /**
@@ -21,8 +22,6 @@
     /** Maximum of lines in a second, so that a flood of closes does not displace other lines. */
     static final int MAX_LINES_PER_SECOND = 10;
 
-    private static final long MILLIS_PER_SECOND = 1_000;
-
     /** Causes that are only counted if no request was on the connection. */
     private static final Set<ConnectionCloseCause> IDLE_CAUSES =
             EnumSet.of(ConnectionCloseCause.IDLE_TIMEOUT, ConnectionCloseCause.IDLE_AT_STOP);
@@ -34,10 +33,9 @@
     private final StopTimeline stop;
     private final DecisionLog log;
     private final ServingMetrics metrics;
+    private final LineRate lines;
     private long configuredMillis = NEVER;
     private long reloadedMillis = NEVER;
-    private long secondStartMillis = Long.MIN_VALUE / 2;
-    private int linesInSecond;
 
     /** Creates a log without a close. */
     ConnectionCloseLog(ServingLoop loop, StopTimeline stop, DecisionLog log, ServingMetrics metrics) {
@@ -45,6 +43,7 @@
         this.stop = stop;
         this.log = log;
         this.metrics = metrics;
+        this.lines = new LineRate(MAX_LINES_PER_SECOND, loop::nowMillis);
     }
 
     /** Records that another configuration is in force. */
@@ -63,7 +62,7 @@
         if (!isLogged(close)) {
             return;
         }
-        if (!takeLine()) {
+        if (!lines.take()) {
             metrics.closeLineSuppressed();
             return;
         }
@@ -76,17 +75,6 @@
         return !idle && close.cause() != ConnectionCloseCause.CALLER_RESET;
     }
 
-    /** Returns whether another line may be written in the current second. */
-    private boolean takeLine() {
-        long now = loop.nowMillis();
-        if (now - secondStartMillis >= MILLIS_PER_SECOND) {
-            secondStartMillis = now;
-            linesInSecond = 0;
-        }
-        linesInSecond++;
-        return linesInSecond <= MAX_LINES_PER_SECOND;
-    }
-
     /** Writes a line. */
     private void write(ConnectionClose close) {
         long now = loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -159,7 +159,7 @@
         stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
         addGauges(loadTable, ports.unknown());
-        loop.onTaskFailure(new TaskFailureLog(log, metrics));
+        loop.onTaskFailure(new TaskFailureLog(loop, log, metrics));
     }
 
     /** Creates what all requests share. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
@@ -30,7 +30,7 @@
     private final EventLoopGroup group;
     private final boolean epoll = Epoll.isAvailable();
     private final MonotonicClock clock;
-    private volatile Consumer<RuntimeException> failureHandler = failure -> {};
+    private volatile Consumer<Throwable> failureHandler = failure -> {};
 
     /**
      * Starts the event loop.
@@ -59,11 +59,11 @@
     }
 
     /**
-     * Sets the handler of the exceptions that tasks throw.
+     * Sets the handler of what tasks and callbacks throw.
      *
-     * @param handler receives each exception, on the loop
+     * @param handler receives each exception and error, on the loop; must not throw
      */
-    public void onTaskFailure(Consumer<RuntimeException> handler) {
+    public void onTaskFailure(Consumer<Throwable> handler) {
         failureHandler = handler;
     }
 
@@ -106,17 +106,26 @@
         loop().scheduleWithFixedDelay(() -> run(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs a task, and reports its exception, which Netty would keep in a future that nobody reads. */
+    /**
+     * Runs a task, and reports what it throws, which Netty would keep in a future that nobody reads.
+     *
+     * <p>The loop goes on after errors, too. The memory and stack that a task used are free once it has failed, whereas
+     * a process that ended for an {@link OutOfMemoryError} would end again at each start if a document caused it.
+     */
     private void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             taskFailed(e);
         }
     }
 
-    /** Reports an exception that ended a task. */
-    void taskFailed(RuntimeException failure) {
+    /**
+     * Reports what ended a task or a callback.
+     *
+     * @param failure the exception or error
+     */
+    public void taskFailed(Throwable failure) {
         failureHandler.accept(failure);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -72,6 +72,7 @@
     private final Counter cutByStop = registry.counter("stops.requests_cut");
     private final Counter relayed = registry.counter("attempts.relayed");
     private final Counter tasksFailed = registry.counter("process.tasks_failed");
+    private final Counter taskLinesSuppressed = registry.counter("process.task_failure_lines_suppressed");
     private final Counter stalls = registry.counter("process.stalls");
     private final Counter stalledMillis = registry.counter("process.stalled_millis");
     private volatile int backOffsInForce;
@@ -290,11 +291,16 @@
         arrivedWhileStopping.inc();
     }
 
-    /** Counts a task of the event loop that threw an exception. */
+    /** Counts a task or callback of the event loop that threw an exception or an error. */
     public void taskFailed() {
         tasksFailed.inc();
     }
 
+    /** Counts a failed task whose log line is omitted, as there were too many. */
+    public void taskFailureLineSuppressed() {
+        taskLinesSuppressed.inc();
+    }
+
     /**
      * Counts a stall of this process.
      *
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualTime.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualTime.java
@@ -17,7 +17,7 @@
     VirtualTime() {
         channel.freezeTime();
         loop.onTaskFailure(failure -> {
-            throw failure;
+            throw new AssertionError(failure);
         });
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
@@ -62,7 +62,7 @@
     /** Guards against a request that waits for its time limit after the router failed to process its response. */
     @Test
     void endsTheCallOfAResponseThatCouldNotBeProcessed() throws Exception {
-        CompletableFuture<RuntimeException> reported = new CompletableFuture<>();
+        CompletableFuture<Throwable> reported = new CompletableFuture<>();
         loop.onTaskFailure(reported::complete);
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             Address address = new Address("127.0.0.1", serverSocket.getLocalPort());
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -71,6 +71,7 @@
             "placement.first_event_error_millis",
             "process.stalled_millis",
             "process.stalls",
+            "process.task_failure_lines_suppressed",
             "process.tasks_failed",
             "refusals.attempts_used",
             "refusals.body_memory",
