Bound the nesting of the JSON that the adapters read

Symptom: none seen. Reading a tree takes no stack for its nesting, but comparing and copying one does: with a stack of 256 KB, as in the deployed process, a tree of 600 levels can be read and written, and its equals ends with a StackOverflowError (Json.STRICT, measured at 300, 600, 950 levels).

Cause: the library's limit of 1,000 levels doesn't depend on the stack, and the product's documents have fewer than ten levels.

JsonTest on the code before:

FAILED rejectsDocumentsThatAreNestedTooDeeply() Expecting code to raise a throwable.

The limit is the library's own setting, for both mappers. A document beyond it is rejected as any other text that is not valid JSON.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/json/Json.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/json/Json.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -14,14 +16,17 @@
 /** The JSON mappers that all adapters use. */
 public final class Json {
 
+    /** Maximum nesting of a document, several times that of any document of the product. */
+    static final int MAX_NESTING = 32;
+
     /** Reads and writes strict JSON. */
-    public static final ObjectMapper STRICT = JsonMapper.builder()
+    public static final ObjectMapper STRICT = JsonMapper.builder(boundedFactory())
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
 
     /** Reads JSON with comments and trailing commas, for files that operators write. */
-    public static final ObjectMapper COMMENTED = JsonMapper.builder()
+    public static final ObjectMapper COMMENTED = JsonMapper.builder(boundedFactory())
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
@@ -31,6 +36,13 @@
 
     private Json() {}
 
+    /** Creates a factory of parsers that bound the nesting, as comparing and copying trees takes stack for each level. */
+    private static JsonFactory boundedFactory() {
+        StreamReadConstraints constraints =
+                StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build();
+        return JsonFactory.builder().streamReadConstraints(constraints).build();
+    }
+
     /**
      * Writes a tree as one line.
      *
