--- a/apricotstack-adapters/src/test/java/org/apricotstack/adapters/caller/CompletionScanTest.java
+++ b/apricotstack-adapters/src/test/java/org/apricotstack/adapters/caller/CompletionScanTest.java
@@ -4,11 +4,13 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.apricotstack.adapters.json.OddDocument;
 import org.apricotstack.core.failure.RefusalReason;
 import org.apricotstack.core.failure.RefusedException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -81,4 +83,11 @@
             assertThat(e.refusal().reason()).isEqualTo(RefusalReason.INVALID_REQUEST);
         }
     }
+
+    @ParameterizedTest
+    @EnumSource
+    void scansBodiesWithoutUntypedErrors(OddDocument odd) throws InterruptedException {
+        odd.readBy(CompletionScanTest::scan);
+        odd.readBy(text -> scan("{\"model\":\"s\",\"prompt\":" + text + ",\"max_tokens\":" + text + "}"));
+    }
 }
