Forget rejected entries that a complete list no longer names

Symptom: after 256 odd entries had vanished while a router could not watch the platform, it logged no odd entry any more until its restart; only the counter documents.rejected showed them.

Cause: an upstream was forgotten only when a valid document of it or its removal arrived. A complete list reports a removal by leaving the entry out.

RejectedEntriesLogTest on the code before:

FAILED logsOddEntriesAfterEarlierOnesAreGoneFromTheList() expected: 257L but was: 256L

A complete list now bounds what is remembered to what it names.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublishedState.java
@@ -289,6 +289,7 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void applyUpstreamSnapshot(List<Publication> documents, long revision, String source, long nowMillis) {
+        rejected.retain(documents);
         List<UpstreamEntry> entries = new ArrayList<>();
         for (Publication document : documents) {
             try {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/RejectedDocuments.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/RejectedDocuments.java
@@ -1,7 +1,9 @@
 package org.apricotstack.serving.publication;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.common.base.Ascii;
 import org.apricotstack.core.failure.ApricotException;
@@ -40,6 +42,13 @@
         upstreams.remove(upstream);
     }
 
+    /** Forgets the upstreams that are missing from a complete list, as no event reports their removal. */
+    void retain(Collection<Publication> listed) {
+        if (!upstreams.isEmpty()) {
+            upstreams.retainAll(listed.stream().map(Publication::upstream).collect(Collectors.toSet()));
+        }
+    }
+
     /** Records a document that cannot be used. */
     void rejected(Publication document, String source, ApricotException problem) {
         count++;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/RejectedEntriesLogTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/RejectedEntriesLogTest.java
@@ -121,4 +121,13 @@
         assertThat(upstreams.usable(new ServiceId("service"))).hasSize(2);
         assertThat(linesOf("document_rejected")).isEqualTo(MAX_LINES);
     }
+
+    /** Entries that are gone without an event, as after a lost connection, must not use up the bound. */
+    @Test
+    void logsOddEntriesAfterEarlierOnesAreGoneFromTheList() {
+        state.applyUpstreamSnapshot(oddEntries(), revision, "list", 0);
+        state.applyUpstreamSnapshot(List.of(), ++revision, "list", 0);
+        state.apply(entry("odd-later", ODD), "watch");
+        assertThat(linesOf("document_rejected")).isEqualTo(MAX_LINES + 1);
+    }
 }
