--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/json/Json.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/json/Json.java
@@ -36,7 +36,7 @@
 
     private Json() {}
 
-    /** Creates a factory of parsers that bound the nesting, as comparing and copying trees takes stack for each level. */
+    /** Creates a factory that bounds the nesting, as comparing and copying a tree takes stack for each level. */
     private static JsonFactory boundedFactory() {
         StreamReadConstraints constraints =
                 StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build();
