Handle the outcome of each call exactly once

What was seen: after a StackOverflowError in a receiver of a platform response no router made a call any more. Reactor rethrows such errors out of its operators, where a flatMap that is done drops them ("Operator called default onErrorDropped"): neither the receiver nor its error handler nor the timeout, which was cancelled by then, ran. A source or a duty that threw while a call was started had the same effect, and PlatformVerifier stayed "checking" for good.

OutcomeSubscriber is the only way in which this module subscribes: PublicationFollower (read, watch), PlatformVerifier, ReservedHelpers (renew, release), RequestSender, SuspectGate (check, recheck), Attempt (two checks). It passes an outcome on once. A receiver that throws gets its error handler called and the loop reports it; an error that operators drop arrives through Reactor's own context key for dropped errors; each HTTP call starts the time limit of a step, and an outcome that is not handled 0.5 s after it counts as a failure and is reported (task_failed, process.tasks_failed). The follower resets its back-off only after it has applied a response, so that a receiver that fails each time costs a call every 0.35 to 1 s, not every 30 to 90 ms. PlatformVerifier schedules its next check also after a failure. Nothing changes on the wire.

OutcomeSubscriberTest covers the operators.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -81,6 +81,9 @@
             boolean fresh,
             Consumer<HttpResponse> onHead) {
         return Mono.create(sink -> {
+            sink.contextView()
+                    .<OutcomeSubscriber<?>>getOrEmpty(OutcomeSubscriber.class)
+                    .ifPresent(subscriber -> subscriber.stepStarted(timeoutMillis));
             ResponseCollector collector = new ResponseCollector(sink, address, onHead);
             UpstreamCall call =
                     connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), fresh, collector);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ServingLoop.java
@@ -107,12 +107,14 @@
     }
 
     /**
-     * Runs a task, and reports what it throws, which Netty would keep in a future that nobody reads.
+     * Runs a task now, and reports what it throws, which Netty would keep in a future that nobody reads.
      *
      * <p>The loop goes on after errors, too. The memory and stack that a task used are free once it has failed, whereas
      * a process that ended for an {@link OutOfMemoryError} would end again at each start if a document caused it.
+     *
+     * @param task the task
      */
-    private void run(Runnable task) {
+    public void run(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException | Error e) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PlatformVerifier.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PlatformVerifier.java
@@ -3,9 +3,11 @@
 import org.apricotstack.core.peer.PlatformCheckers;
 import org.apricotstack.core.peer.PlatformFreshness;
 import org.apricotstack.core.upstream.Revisions;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublicationSource.Check;
+import reactor.core.publisher.Mono;
 
 /**
  * Checks whether the platform has published anything unknown, when nobody has done so for a while.
@@ -60,8 +62,18 @@
         loop.schedule(PlatformCheckers.CHECK_AGE_MILLIS, this::checkIfDue);
     }
 
-    /** Checks if that is due, and sets the timer for the next check. */
+    /** Checks if that is due, and sets the timer for the next check, also after a failure. */
     private void checkIfDue() {
+        long delayMillis = PlatformCheckers.CHECK_AGE_MILLIS;
+        try {
+            delayMillis = checkAndDelayMillis();
+        } finally {
+            loop.schedule(delayMillis, this::checkIfDue);
+        }
+    }
+
+    /** Checks if that is due, and returns the delay before the next check, in milliseconds. */
+    private long checkAndDelayMillis() {
         long now = loop.nowMillis();
         long ageMillis = duty.checkAgeMillis();
         PlatformFreshness freshness = state.freshness();
@@ -72,7 +84,7 @@
             check();
             dueMillis = now + PlatformCheckers.CHECK_AGE_MILLIS;
         }
-        loop.schedule(dueMillis - now, this::checkIfDue);
+        return dueMillis - now;
     }
 
     /** Checks now, unless a check is under way. */
@@ -83,7 +95,8 @@
         checking = true;
         checks++;
         long sentMillis = loop.nowMillis();
-        source.check().subscribe(check -> onCheck(check, sentMillis), error -> onFailure());
+        OutcomeSubscriber.subscribe(
+                loop, Mono.defer(source::check), check -> onCheck(check, sentMillis), error -> onFailure());
     }
 
     /** Applies the result of a check. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -1,9 +1,11 @@
 package org.apricotstack.serving.publication;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotstack.core.upstream.Revisions;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.publication.PublicationSource.Changes;
@@ -40,12 +42,6 @@
     /** Delay before the next watch after a change, in milliseconds, so that a burst of changes costs one call. */
     private static final long COALESCE_MILLIS = 120;
 
-    /** Back-off after the first failure, in milliseconds, before jitter. */
-    private static final long MIN_BACK_OFF_MILLIS = 60;
-
-    /** Longest back-off, in milliseconds, before jitter; bounds the time until a recovered platform is noticed. */
-    private static final long MAX_BACK_OFF_MILLIS = 700;
-
     /**
      * Time without a response after which a failure counts as an outage, in milliseconds; longer than the effect of a
      * single lost connection.
@@ -61,19 +57,19 @@
     private final DecisionLog log;
     private final UniformRandomProvider random;
     private final PlatformVerifier verifier;
+    private final CallBackOff backOff;
+    private final HistoryLog histories;
     private final Disposable.Swap call = Disposables.swap();
     private ReaderDuty duty;
     private long known;
     private boolean readAll = true;
     private boolean afterChange;
-    private long backOffMillis = MIN_BACK_OFF_MILLIS;
     private long lastAnswerMillis;
     private boolean unavailable;
     private boolean idle;
     private long restartedMillis = Long.MIN_VALUE / 2;
     private long currentCallId;
     private long callStartedMillis;
-    private long historyChanges;
     private long calls;
     private long faults;
 
@@ -97,6 +93,8 @@
         this.state = state;
         this.log = log;
         this.random = random;
+        this.backOff = new CallBackOff(random);
+        this.histories = new HistoryLog(log);
         this.verifier = new PlatformVerifier(loop, source, state, this, log);
         this.lastAnswerMillis = loop.nowMillis();
     }
@@ -120,17 +118,30 @@
     /** Starts the next call, or none while a peer reports the platform's changes and the call is not forced. */
     private void startCall(boolean forced) {
         long callId = ++currentCallId;
-        idle = !forced && known > 0 && !duty.mustReadPlatform();
-        if (idle) {
-            return;
+        try {
+            idle = !forced && known > 0 && !duty.mustReadPlatform();
+            if (!idle) {
+                send(callId);
+            }
+        } catch (RuntimeException | Error e) {
+            loop.taskFailed(e);
+            onFailure(callId, e);
         }
+    }
+
+    /** Sends a call. */
+    private void send(long callId) {
         calls++;
         callStartedMillis = loop.nowMillis();
+        Consumer<Throwable> onFailure = error -> onFailure(callId, error);
         call.update(
                 readAll
-                        ? source.readAll().subscribe(all -> onSnapshot(callId, all), error -> onFailure(callId, error))
-                        : source.awaitChanges(known, waitMillis())
-                                .subscribe(changes -> onChanges(callId, changes), error -> onFailure(callId, error)));
+                        ? OutcomeSubscriber.subscribe(loop, source.readAll(), all -> onSnapshot(callId, all), onFailure)
+                        : OutcomeSubscriber.subscribe(
+                                loop,
+                                source.awaitChanges(known, waitMillis()),
+                                changes -> onChanges(callId, changes),
+                                onFailure));
     }
 
     /** Returns the longest duration of the next watch, in milliseconds. */
@@ -149,7 +160,7 @@
             return;
         }
         onAnswer();
-        recordHistory(all.revision());
+        histories.read(all.revision(), known, state.configurationVersion());
         readAll = false;
         known = all.revision();
         long now = loop.nowMillis();
@@ -164,6 +175,7 @@
         state.evacuations().applySnapshot(evacuations, all.revision(), "platform", now);
         state.applyUpstreamSnapshot(listed, all.revision(), "platform", now);
         verifier.verified(callStartedMillis);
+        backOff.reset();
         startCall();
     }
 
@@ -195,6 +207,7 @@
             }
             known = lastReported;
         }
+        backOff.reset();
         afterChange = !changes.documents().isEmpty();
         if (!afterChange || readAll) {
             startCall();
@@ -203,26 +216,6 @@
         }
     }
 
-    /** Logs that the platform started another history, whose contents may be some seconds old. */
-    private void recordHistory(long revision) {
-        if (revision < known) {
-            log.line("platform_revision_fell")
-                    .put("revision_before", Revisions.text(known))
-                    .put("revision", Revisions.text(revision))
-                    .write();
-        }
-        if (known > 0 && Revisions.history(revision) != Revisions.history(known)) {
-            historyChanges++;
-            log.line("platform_history_changed")
-                    .put("from", Revisions.history(known))
-                    .put("to", Revisions.history(revision))
-                    .put("revision_before", Revisions.inHistory(known))
-                    .put("revision", Revisions.inHistory(revision))
-                    .put("configuration", state.configurationVersion())
-                    .write();
-        }
-    }
-
     /** Records a response of the platform and ends an outage. */
     private void onAnswer() {
         long now = loop.nowMillis();
@@ -236,7 +229,6 @@
                     .write();
         }
         lastAnswerMillis = now;
-        backOffMillis = MIN_BACK_OFF_MILLIS;
     }
 
     /** Handles a failed call: tries again after a back-off. */
@@ -247,13 +239,11 @@
         faults++;
         // A watch after a failure can miss changes for seconds, whereas a snapshot is current when it is read.
         readAll = true;
+        startCallAfter(callId, backOff.nextMillis());
         if (!unavailable) {
             unavailable = true;
             log.line("platform_lost").put("problem", error.getMessage()).write();
         }
-        long delayMillis = backOffMillis / 2 + random.nextLong(backOffMillis);
-        backOffMillis = Math.min(MAX_BACK_OFF_MILLIS, 2 * backOffMillis);
-        startCallAfter(callId, delayMillis);
     }
 
     /** Starts the next call after a delay, unless another one was started meanwhile. */
@@ -340,7 +330,7 @@
      * @return changes of history since the start
      */
     public long historyChanges() {
-        return historyChanges;
+        return histories.changes();
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -1,6 +1,9 @@
 package org.apricotstack.serving.run;
 
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -13,10 +16,12 @@
 import org.apricotstack.core.notice.AdvertisedDrain;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import org.apricotstack.serving.http.ResponseHead;
 import org.apricotstack.serving.http.UpstreamCall;
 import org.apricotstack.serving.http.UpstreamListener;
 import org.apricotstack.serving.observe.KeptCause;
+import reactor.core.publisher.Mono;
 
 /**
  * One attempt to send a request to an upstream. Buffers the response until it is complete, so that another attempt can
@@ -111,11 +116,7 @@
         if (!mayBeGivenUp()) {
             return;
         }
-        int generation = watchdogGeneration;
-        run.silenceCheck().isDead(upstream()).subscribe(dead -> {
-            if (finished || generation != watchdogGeneration) {
-                return;
-            }
+        ask(() -> run.silenceCheck().isDead(upstream()), dead -> {
             if (dead) {
                 abandon(FailureKind.SILENT);
             } else {
@@ -130,11 +131,7 @@
         if (!mayBeGivenUp()) {
             return;
         }
-        int generation = watchdogGeneration;
-        run.silenceCheck().cause(choice, answerStarted()).subscribe(silence -> {
-            if (finished || generation != watchdogGeneration) {
-                return;
-            }
+        ask(() -> run.silenceCheck().cause(choice, answerStarted()), silence -> {
             if (silence.failure() != null) {
                 abandon(silence.failure());
             } else if (run.replacements().wouldBeFasterElsewhere(this)) {
@@ -145,6 +142,18 @@
         });
     }
 
+    /** Passes on the result of a check unless the attempt went on meanwhile; waits again if the check fails. */
+    private <T> void ask(Supplier<Mono<T>> check, Consumer<T> then) {
+        int generation = watchdogGeneration;
+        BooleanSupplier isCurrent = () -> !finished && generation == watchdogGeneration;
+        OutcomeSubscriber.subscribe(
+                run.context().loop(), Mono.defer(check).filter(result -> isCurrent.getAsBoolean()), then, error -> {
+                    if (isCurrent.getAsBoolean()) {
+                        watchdog(silenceMillis);
+                    }
+                });
+    }
+
     /** Abandons the attempt at a plain service. */
     private void abandonAsSilent() {
         if (!finished) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -11,6 +11,7 @@
 import org.apricotstack.core.suspect.SuspectDecision;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.RetryAfterJitter;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import org.apricotstack.serving.observe.PassedOverCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
@@ -161,8 +162,11 @@
         Attempt attempt = newAttempt(choice, now);
         current = attempt;
         if (choice.reserves()) {
-            reserved.reserve()
-                    .subscribe(done -> reservationAnswered(attempt, done), e -> reservationAnswered(attempt, false));
+            OutcomeSubscriber.subscribe(
+                    context.loop(),
+                    reserved.reserve(),
+                    done -> reservationAnswered(attempt, done),
+                    e -> reservationAnswered(attempt, false));
         } else {
             acquire(attempt);
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReservedHelpers.java
@@ -13,6 +13,7 @@
 import org.apricotstack.core.notice.UpstreamNotice;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.ForwardingParameters;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -125,7 +126,7 @@
     private void renew() {
         if (!ended) {
             renewal = context.loop().schedule(RENEW_MILLIS, this::renew);
-            send((index, result) -> {}).subscribe();
+            OutcomeSubscriber.subscribe(context.loop(), send((index, result) -> {}), result -> {}, error -> {});
         }
     }
 
@@ -190,8 +191,11 @@
         if (context.upstreams().find(engine.id()) == null) {
             return;
         }
-        send(engine, onNotice -> context.engines().release(engine, reservation, onNotice))
-                .subscribe(done -> releaseLater(engine, reservation, LATE_RELEASE_MILLIS), error -> {
+        OutcomeSubscriber.subscribe(
+                context.loop(),
+                send(engine, onNotice -> context.engines().release(engine, reservation, onNotice)),
+                done -> releaseLater(engine, reservation, LATE_RELEASE_MILLIS),
+                error -> {
                     unanswered(engine);
                     releaseLater(engine, reservation, RELEASE_MILLIS);
                 });
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
@@ -21,7 +21,9 @@
 import org.apricotstack.core.suspect.SuspectedTrait;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
+import org.apricotstack.serving.http.OutcomeSubscriber;
 import org.apricotstack.serving.observe.SuspectFields;
+import reactor.core.publisher.Mono;
 
 /**
  * Prevents requests and prompt parts that crash upstreams from crashing more of them; see {@link SuspectTable}.
@@ -89,7 +91,24 @@
             return;
         }
         waiting.put(upstream.id(), new ArrayList<>(List.of(attempt)));
-        crashCheck.hasCrashed(upstream).subscribe(crashed -> crashChecked(upstream, crashed));
+        OutcomeSubscriber.subscribe(
+                context.loop(),
+                Mono.defer(() -> crashCheck.hasCrashed(upstream)),
+                crashed -> crashChecked(upstream, crashed),
+                error -> checkFailed(upstream));
+    }
+
+    /** Continues the runs of interrupted attempts whose upstream could not be checked. */
+    private void checkFailed(UpstreamEntry upstream) {
+        List<InterruptedAttempt> all = waiting.remove(upstream.id());
+        if (all != null) {
+            continueRuns(all, false);
+        }
+    }
+
+    /** Continues the run of each attempt; one that fails does not keep the others waiting. */
+    private void continueRuns(List<InterruptedAttempt> all, boolean crashed) {
+        all.forEach(attempt -> context.loop().run(() -> attempt.then().accept(crashed)));
     }
 
     /** Evaluates all interrupted attempts of an upstream together, then continues their runs. */
@@ -100,16 +119,17 @@
         } else {
             context.loop().schedule(CRASH_RECHECK_MILLIS, () -> recheckCrash(upstream, all));
         }
-        all.forEach(attempt -> attempt.then().accept(crashed));
+        continueRuns(all, crashed);
     }
 
     /** Evaluates attempts whose runs have continued already, if their upstream has crashed meanwhile. */
     private void recheckCrash(UpstreamEntry upstream, List<InterruptedAttempt> all) {
         if (crashCheck.isListedAndServing(upstream.id())) {
-            crashCheck
-                    .isConnectionRefused(upstream)
-                    .filter(crashed -> crashed)
-                    .subscribe(crashed -> recordCrash(upstream.id(), all));
+            OutcomeSubscriber.subscribe(
+                    context.loop(),
+                    crashCheck.isConnectionRefused(upstream).filter(crashed -> crashed),
+                    crashed -> recordCrash(upstream.id(), all),
+                    error -> {});
         }
     }
 
