Watch the platform after any error of a round

Symptom: whatever the selection, the call, or the receiver of a delta threw ended the watch of a document set for good, without a line; the router went on with the documents of that moment. Only an exception of the receiver was handled.

Cause: the error handler stood behind the call, so it missed what is thrown while the call is made, and Reactor passes errors of the virtual machine and the linker on to its scheduler instead of to an error handler.

Each round is now caught where it is created and where it offers a delta. It is logged and followed by the usual back-off.

--- a/apricotstack-router/src/main/java/org/apricotstack/router/PlatformWatcher.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/PlatformWatcher.java
@@ -17,6 +17,7 @@
 import org.apricotstack.core.replication.PlatformDocuments;
 import org.apricotstack.core.replication.ReplicationTopic;
 import org.apricotstack.core.routing.Rendezvous;
+import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -100,8 +101,18 @@
     void start(Duration maxDelay) {
         Duration delay = Duration.ofMillis(Math.round(maxDelay.toMillis() * random.getAsDouble()));
         loop = Mono.delay(delay, timer)
-                .thenMany(Mono.defer(this::round).repeat())
-                .subscribe(done -> {}, error -> {});
+                .thenMany(Mono.defer(this::isolatedRound).repeat())
+                .subscribe();
+    }
+
+    /** Runs a round, and backs off if it throws, as an error would end the watch for good. */
+    private Mono<Void> isolatedRound() {
+        try {
+            return round();
+        } catch (RuntimeException | Error e) {
+            failed(e);
+            return backOff();
+        }
     }
 
     /** Makes one call if this router has to watch, and backs off after a failure. */
@@ -115,7 +126,7 @@
         long beyond = beyond(replica);
         long startedMillis = timer.now(TimeUnit.MILLISECONDS);
         return platform.changes(topic, since, beyond, wait)
-                .map(delta -> isProgress(delta, since))
+                .map(delta -> isProgressOrFailed(delta, since))
                 .switchIfEmpty(Mono.fromSupplier(() -> waited(startedMillis)))
                 .flatMap(succeeded -> {
                     if (succeeded) {
@@ -129,6 +140,21 @@
                 .onErrorResume(error -> backOff());
     }
 
+    /** Offers a delta; one whose receiver throws counts as no progress. */
+    private boolean isProgressOrFailed(DocumentDelta delta, long since) {
+        try {
+            return isProgress(delta, since);
+        } catch (RuntimeException | Error e) {
+            failed(e);
+            return false;
+        }
+    }
+
+    /** Logs an error that was not caused by the platform's state. */
+    private void failed(Throwable error) {
+        Logger.error(error, "event=watch_failed topic={}", topic);
+    }
+
     /**
      * Offers a delta and returns whether the platform had a version that is newer than the requested one.
      *
