Continue periodic work after any error of a step

Symptom: none seen. Heartbeats to engines' owners, probes, the seeding of documents and the reconciliation of engines would have ended for good with the first error that a step threw, and periodic tasks with the first one that is no exception; all but the tasks without a line.

Cause: Flux.interval ends with the first error, and the handlers stood behind asynchronous parts of the steps only.

IsolatedStepTest pins that six rounds go on after an exception and a StackOverflowError, thrown and emitted. The class is new, so the test has no run on the code before.

--- a/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
+++ b/apricotstack-router/src/main/java/org/apricotstack/router/Router.java
@@ -174,8 +174,9 @@
         work.add(Flux.interval(Duration.ZERO, interval, parts.runtime.timer())
                 .onBackpressureDrop()
                 .takeWhile(tick -> !parts.replication.isOpen())
-                .concatMap(tick -> Flux.fromIterable(parts.settings.seedPeers()).flatMap(this::fetchFromSeed))
-                .subscribe(done -> {}, error -> {}));
+                .concatMap(tick -> Flux.fromIterable(parts.settings.seedPeers())
+                        .flatMap(seed -> IsolatedStep.of("seeding", () -> fetchFromSeed(seed))))
+                .subscribe());
     }
 
     /** Fetches both document sets from a seed peer. A peer that does not serve is ignored. */
@@ -197,7 +198,7 @@
     /** Sends heartbeats at the interval that the configuration states. */
     private void startHeartbeats() {
         work.add(Mono.defer(() -> Mono.delay(Duration.ofMillis(heartbeatMillis()), parts.runtime.timer()))
-                .doOnNext(tick -> parts.owners.heartbeat())
+                .doOnNext(tick -> IsolatedStep.run("heartbeats", parts.owners::heartbeat))
                 .repeat()
                 .subscribe());
     }
@@ -213,7 +214,7 @@
         Duration interval = Duration.ofMillis(parts.settings.timings().probeMillis());
         work.add(Flux.interval(interval, parts.runtime.timer())
                 .onBackpressureDrop()
-                .concatMap(tick -> parts.detector.runRound().onErrorResume(error -> Mono.empty()))
+                .concatMap(tick -> IsolatedStep.of("probes", parts.detector::runRound))
                 .subscribe());
     }
 
@@ -222,11 +223,17 @@
         Duration interval = Duration.ofMillis(parts.settings.timings().probeMillis());
         work.add(Flux.interval(interval, parts.runtime.timer())
                 .onBackpressureDrop()
-                .concatMap(tick -> Flux.fromIterable(parts.membership.unconfirmedHosts(MAX_SERVING_PROBES))
-                        .flatMap(host -> parts.detector.probe(host).onErrorResume(error -> Mono.empty())))
+                .concatMap(tick -> IsolatedStep.of("serving_probes", this::probeUnconfirmed))
                 .subscribe());
     }
 
+    /** Probes some routers that are not yet known to serve. */
+    private Mono<Void> probeUnconfirmed() {
+        return Flux.fromIterable(parts.membership.unconfirmedHosts(MAX_SERVING_PROBES))
+                .flatMap(host -> parts.detector.probe(host).onErrorResume(error -> Mono.empty()))
+                .then();
+    }
+
     /**
      * Reconciles the engines of the groups that this router owns according to its own view: soon after a configuration
      * was adopted or a router died or restarted, and otherwise rarely, as each reconciliation uses some of the network
@@ -241,7 +248,7 @@
                 .distinctUntilChanged();
         work.add(Flux.merge(periodic, changes)
                 .onBackpressureLatest()
-                .concatMap(tick -> reconcileOnce(), 1)
+                .concatMap(tick -> IsolatedStep.of("reconciliation", this::reconcileOnce), 1)
                 .subscribe());
     }
 
@@ -254,8 +261,7 @@
         return Flux.fromIterable(current.parts().groups().values())
                 .filter(this::isOwned)
                 .concatMap(group -> parts.reconciler.reconcile(current, group))
-                .then()
-                .onErrorResume(error -> Mono.empty());
+                .then();
     }
 
     /** Returns whether this router owns a group according to its own view. */
@@ -267,15 +273,8 @@
     private void schedulePeriodically(Duration interval, Runnable task) {
         work.add(Flux.interval(interval, parts.runtime.timer())
                 .onBackpressureDrop()
-                .subscribe(tick -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        // An exception would cancel the periodic task permanently. Requests would then exceed their
-                        // time limits without any log entry.
-                        Logger.error(e, "event=periodic_work_failed");
-                    }
-                }));
+                // An error would cancel the task permanently. Requests would then exceed their time limits.
+                .subscribe(tick -> IsolatedStep.run("task", task)));
     }
 
     /** Starts a graceful shutdown. */
