End the call of a response whose listener throws, whatever it throws

What callers saw: a request waits for its time limit after the router failed to process its response. UpstreamConnection reported and closed only for a RuntimeException; after an error the call stayed open. A call whose listener threw in end() was finished by then, so that nothing told the listener. After a failure in head() the rest of the same read still reached the listener, which could take the response for complete.

The connection now fails the call at once, for exceptions and errors, and a failure in end() counts as a cut.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
@@ -70,11 +70,17 @@
         return finished;
     }
 
-    /** Ends the call with a complete response. */
+    /** Ends the call with a complete response; one that the listener cannot process counts as cut. */
     void succeed() {
-        if (!finished) {
-            finished = true;
+        if (finished) {
+            return;
+        }
+        finished = true;
+        try {
             listener.end();
+        } catch (RuntimeException | Error e) {
+            listener.failed(FailureKind.CUT);
+            throw e;
         }
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -243,9 +243,9 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         broken = true;
         notReusable = true;
-        if (cause instanceof RuntimeException failure) {
-            pool.processingFailed(failure);
-            ctx.close();
+        if (cause instanceof RuntimeException || cause instanceof Error) {
+            pool.processingFailed(cause);
+            fail(answer == null ? FailureKind.RESET : FailureKind.CUT);
         }
     }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -174,8 +174,8 @@
         return !(failure instanceof ConnectTimeoutException) && !(failure instanceof NoRouteToHostException);
     }
 
-    /** Reports an exception that was thrown while a response was processed. */
-    void processingFailed(RuntimeException failure) {
+    /** Reports an exception or error that was thrown while a response was processed. */
+    void processingFailed(Throwable failure) {
         loop.taskFailed(failure);
     }
 
