Refuse a request whose handler ends with an error

What callers saw: no answer. A request runs in a task after its read, whose errors CallerConnection didn't catch, and HandlerErrors let an error of the failing listener pass, so that the request stayed open until the caller gave up.

FailingHandlerTest (open, failed to open, body, failed body, disconnected; an exception and an error each; then another request) without the change: Tests run: 10, Errors: 2, the errors in body and in failed body, each after the 15 s that the test waits for a response.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -84,7 +84,7 @@
             if (message instanceof HttpContent content) {
                 append(content);
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             handlerFailed(message instanceof HttpRequest ? exchange : current, e);
         } finally {
             ReferenceCountUtil.release(message);
@@ -180,7 +180,7 @@
                 if (arrived == exchange && context.channel().isActive()) {
                     listener.body(body.take());
                 }
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 handlerFailed(arrived, e);
             }
         });
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HandlerErrors.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HandlerErrors.java
@@ -1,6 +1,6 @@
 package org.apricotstack.serving.http;
 
-/** Ends requests whose handler or listener threw an exception. */
+/** Ends requests whose handler or listener threw an exception or an error. */
 final class HandlerErrors {
 
     private HandlerErrors() {}
@@ -22,7 +22,7 @@
             } else if (request != null) {
                 handler.failed(request, exchange);
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // The first error is reported; the request is refused below in any case.
         }
         exchange.refuseAfterError(listener != null);
