Keep the stream of a peer whose state update fails here

GossipHub caught only ApricotException. Any other exception or error of one state update closed the stream of its sender, or was dropped by the datagram port, without a line or a counter. It's now reported as task_failed and the next update is received.

GossipHubTest without the change: receivesTheNextStateUpdateAfterOneThatFails fails with CompletionException, of the IllegalStateException and of the StackOverflowError.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipHub.java
@@ -233,6 +233,8 @@
             placements.receiveAvoided(frame, loop.nowMillis());
         } catch (ApricotException e) {
             log.line("news_rejected").put("problem", e.getMessage()).write();
+        } catch (RuntimeException | Error e) {
+            loop.taskFailed(e);
         }
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipHubTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipHubTest.java
@@ -1,7 +1,9 @@
 package org.apricotstack.serving.gossip;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EnginePart;
@@ -30,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,7 +41,8 @@
     private static final ProcessId PEER = new ProcessId(new HostId("peer"), 1);
     private static final long LISTED_INCARNATION = 200;
 
-    private final ServingLoop loop = new ServingLoop(() -> 0);
+    private Throwable clockFailure;
+    private final ServingLoop loop = new ServingLoop(this::nanos);
     private final DecisionLog log = new DecisionLog("host", () -> 0);
     private final UpstreamTable upstreams = new UpstreamTable();
     private final OutlierDetector outlierDetector = new OutlierDetector();
@@ -78,6 +82,49 @@
         log.close();
     }
 
+    /** Returns the time, or throws once what the test sets. */
+    private long nanos() {
+        Throwable failure = clockFailure;
+        clockFailure = null;
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        if (failure != null) {
+            throw (RuntimeException) failure;
+        }
+        return 0;
+    }
+
+    static Stream<Throwable> failures() {
+        return Stream.of(new IllegalStateException("state"), new StackOverflowError());
+    }
+
+    /** Guards against the loss of all state updates of a peer whose stream is closed for one that fails here. */
+    @ParameterizedTest
+    @MethodSource("failures")
+    void receivesTheNextStateUpdateAfterOneThatFails(Throwable failure) {
+        List<Throwable> reported = new ArrayList<>();
+        loop.onTaskFailure(reported::add);
+        EnginePart part = new EnginePart(incarnation(LISTED_INCARNATION), 100, 5_000);
+        EnginePlacement placement = new EnginePlacement(new PlacementId(PEER, 2), List.of(part), 5_000, 300, 250);
+        NewsFrame frame = NewsFrame.newBuilder()
+                .setWhole(true)
+                .addPlaced(GossipMessages.placed(placement, 10_000))
+                .build();
+        InboundGossipStream stream = new InboundGossipStream();
+        stream.sender(PEER);
+        CompletableFuture.runAsync(
+                        () -> {
+                            clockFailure = failure;
+                            hub.frame(frame, stream);
+                        },
+                        loop.loop())
+                .join();
+        assertThat(reported).containsExactly(failure);
+        receive(frame);
+        assertThat(loadTable.size()).isEqualTo(1);
+    }
+
     private static UpstreamId incarnation(long incarnation) {
         return new UpstreamId("engine", incarnation);
     }
