--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -280,17 +280,17 @@
         return peers.isLastOfDataCentre(hub.ownPeer(), loop.nowMillis());
     }
 
-    /** Removes expired state. */
+    /** Removes expired state; a step that fails does not keep the others from running. */
     private void sweep() {
         long now = loop.nowMillis();
-        follower.resumeIfNeeded();
-        state.removeExpired(now);
-        suspects.expire(now);
-        runs.expire(!follower.unavailable());
-        hub.limits().expire();
-        hub.reportPlatformChanges();
-        callers.closeTimedOut();
-        connections.closeExpired();
+        loop.run(follower::resumeIfNeeded);
+        loop.run(() -> state.removeExpired(now));
+        loop.run(() -> suspects.expire(now));
+        loop.run(() -> runs.expire(!follower.unavailable()));
+        loop.run(hub.limits()::expire);
+        loop.run(hub::reportPlatformChanges);
+        loop.run(callers::closeTimedOut);
+        loop.run(connections::closeExpired);
     }
 
     /** Returns the limits for requests of callers. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -80,7 +80,7 @@
                 .put("left_millis", timeline.leftMillis(now))
                 .write();
         callers.beginStop();
-        hub.heartbeat();
+        loop.run(hub::heartbeat);
         runDueSteps();
     }
 
@@ -122,13 +122,13 @@
     /** Ends the requests that are still open, and the process once their responses are written. */
     private void end(long elapsedMillis) {
         line("stopped").put("took_millis", elapsedMillis).write();
-        callers.stopListening();
+        loop.run(callers::stopListening);
         timeline.end();
-        hub.heartbeat();
+        loop.run(hub::heartbeat);
         if (runs.open() == 0) {
             whenDone.run();
         } else {
-            runs.processEnds();
+            loop.run(runs::processEnds);
             loop.schedule(FLUSH_MILLIS, whenDone);
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -170,7 +170,7 @@
     public void closeTimedOut() {
         long now = loop.nowMillis();
         for (CallerConnection connection : List.copyOf(connections)) {
-            connection.closeTimedOut(now);
+            loop.run(() -> connection.closeTimedOut(now));
         }
     }
 
@@ -182,7 +182,7 @@
     /** Closes connections without a request in flight, and from now on each one that becomes idle. */
     public void closeIdle() {
         closesIdle = true;
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+        List.copyOf(connections).forEach(connection -> loop.run(connection::closeIfIdle));
     }
 
     /**
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 import org.apricotstack.core.engine.EngineLoadTable;
@@ -46,6 +47,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -90,6 +93,7 @@
     private final RequestDispatcher runs = new RequestDispatcher(context());
     private final CallerServer callers = new CallerServer(loop, head -> null, runs, () -> CallerLimits.DEFAULT, 1);
     private volatile int relaysInUse;
+    private volatile Throwable relayFailure;
     private final StopSequence sequence = new StopSequence(
             loop,
             callers,
@@ -103,8 +107,11 @@
     private DatagramSocket receiver;
 
     private int relays() {
-        if (relaysInUse < 0) {
-            throw new IllegalStateException("relays are unknown");
+        if (relayFailure instanceof Error error) {
+            throw error;
+        }
+        if (relayFailure != null) {
+            throw (RuntimeException) relayFailure;
         }
         return relaysInUse;
     }
@@ -208,14 +215,19 @@
         assertThat(done).isDone();
     }
 
+    static Stream<Throwable> failures() {
+        return Stream.of(new IllegalStateException("relays are unknown"), new StackOverflowError());
+    }
+
     /** Guards against a router that is killed with answers in flight as its stop went no further after a failure. */
-    @Test
-    void goesOnWithTheStopAfterOneOfItsChecksFailed() throws InterruptedException {
+    @ParameterizedTest
+    @MethodSource("failures")
+    void goesOnWithTheStopAfterOneOfItsChecksFailed(Throwable failure) throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
-        relaysInUse = -1;
+        relayFailure = failure;
         loop.execute(() -> sequence.begin(nowMillis, done::countDown));
         onLoop(() -> {});
-        relaysInUse = 0;
+        relayFailure = null;
         nowMillis = policy.timeline().durationMillis();
         assertThat(done.await(WAIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
     }
