Open no connection for requests to the address of a running router

Symptom: an entry had the address at which a router takes other routers. An unsafe request that was sent there got 502: the port closes the connection, and the request might have run.

Cause: nothing kept a request from being sent to a process that is known not to be an upstream.

RouterAddressTest on the code before, beside a sound upstream:

FAILED [3] OWN_PEERS [/unsafe/ 0] expected: 200 but was: 502 FAILED [4] OTHER_PEERS [/unsafe/ 0] expected: 200 but was: 502

A connection to an address at which this router or another one with recent heartbeats listens is refused before it is opened, so nothing is sent and the request goes elsewhere without using up an attempt. The entry stays listed: an upstream that got the address of a router that was replaced is used as soon as the heartbeats are missing. The status 421 stays for routers that don't know each other.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -76,6 +76,7 @@
     private final PublishedState state;
     private final PublicationFollower follower;
     private final RouterLinks links;
+    private final RouterAddressGuard guard;
     private final UpstreamConnections connections;
     private final GossipHub hub;
     private final RequestDispatcher runs;
@@ -133,7 +134,8 @@
                 outlierDetector,
                 (int) (options.maxSockets() * RELAY_SHARE),
                 log);
-        connections = new UpstreamConnections(loop, links.opener(), links.table());
+        guard = new RouterAddressGuard(loop, links.opener(), this::isRouter);
+        connections = new UpstreamConnections(loop, guard, links.table());
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
         suspects = new SuspectTable(options.identity().process(), new CauseLog(loop, log));
@@ -212,6 +214,7 @@
         metrics.gauge("requests.not_proper", callers::malformedRequests);
         metrics.gauge("engines.placements", loadTable::size);
         metrics.gauge("upstreams.connections_opened", connections::opened);
+        metrics.gauge("upstreams.connections_to_routers_refused", guard::refused);
         metrics.gauge("retries.slack_share", () -> (long) retrySlackShare());
         metrics.gauge("suspects.known", suspects::size);
         metrics.gauge("suspects.parts", suspects::sharedTraits);
@@ -253,6 +256,14 @@
         return fleetSize.share(options.retrySlack(), loop.nowMillis());
     }
 
+    /** Returns whether this router or another running one listens at an address. */
+    private boolean isRouter(Address address) {
+        return address.equals(identity.callerAddress())
+                || address.equals(identity.peerAddress())
+                || peers.alive(loop.nowMillis()).stream()
+                        .anyMatch(peer -> address.equals(peer.callerAddress()) || address.equals(peer.peerAddress()));
+    }
+
     /** Closes connections to an upstream that was removed or restarted, and ends attempts at a restarted one. */
     private void onUpstreamRemoved(UpstreamEntry entry) {
         connections.closeIdleTo(entry.address());
