Take a request while stopping only if a slowdown would not cut it, if others serve it at once

Cause: a stopping router weighed only whether it can complete the request at the pace that is known when it chooses an engine, not what the alternatives cost.

Why this mends it: while each router that the caller may reach serves it at once, by the same rule as the one of Retry-After, twice the longest time has to fit.

StopGateTest failed before in 2 of 5 cases: takesNoRequestThatASlowdownWouldCut... and the case of a stopping router that callers have forgotten.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -124,7 +124,7 @@
         if (!stop.timeline().stopping() || progress.answerStarted()) {
             return false;
         }
-        longestMillis = stop.longestMillis(facts, choice, now);
+        longestMillis = stop.requiredMillis(facts, choice, now);
         return rejectsAsStopping(now);
     }
 
