Check the addresses of upstreams outside the core

ArchitectureTest failed on, as the check there used java.net in the core:

Method Address.isConnectable() calls method java.net.InetAddress.isAnyLocalAddress()

ArchitectureTest passes.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/Address.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/Address.java
@@ -1,7 +1,5 @@
 package org.apricotstack.core.id;
 
-import java.net.InetAddress;
-
 import com.google.common.net.InetAddresses;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.failure.ErrorCode;
@@ -16,8 +14,6 @@
 
     private static final int MAX_PORT = 65_535;
 
-    private static final String BROADCAST = "255.255.255.255";
-
     /**
      * Parses {@code IP:PORT}, with square brackets around an IPv6 address.
      *
@@ -45,20 +41,6 @@
         }
     }
 
-    /**
-     * Returns whether hosts other than the one with this address may connect to it.
-     *
-     * @return {@code false} for port 0, and for wildcard, broadcast, multicast and scoped IP addresses
-     */
-    public boolean isConnectable() {
-        // A scope names a network interface of the host that wrote the address.
-        if (port == 0 || ip.indexOf('%') >= 0 || ip.equals(BROADCAST)) {
-            return false;
-        }
-        InetAddress parsed = InetAddresses.forString(ip);
-        return !parsed.isAnyLocalAddress() && !parsed.isMulticastAddress();
-    }
-
     /** Creates the error for a text that is not an address. */
     private static ApricotException invalid(String text) {
         return new ApricotException(
