Play the unfinished response to a failing listener again

The test that was widened to each method of a listener played whole responses only. The response that stops in the middle of its body, which the test had before, is back as a test of its own with the same expectations; it passes.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
@@ -22,6 +22,7 @@
 import org.apricotstack.core.upstream.FailureKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -32,6 +33,7 @@
 
     private static final long WAIT_TIMEOUT_SECONDS = 15;
     private static final String WHOLE = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    private static final String UNFINISHED = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel";
     private static final String SPOILED = "no response\r\n\r\n";
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
@@ -123,6 +125,20 @@
         }
     }
 
+    /** Guards against a request that waits for the rest of a response that the router failed to process. */
+    @Test
+    void endsTheCallOfAnUnfinishedResponseThatCouldNotBeProcessed() throws Exception {
+        UpstreamConnections connections = new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
+        IllegalStateException failure = new IllegalStateException("the response cannot be processed");
+        try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            ThrowingListener listener = new ThrowingListener(Site.HEAD, failure);
+            call(connections, serverSocket, listener, UNFINISHED);
+            assertThat(listener.outcome.get(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .isEqualTo(FailureKind.CUT);
+        }
+        assertThat(reported.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isSameAs(failure);
+    }
+
     private void call(
             UpstreamConnections connections, ServerSocket serverSocket, UpstreamListener listener, String response)
             throws IOException {
