Revert "Take a request while stopping only if a slowdown would not cut it, if others serve it at once"

What callers would have seen: a stopping router refused a short request of a plain service though it had time and another router was ready. PublicationsTest.resolvesOnlyServingRouters failed on the joined code (503 instead of 200): with few records a plain service counts as taking four latency targets, and twice that did not fit into 7.6 s.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -68,17 +68,6 @@
                 .orElseGet(() -> restartedInMillis(others, longestMillis, nowMillis));
     }
 
-    /**
-     * Returns whether a rejected caller is served by another router at once, whichever address it still caches.
-     *
-     * @param others the other routers
-     * @param longestMillis the longest time that the request takes, in milliseconds
-     * @return whether one is ready, and each stopping one takes the request or is forgotten by callers
-     */
-    public boolean othersTake(OtherRouters others, long longestMillis) {
-        return others.ready() && served(others, longestMillis, OTHER_ROUTER_MILLIS);
-    }
-
     /** Returns whether every other router that callers may go to after the given time takes the request. */
     private boolean served(OtherRouters others, long longestMillis, long afterMillis) {
         boolean anyTakes = others.ready() || others.longestLeftMillis() - afterMillis >= longestMillis;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -125,7 +125,7 @@
         if (!stop.timeline().stopping() || progress.answerStarted()) {
             return false;
         }
-        longestMillis = stop.requiredMillis(facts, choice, now);
+        longestMillis = stop.longestMillis(facts, choice, now);
         return rejectsAsStopping(now);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -11,9 +11,6 @@
 /** Rejects requests that a stopping router could not complete before its process ends, and counts them. */
 public final class StopGate {
 
-    /** Slowdown of an upstream after it was chosen that is assumed while another router serves rejected callers. */
-    private static final long SLOWDOWN = 2;
-
     private final StopPolicy policy;
     private final Supplier<OtherRouters> others;
     private final CompletionTimes times;
@@ -61,16 +58,6 @@
         return choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, nowMillis);
     }
 
-    /**
-     * Returns the time that must be left for a request to be taken, in milliseconds. While a rejected caller is served
-     * elsewhere at once, it includes a slowdown of the chosen upstream. The choice is {@code null} while there is none.
-     */
-    long requiredMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        long longestMillis = longestMillis(facts, choice, nowMillis);
-        long slowedMillis = Math.min(facts.remainingMillis(nowMillis), SLOWDOWN * longestMillis);
-        return policy.othersTake(others.get(), slowedMillis) ? slowedMillis : longestMillis;
-    }
-
     /** Estimates the longest time of the rest of a stream, of which some tokens were forwarded, in milliseconds. */
     long restMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
         return others.get().ready()
