End a call whose new connection cannot be used for an error here

What callers saw: no answer until the time limit. What the listener threw when it was asked whether the request may still be sent, or what the start of the request threw, ended in a warning of Netty, and the call stayed open. FailingListenerTest, site MAY_BE_SENT, an exception and an error: both timed out after 15 s before. The call now ends as possibly sent and the error is reported.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -122,17 +122,30 @@
         connecting.addListener((Future<OpenedConnection> done) -> {
             if (!done.isSuccess()) {
                 call.fail(FailureKind.NO_CONNECTION);
-            } else if (call.finished()) {
-                done.getNow().channel().close();
-            } else if (!call.listener().mayBeSent()) {
+                return;
+            }
+            try {
+                useConnection(address, done.getNow(), call);
+            } catch (RuntimeException | Error e) {
+                processingFailed(e);
                 done.getNow().channel().close();
-                call.fail(FailureKind.WITHHELD);
-            } else {
-                start(address, done.getNow(), call);
+                call.fail(FailureKind.CUT);
             }
         });
     }
 
+    /** Sends a call over a new connection, unless it has ended or must not be sent any more. */
+    private void useConnection(Address address, OpenedConnection opened, UpstreamCall call) {
+        if (call.finished()) {
+            opened.channel().close();
+        } else if (!call.listener().mayBeSent()) {
+            opened.channel().close();
+            call.fail(FailureKind.WITHHELD);
+        } else {
+            start(address, opened, call);
+        }
+    }
+
     /** Sends a call over a new connection. */
     private void start(Address address, OpenedConnection opened, UpstreamCall call) {
         UpstreamConnection connection = new UpstreamConnection(this, address, opened.isRelayed());
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -38,6 +40,7 @@
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final BlockingQueue<Throwable> reported = new LinkedBlockingQueue<>();
+    private final List<Socket> accepted = new ArrayList<>();
 
     @BeforeEach
     void collectReports() {
@@ -45,12 +48,16 @@
     }
 
     @AfterEach
-    void stop() {
+    void stop() throws IOException {
+        for (Socket socket : accepted) {
+            socket.close();
+        }
         loop.close();
     }
 
     /** The methods of a listener that a call invokes with a response or a failure. */
     private enum Site {
+        MAY_BE_SENT,
         HEAD,
         DATA,
         END,
@@ -85,6 +92,12 @@
             throw (RuntimeException) failure;
         }
 
+        @Override
+        public boolean mayBeSent() {
+            reached(Site.MAY_BE_SENT);
+            return true;
+        }
+
         @Override
         public void head(ResponseHead head, HttpResponse raw) {
             reached(Site.HEAD);
@@ -152,6 +165,7 @@
                 true,
                 listener));
         Socket socket = serverSocket.accept();
+        accepted.add(socket);
         socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
     }
 }
