End a stop once no time is left though its checks fail

What callers would have seen: answers cut by the kill without a word. A check that throws each time never reached the end of the stop, so requests in flight were not answered as not run or unknown. StopSequenceTest.endsOnceNoTimeIsLeftThoughItsChecksFail timed out for an exception and for an error. The failure is reported, and the stop ends when no time is left.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/StopSequence.java
@@ -87,15 +87,24 @@
     /** Runs the steps that are due, and schedules the next check, also after a step that failed. */
     void runDueSteps() {
         long now = loop.nowMillis();
-        boolean ended = false;
+        if (!stepsEndedOrFailed(now)) {
+            long untilEndMillis = Math.max(1, timeline.leftMillis(now));
+            loop.schedule(Math.min(CHECK_INTERVAL_MILLIS, untilEndMillis), this::runDueSteps);
+        }
+    }
+
+    /** Runs the steps that are due; after a failure, the stop ends once no time is left. */
+    private boolean stepsEndedOrFailed(long now) {
         try {
-            ended = stepsEnded(now);
-        } finally {
-            if (!ended) {
-                long untilEndMillis = Math.max(1, timeline.leftMillis(now));
-                loop.schedule(Math.min(CHECK_INTERVAL_MILLIS, untilEndMillis), this::runDueSteps);
-            }
+            return stepsEnded(now);
+        } catch (RuntimeException | Error e) {
+            loop.taskFailed(e);
         }
+        boolean ends = timeline.leftMillis(now) <= 0;
+        if (ends) {
+            end(timeline.elapsedMillis(now));
+        }
+        return ends;
     }
 
     /** Runs the steps that are due, and returns whether the last one was among them. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/StopSequenceTest.java
@@ -232,6 +232,18 @@
         assertThat(done.await(WAIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
     }
 
+    /** Guards against a router that is killed with answers in flight as each of its checks fails. */
+    @ParameterizedTest
+    @MethodSource("failures")
+    void endsOnceNoTimeIsLeftThoughItsChecksFail(Throwable failure) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        relayFailure = failure;
+        loop.execute(() -> sequence.begin(nowMillis, done::countDown));
+        onLoop(() -> {});
+        nowMillis = policy.timeline().durationMillis();
+        assertThat(done.await(WAIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     @Test
     void tellsTheOtherRoutersOfAStopAtOnce() throws IOException {
         onLoop(() -> {
