Count no guarded address as a crashed upstream

Found by the reviewer: the guard failed like a refused connection, and a refused connection is evidence that an upstream crashed, so the request that another router at that address had ended could be suspected by all routers. In the reviewer's run isConnectionRefused was true at a guarded address. It now fails as an address without a route, which shows nothing; RouterAddressGuardTest expects false.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterAddressGuard.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterAddressGuard.java
@@ -1,6 +1,6 @@
 package org.apricotstack.serving;
 
-import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.util.function.Predicate;
 
 import io.netty.util.concurrent.Future;
@@ -38,8 +38,11 @@
         }
         refused++;
         Promise<OpenedConnection> failed = loop.loop().newPromise();
+        // Not a refused connection, which would count as evidence that an upstream crashed.
+        NoRouteToHostException failure = new NoRouteToHostException(
+                "A router listens at " + address + "; correct the address of the upstream's entry.");
         // The caller is informed after it has received the future, as by a real connection attempt.
-        loop.execute(() -> failed.tryFailure(new ConnectException("A router listens at " + address + ".")));
+        loop.execute(() -> failed.tryFailure(failure));
         return failed;
     }
 
