Continue interrupted requests though the record of a crash fails

Found by the reviewer by reading: the waiting requests were taken from the table before the crash was recorded, and what the record threw left all of them without a next step until their time limits. The record runs by itself now. It has no test of its own.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectGate.java
@@ -115,7 +115,7 @@
     private void crashChecked(UpstreamEntry upstream, boolean crashed) {
         List<InterruptedAttempt> all = waiting.remove(upstream.id());
         if (crashed) {
-            recordCrash(upstream.id(), all);
+            context.loop().run(() -> recordCrash(upstream.id(), all));
         } else {
             context.loop().schedule(CRASH_RECHECK_MILLIS, () -> recheckCrash(upstream, all));
         }
