--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -49,6 +49,7 @@
     /** Plays a case and ends this process with its result. */
     static void play(Path folder, Case played) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+        Runtime.getRuntime().addShutdownHook(new Thread(Router::endAll));
         int code = NOT_RUN;
         try {
             note("disruption: " + TROUBLE);
@@ -471,11 +472,11 @@
             }
             List<String> seeds = new ArrayList<>();
             routers.stream().limit(3).forEach(router -> seeds.add("\"" + router.ip + ":8229\""));
+            ALL.addAll(routers);
             for (Router router : routers) {
                 Files.writeString(router.settings, router.settings(store, String.join(",", seeds)));
                 router.launch();
             }
-            ALL.addAll(routers);
             for (Router router : routers) {
                 router.awaitReady();
             }
@@ -554,10 +555,10 @@
             }
         }
 
-        /** Sends a signal. */
-        void signal(String signal) throws Exception {
-            note("router " + name + " gets SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        /** Sends SIGTERM. */
+        void terminate() {
+            note("router " + name + " gets SIGTERM");
+            process.destroy();
         }
 
         List<String> log() throws IOException {
@@ -572,7 +573,9 @@
             }
             for (Router router : ALL) {
                 try {
-                    router.process.waitFor();
+                    if (router.process != null) {
+                        router.process.waitFor();
+                    }
                     if (System.getenv("KEEP") == null) {
                         Files.deleteIfExists(router.log);
                         Files.deleteIfExists(router.settings);
--- a/review/standin/LateStream.java
+++ b/review/standin/LateStream.java
@@ -109,7 +109,7 @@
         Kit.Router stopping = routers.get(0);
         long term = Kit.now();
         if (Kit.TROUBLE) {
-            stopping.signal("TERM");
+            stopping.terminate();
         }
         Kit.sleep(term + SENT_AFTER_MILLIS - Kit.now());
         List<Thread> threads = new ArrayList<>();
