Let a stopping router allow for a silence of its upstream

Cause: the longest time of a request covers the predicted pace and a quarter more, and was compared with all of the time that is left. A sound upstream may be silent for a second or so and go on; no time was kept for that. Ruled out by the router's log: a pace predicted too fast (100 percent, events on time), a stream that was moved (one attempt each).

Change: the longest time includes one silence of 2,000 ms, the shortest patience of callers, if a rejected caller has another router to go to: any ready one later than 3 s after the signal, and before that one that serves it at once. It holds on arrival, while the request waits, for the choice of an upstream and for each further attempt. A silent attempt of a stopping router that a sound silence leaves complete is moved only if the next upstream has time for a silence too; that of an engine that was found dead is moved as before. Relays: a stopping router took a relayed answer for complete after a pause of 1 s, now after 3 s; no request is sent on an open connection through a router that is stopping.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -8,6 +8,9 @@
     /** Retry-after for callers that can go to another router, in milliseconds. */
     private static final long OTHER_ROUTER_MILLIS = 100;
 
+    /** Time after the signal in which callers may not know of the stop, in milliseconds. */
+    private static final long UNAWARE_MILLIS = 3_000;
+
     /** Time from the end of a process until the next one on its host is ready, in milliseconds. */
     private static final long RESTART_MILLIS = 1_000;
 
@@ -50,6 +53,21 @@
         return longestMillis <= timeline.leftMillis(nowMillis);
     }
 
+    /**
+     * Returns whether a request has to fit with a silence of its upstream into the time that is left. It does not while
+     * callers may not know of the stop and a rejected one would have to wait: the wait is certain, and a silence rare.
+     *
+     * @param others the other routers
+     * @param longestMillis the longest time that the request takes with a silence, in milliseconds
+     * @param nowMillis the current time
+     * @return {@code false} also if no other router is ready
+     */
+    public boolean allowsForSilence(OtherRouters others, long longestMillis, long nowMillis) {
+        return others.ready()
+                && (timeline.elapsedMillis(nowMillis) > UNAWARE_MILLIS
+                        || served(others, longestMillis, OTHER_ROUTER_MILLIS));
+    }
+
     /**
      * Returns when a rejected caller is served by any router whose address it may still cache, except this one.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterAddressGuard.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/RouterAddressGuard.java
@@ -31,6 +31,11 @@
         this.isRouter = isRouter;
     }
 
+    @Override
+    public boolean takesRequests(Address relay) {
+        return opener.takesRequests(relay);
+    }
+
     @Override
     public Future<OpenedConnection> open(Address address, int timeoutMillis) {
         if (!isRouter.test(address)) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
@@ -14,4 +14,14 @@
      * @return completes on the event loop; may be cancelled
      */
     Future<OpenedConnection> open(Address address, int timeoutMillis);
+
+    /**
+     * Returns whether requests may be sent on open connections that lead through another router.
+     *
+     * @param relay the address of that router for other routers
+     * @return {@code false} if it is stopping, or nothing was heard from it
+     */
+    default boolean takesRequests(Address relay) {
+        return true;
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -30,7 +30,7 @@
 
     private final UpstreamConnections pool;
     private final Address address;
-    private final boolean relayed;
+    private final Address relay;
     private ChannelHandlerContext context;
     private UpstreamCall call;
     private ResponseHead answer;
@@ -45,11 +45,11 @@
     private long reusableUntilMillis;
     private long lastActiveMillis;
 
-    /** Creates a connection that is being opened. */
-    UpstreamConnection(UpstreamConnections pool, Address address, boolean relayed) {
+    /** Creates a connection that is being opened, through the given router or, if that is {@code null}, directly. */
+    UpstreamConnection(UpstreamConnections pool, Address address, Address relay) {
         this.pool = pool;
         this.address = address;
-        this.relayed = relayed;
+        this.relay = relay;
     }
 
     @Override
@@ -64,7 +64,12 @@
 
     /** Returns whether the connection leads through another router. */
     boolean isRelayed() {
-        return relayed;
+        return relay != null;
+    }
+
+    /** Returns the address of the router through which the connection leads, or {@code null} for a direct one. */
+    Address relay() {
+        return relay;
     }
 
     /** Returns when bytes last arrived, or the request was sent, in milliseconds. */
@@ -191,7 +196,7 @@
 
     /** Ends the call at the end of its response; without a length, the end may be that of the connection alone. */
     private void finishOrFail() {
-        if (!framed && (broken || relayed)) {
+        if (!framed && (broken || isRelayed())) {
             fail(FailureKind.CUT);
         } else {
             finish();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -106,7 +106,7 @@
         Deque<UpstreamConnection> idleConnections = idle.get(address);
         while (idleConnections != null && !idleConnections.isEmpty()) {
             UpstreamConnection connection = idleConnections.pollLast();
-            if (connection.usable(loop.nowMillis()) && links.mayReuse(address, connection.isRelayed())) {
+            if (connection.usable(loop.nowMillis()) && mayReuse(connection)) {
                 return connection;
             }
             connection.close();
@@ -114,6 +114,12 @@
         return null;
     }
 
+    /** Returns whether the link and the router through which an idle connection leads still take requests. */
+    private boolean mayReuse(UpstreamConnection connection) {
+        return links.mayReuse(connection.address(), connection.isRelayed())
+                && (!connection.isRelayed() || opener.takesRequests(connection.relay()));
+    }
+
     /** Opens a connection for a call. */
     private void connect(Address address, UpstreamCall call) {
         opened++;
@@ -148,7 +154,7 @@
 
     /** Sends a call over a new connection. */
     private void start(Address address, OpenedConnection opened, UpstreamCall call) {
-        UpstreamConnection connection = new UpstreamConnection(this, address, opened.isRelayed());
+        UpstreamConnection connection = new UpstreamConnection(this, address, opened.relay());
         opened.channel()
                 .pipeline()
                 .addLast(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.link.LinkTable;
+import org.apricotstack.core.upstream.SoundSilence;
 import org.apricotstack.serving.http.ConnectionOpener;
 import org.apricotstack.serving.http.OpenedConnection;
 import org.apricotstack.serving.http.ServingLoop;
@@ -31,8 +32,11 @@
     /** Connect timeout, in milliseconds; the other router has others to ask. */
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
+    /** Longest usual pause between two parts of an answer, in milliseconds. */
+    private static final long USUAL_PAUSE_MILLIS = 1_000;
+
     /** Pause in a response after which a stopping router takes it for complete, in milliseconds. */
-    private static final long PAUSE_MILLIS = 1_000;
+    private static final long PAUSE_MILLIS = USUAL_PAUSE_MILLIS + SoundSilence.LONGEST_MILLIS;
 
     private final ServingLoop loop;
     private final ConnectionOpener direct;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RoutedConnectionOpener.java
@@ -98,6 +98,12 @@
         return test(address, timeoutMillis);
     }
 
+    @Override
+    public boolean takesRequests(Address relay) {
+        return alivePeers.get().stream()
+                .anyMatch(peer -> peer.ready() && peer.peerAddress().equals(relay));
+    }
+
     /** Opens a connection even if the upstream was unreachable when it was last tried. */
     Future<OpenedConnection> test(Address upstream, int timeoutMillis) {
         Race race = new Race(upstream, timeoutMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import com.codahale.metrics.SlidingWindowReservoir;
+import org.apricotstack.core.engine.EngineLoad;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.ServiceId;
@@ -84,26 +85,39 @@
 
     /** Estimates the shortest time of the longest answer to a request, in milliseconds; its deadline bounds it. */
     long leastMillis(RequestFacts facts, long nowMillis) {
+        return leastMillis(facts, 0, nowMillis);
+    }
+
+    /** Estimates the same for an upstream that is silent once for the given time. */
+    long leastMillis(RequestFacts facts, long silenceMillis, long nowMillis) {
         double millis;
         if (facts.runsOnEngines()) {
             EngineProfile engine = facts.profile().engine().orElseThrow();
-            millis = facts.answerTokens() * engine.decodeStepMillis();
+            millis = facts.answerTokens() * engine.decodeStepMillis() + silenceMillis;
         } else {
-            millis = plainMillis(facts);
+            millis = plainMillis(facts, silenceMillis);
         }
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
     /** Estimates the longest time of a request at the chosen upstream, in milliseconds; its deadline bounds it. */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        return longestMillis(facts, 0, choice, nowMillis);
+        return longestMillis(facts, 0, choice, 0, nowMillis);
     }
 
     /** Estimates the same for a stream of which some tokens were already forwarded. */
     long longestMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
-        double millis = facts.runsOnEngines()
-                ? choice.predictedMillis() + decodeMillis(facts, remainingTokens(facts, forwardedTokens), choice)
-                : plainMillis(facts);
+        return longestMillis(facts, forwardedTokens, choice, 0, nowMillis);
+    }
+
+    /** Estimates the same for an upstream that is silent once for the given time. */
+    long longestMillis(
+            RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long silenceMillis, long nowMillis) {
+        double millis = plainMillis(facts, silenceMillis);
+        if (facts.runsOnEngines()) {
+            long tokens = remainingTokens(facts, forwardedTokens);
+            millis = choice.predictedMillis() + decodeMillis(facts, tokens, choice) + silenceMillis;
+        }
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
@@ -136,9 +150,10 @@
 
     /** Returns the predicted pace of the chosen engine, in milliseconds per token. */
     private double predictedMillisPerToken(RequestFacts facts, UpstreamChoice choice) {
-        return loadTable
-                .load(choice.upstream().id())
-                .decodeMillisPerToken(facts.request().promptTokens());
+        EngineLoad load = loadTable.load(choice.upstream().id());
+        // The load of an engine that is no longer listed may have been forgotten.
+        load.profile(facts.profile().engine().orElseThrow());
+        return load.decodeMillisPerToken(facts.request().promptTokens());
     }
 
     /** Estimates the longest time after the first event of the answer of the chosen engine, in milliseconds. */
@@ -150,12 +165,17 @@
         return Math.max(predicted, recorded);
     }
 
-    /** Estimates the longest time of an answer of a plain service, in milliseconds. */
-    private double plainMillis(RequestFacts facts) {
+    /**
+     * Estimates the longest time of an answer of a plain service, in milliseconds. The time that is assumed without
+     * enough records covers a silence as far as it exceeds the latency target.
+     */
+    private double plainMillis(RequestFacts facts, long silenceMillis) {
         SlidingWindowReservoir recorded = recordedMicros.get(facts.service());
-        return recorded != null && recorded.size() >= MIN_RECORDED
-                ? slowestMillis(recordedMicros, facts)
-                : PLAIN_LATENCY_TARGETS * facts.route().targetLatencyMillis();
+        if (recorded != null && recorded.size() >= MIN_RECORDED) {
+            return slowestMillis(recordedMicros, facts) + silenceMillis;
+        }
+        long targetMillis = facts.route().targetLatencyMillis();
+        return Math.max(PLAIN_LATENCY_TARGETS * targetMillis, targetMillis + silenceMillis);
     }
 
     /** Returns the given quantile of the records, in milliseconds; 0 without records. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.Sets;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.core.upstream.SoundSilence;
 import org.apricotstack.serving.observe.KeptCause;
 import org.apricotstack.serving.observe.RefusalCause;
 
@@ -23,9 +24,6 @@
      */
     private static final long PERMIT_MILLIS = 150;
 
-    /** Longest silence of a sound upstream, in milliseconds. */
-    private static final long SOUND_SILENCE_MILLIS = 2_000;
-
     private final ServingContext context;
     private final UpstreamChooser chooser;
     private final UpstreamGates gates;
@@ -94,7 +92,9 @@
         if (isDeclined(choice)) {
             return KeptCause.TOO_DEAR;
         }
-        return completesBeforeStop(choice) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
+        boolean foundDead = kind == FailureKind.SILENT && attempt.choice().placement() != null;
+        long silenceMillis = !foundDead && completesAfterSilence(attempt) ? SoundSilence.LONGEST_MILLIS : 0;
+        return completesBeforeStop(choice, silenceMillis) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
     }
 
     /** Returns whether the request would not be sent to the chosen upstreams now, as they are too expensive. */
@@ -105,14 +105,30 @@
 
     /** Returns whether a begun stream has been silent for longer than that of a sound upstream ever is. */
     private boolean outlastsSoundSilence() {
-        return progress.answerStarted() && context.nowMillis() - progress.lastMillis() > SOUND_SILENCE_MILLIS;
+        long longestMillis = facts.route().tokenGapTargetMillis() + SoundSilence.LONGEST_MILLIS;
+        return progress.answerStarted() && context.nowMillis() - progress.lastMillis() > longestMillis;
     }
 
-    /** Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. */
-    private boolean completesBeforeStop(UpstreamChoice choice) {
+    /**
+     * Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router, also
+     * after a silence of the given length.
+     */
+    private boolean completesBeforeStop(UpstreamChoice choice, long silenceMillis) {
         StopGate stop = context.stop();
         long now = context.nowMillis();
-        return !stop.timeline().stopping() || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, now), now);
+        return !stop.timeline().stopping()
+                || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, now) + silenceMillis, now);
+    }
+
+    /** Returns whether a silent attempt that goes on at last is complete before the end of a stopping router. */
+    private boolean completesAfterSilence(Attempt attempt) {
+        long now = context.nowMillis();
+        long waitedMillis = now - attempt.sentMillis();
+        if (progress.answerStarted()) {
+            long silentMillis = Math.min(now - progress.lastMillis(), SoundSilence.LONGEST_MILLIS);
+            waitedMillis = silentMillis + Math.round(attempt.choice().predictedMillis());
+        }
+        return completesBeforeStop(attempt.choice(), SoundSilence.LONGEST_MILLIS - waitedMillis);
     }
 
     /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -7,6 +7,7 @@
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.time.StallDetector;
+import org.apricotstack.core.upstream.SoundSilence;
 
 /** Rejects requests that a stopping router could not complete before its process ends, and counts them. */
 public final class StopGate {
@@ -52,13 +53,22 @@
 
     /**
      * Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none.
-     * While no other router is ready, the slowest answers do not count: a rejected caller would have nowhere to go.
+     * A silence of the upstream counts if a rejected caller has another router to go to.
      */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        long withSilenceMillis = choice == null
+                ? times.leastMillis(facts, SoundSilence.LONGEST_MILLIS, nowMillis)
+                : times.longestMillis(facts, 0, choice, SoundSilence.LONGEST_MILLIS, nowMillis);
+        if (policy.allowsForSilence(others.get(), withSilenceMillis, nowMillis)) {
+            return withSilenceMillis;
+        }
         return choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, nowMillis);
     }
 
-    /** Estimates the longest time of the rest of a stream, of which some tokens were forwarded, in milliseconds. */
+    /**
+     * Estimates the longest time of the rest of a stream, of which some tokens were forwarded, in milliseconds. While
+     * no other router is ready, the slowest answers do not count: a rejected caller would have nowhere to go.
+     */
     long restMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
         return others.get().ready()
                 ? times.longestMillis(facts, forwardedTokens, choice, nowMillis)
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/ReplacementCheckTest.java
@@ -47,6 +47,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -73,7 +75,8 @@
             2,
             true,
             true,
-            0);
+            100);
+
     /** Memory of an engine in tokens; the prompt of the request takes most of it. */
     private static final long MEMORY_TOKENS = 300_000;
 
@@ -188,13 +191,17 @@
     }
 
     private ReplacementCheck check(RequestFacts facts) {
+        return check(facts, new StreamProgress(null));
+    }
+
+    private ReplacementCheck check(RequestFacts facts, StreamProgress progress) {
         return new ReplacementCheck(
                 context,
                 chooser,
                 gates,
                 facts,
                 new AttemptCount(ROUTE),
-                new StreamProgress(null),
+                progress,
                 suspectTracker,
                 null,
                 new HashSet<>());
@@ -299,6 +306,34 @@
         assertThat(acquire()).isEqualTo(KeptCause.IN_TRIAL);
     }
 
+    /** Guards against a stream that is moved, and then cut, though its engine goes on after a silence. */
+    @ParameterizedTest
+    @CsvSource({"2100, STOPPING", "2101,"})
+    void keepsAStreamOfAStoppingRouterUntilItsEngineIsSilentForTooLong(long silentMillis, KeptCause cause) {
+        StreamProgress progress = new StreamProgress(null);
+        ReplacementCheck silent = check(ENGINE_FACTS, progress);
+        stop.timeline().begin(0, 0);
+        nowMillis = stop.timeline().durationMillis() - silentMillis;
+        progress.eventForwarded(1, nowMillis);
+        nowMillis += silentMillis;
+        assertThat(silent.obstacle(attempt, FailureKind.SILENT)).isEqualTo(cause);
+    }
+
+    /** Guards against a stream that is moved, and cut by a silence of the next engine, though it would have gone on. */
+    @ParameterizedTest
+    @CsvSource({"PASSED_OVER, 2000, STOPPING", "PASSED_OVER, 4000,", "PASSED_OVER, 1061,STOPPING", "SILENT, 2000,"})
+    void movesAStreamOfAStoppingRouterOnlyIfASilenceOfTheNextEngineFits(
+            FailureKind kind, long leftMillis, KeptCause cause) {
+        StreamProgress progress = new StreamProgress(null);
+        EnginePlacement placement = new EnginePlacement(null, List.of(), 0, 0, 0);
+        Attempt silent = new Attempt(null, new UpstreamChoice(SILENT, List.of(), placement, 0, false, false, false), 0);
+        stop.timeline().begin(0, 0);
+        long silentMillis = 1_000;
+        nowMillis = stop.timeline().durationMillis() - leftMillis;
+        progress.eventForwarded(0, nowMillis - silentMillis);
+        assertThat(check(ENGINE_FACTS, progress).obstacle(silent, kind)).isEqualTo(cause);
+    }
+
     @Test
     void holdsTheRoomOfAReplacementUntilTheNextAttemptStarts() {
         ReplacementCheck silent = check(ENGINE_FACTS);
