Need a key as soon as a configuration has a list of accounts

Cause: whether keys are needed was derived from the keys that were left. The class is that nothing left is read as nothing asked for. Ruled out: a part of the configuration before that stays in force (invented keys ran too), routes that were anonymous (there were none).

Change: whether keys are needed is a fact of the document, kept beside the keys.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/route/AccountKeys.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/route/AccountKeys.java
@@ -5,24 +5,19 @@
 /**
  * The client accounts by API key.
  *
- * @param byKey the account of each key; empty if no request needs a key
+ * @param required whether requests need a key; the operators may have taken away all keys
+ * @param byKey the account of each key
  */
-public record AccountKeys(Map<String, KeyedAccount> byKey) {
+public record AccountKeys(boolean required, Map<String, KeyedAccount> byKey) {
+
+    /** No request needs a key. */
+    public static final AccountKeys NOT_REQUIRED = new AccountKeys(false, Map.of());
 
     /** Copies the map. */
     public AccountKeys {
         byKey = Map.copyOf(byKey);
     }
 
-    /**
-     * Tells whether requests need a key.
-     *
-     * @return whether any account has a key
-     */
-    public boolean required() {
-        return !byKey.isEmpty();
-    }
-
     /**
      * Finds the account of a key.
      *
--- a/apricotstack-core/src/main/java/org/apricotstack/core/route/Route.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/route/Route.java
@@ -50,18 +50,31 @@
         return kind == RequestKind.SAFE || kind == RequestKind.STREAMING && resumable;
     }
 
+    /**
+     * Tells whether requests may be sent to any upstream.
+     *
+     * @return {@code false} if no service has a share of the requests, or if no attempt is allowed
+     */
+    public boolean served() {
+        return maxAttempts > 0 && totalWeight() > 0;
+    }
+
+    private long totalWeight() {
+        return services.stream().mapToLong(WeightedService::weight).sum();
+    }
+
     /**
      * Chooses the service of a request by the weights of the traffic split.
      *
      * @param requestId the request's id; the same id always maps to the same service
-     * @return the service
+     * @return the service; one without a share only if none has one
      */
     public ServiceId serviceFor(String requestId) {
-        int totalWeight = services.stream().mapToInt(WeightedService::weight).sum();
+        long totalWeight = totalWeight();
         if (services.size() == 1 || totalWeight <= 0) {
             return services.get(0).service();
         }
-        int remaining = Math.floorMod(
+        long remaining = Math.floorMod(
                 Hashing.murmur3_32_fixed()
                         .hashString(requestId, StandardCharsets.UTF_8)
                         .asInt(),
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -77,6 +77,9 @@
         if (account == null && configuration.accounts().required() && !route.anonymous()) {
             return refuse(request, exchange, RefusalCause.UNKNOWN_KEY, 0);
         }
+        if (!route.served()) {
+            return refuse(request, exchange, RefusalCause.NO_UPSTREAM, 0);
+        }
         long now = context.nowMillis();
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, now);
         StopGate stop = context.stop();
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -55,7 +55,7 @@
         public ServingConfiguration configuration(Publication document) {
             long version = Long.parseLong(new String(document.content(), StandardCharsets.UTF_8));
             return new ServingConfiguration(
-                    version, new RouteTable(List.of()), Map.of(), CallerLimits.DEFAULT, new AccountKeys(Map.of()));
+                    version, new RouteTable(List.of()), Map.of(), CallerLimits.DEFAULT, AccountKeys.NOT_REQUIRED);
         }
 
         @Override
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/FailingDecoderTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/FailingDecoderTest.java
@@ -55,7 +55,7 @@
                     new RouteTable(List.of()),
                     Map.of(),
                     CallerLimits.DEFAULT,
-                    new AccountKeys(Map.of()));
+                    AccountKeys.NOT_REQUIRED);
         }
 
         @Override
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -78,7 +78,7 @@
                 new RouteTable(List.of(route)),
                 Map.of(SERVICE, profile),
                 CallerLimits.DEFAULT,
-                new AccountKeys(Map.of()));
+                AccountKeys.NOT_REQUIRED);
         return RequestFacts.of(request, configuration, route, null, 0);
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/InternalErrorTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/InternalErrorTest.java
@@ -114,7 +114,7 @@
                 new RouteTable(List.of(route)),
                 Map.of(SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty())),
                 CallerLimits.DEFAULT,
-                new AccountKeys(Map.of()));
+                AccountKeys.NOT_REQUIRED);
     }
 
     private static CallerRequest readRequest(HttpRequest head) {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/RequestFactsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/RequestFactsTest.java
@@ -91,7 +91,7 @@
                 parts,
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
         ServingConfiguration configuration = new ServingConfiguration(
-                1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULT, new AccountKeys(Map.of()));
+                1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULT, AccountKeys.NOT_REQUIRED);
         return RequestFacts.of(request, configuration, route, null, 0);
     }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopGateTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopGateTest.java
@@ -95,7 +95,7 @@
                 new RouteTable(List.of(route)),
                 Map.of(SERVICE, new ServiceProfile(SERVICE, 10, engine)),
                 CallerLimits.DEFAULT,
-                new AccountKeys(Map.of()));
+                AccountKeys.NOT_REQUIRED);
         return RequestFacts.of(request, configuration, route, null, nowMillis);
     }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopRejectionTest.java
@@ -117,7 +117,7 @@
                 new RouteTable(List.of(route)),
                 Map.of(SERVICE, new ServiceProfile(SERVICE, 10, Optional.empty())),
                 CallerLimits.DEFAULT,
-                new AccountKeys(Map.of()));
+                AccountKeys.NOT_REQUIRED);
     }
 
     private static CallerRequest readRequest(HttpRequest head) {
