Allow for a silence only for requests whose callers know of the stop

Cause: counting the silence also for requests that came within 3 s of the signal cost callers more than it saved.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -54,18 +54,16 @@
     }
 
     /**
-     * Returns whether a request has to fit with a silence of its upstream into the time that is left. It does not while
-     * callers may not know of the stop and a rejected one would have to wait: the wait is certain, and a silence rare.
+     * Returns whether a request has to fit with a silence of its upstream into the time that is left. One that arrived
+     * before its caller could know of the stop has to fit without: a rejection may cost the caller seconds, and a
+     * silence is rare.
      *
      * @param others the other routers
-     * @param longestMillis the longest time that the request takes with a silence, in milliseconds
-     * @param nowMillis the current time
+     * @param arrivedMillis when the request arrived
      * @return {@code false} also if no other router is ready
      */
-    public boolean allowsForSilence(OtherRouters others, long longestMillis, long nowMillis) {
-        return others.ready()
-                && (timeline.elapsedMillis(nowMillis) > UNAWARE_MILLIS
-                        || served(others, longestMillis, OTHER_ROUTER_MILLIS));
+    public boolean allowsForSilence(OtherRouters others, long arrivedMillis) {
+        return others.ready() && timeline.elapsedMillis(arrivedMillis) > UNAWARE_MILLIS;
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -93,7 +93,7 @@
             return KeptCause.TOO_DEAR;
         }
         boolean foundDead = kind == FailureKind.SILENT && attempt.choice().placement() != null;
-        long silenceMillis = !foundDead && completesAfterSilence(attempt) ? SoundSilence.LONGEST_MILLIS : 0;
+        long silenceMillis = foundDead ? 0 : context.stop().silenceMillis(facts);
         return completesBeforeStop(choice, silenceMillis) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
     }
 
@@ -117,18 +117,7 @@
         StopGate stop = context.stop();
         long now = context.nowMillis();
         return !stop.timeline().stopping()
-                || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, now) + silenceMillis, now);
-    }
-
-    /** Returns whether a silent attempt that goes on at last is complete before the end of a stopping router. */
-    private boolean completesAfterSilence(Attempt attempt) {
-        long now = context.nowMillis();
-        long waitedMillis = now - attempt.sentMillis();
-        if (progress.answerStarted()) {
-            long silentMillis = Math.min(now - progress.lastMillis(), SoundSilence.LONGEST_MILLIS);
-            waitedMillis = silentMillis + Math.round(attempt.choice().predictedMillis());
-        }
-        return completesBeforeStop(attempt.choice(), SoundSilence.LONGEST_MILLIS - waitedMillis);
+                || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now), now);
     }
 
     /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -53,25 +53,28 @@
 
     /**
      * Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none.
-     * A silence of the upstream counts if a rejected caller has another router to go to.
      */
     long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        long withSilenceMillis = choice == null
-                ? times.leastMillis(facts, SoundSilence.LONGEST_MILLIS, nowMillis)
-                : times.longestMillis(facts, 0, choice, SoundSilence.LONGEST_MILLIS, nowMillis);
-        if (policy.allowsForSilence(others.get(), withSilenceMillis, nowMillis)) {
-            return withSilenceMillis;
-        }
-        return choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, nowMillis);
+        long silenceMillis = silenceMillis(facts);
+        return choice == null
+                ? times.leastMillis(facts, silenceMillis, nowMillis)
+                : restMillis(facts, 0, choice, silenceMillis, nowMillis);
+    }
+
+    /** Returns the silence of its upstream that a request has to allow for, in milliseconds; 0 for none. */
+    long silenceMillis(RequestFacts facts) {
+        return policy.allowsForSilence(others.get(), facts.arrivedMillis()) ? SoundSilence.LONGEST_MILLIS : 0;
     }
 
     /**
-     * Estimates the longest time of the rest of a stream, of which some tokens were forwarded, in milliseconds. While
-     * no other router is ready, the slowest answers do not count: a rejected caller would have nowhere to go.
+     * Estimates the longest time of the rest of a stream, of which some tokens were forwarded, with a silence, in
+     * milliseconds. While no other router is ready, neither the slowest answers nor the silence count: a rejected
+     * caller would have nowhere to go.
      */
-    long restMillis(RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long nowMillis) {
+    long restMillis(
+            RequestFacts facts, long forwardedTokens, UpstreamChoice choice, long silenceMillis, long nowMillis) {
         return others.get().ready()
-                ? times.longestMillis(facts, forwardedTokens, choice, nowMillis)
+                ? times.longestMillis(facts, forwardedTokens, choice, silenceMillis, nowMillis)
                 : times.usualMillis(facts, forwardedTokens, choice, nowMillis);
     }
 
