--- a/apricotstack-core/src/main/java/org/apricotstack/core/route/Route.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/route/Route.java
@@ -59,6 +59,7 @@
         return maxAttempts > 0 && totalWeight() > 0;
     }
 
+    /** Returns the sum of the weights of all services. */
     private long totalWeight() {
         return services.stream().mapToLong(WeightedService::weight).sum();
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -32,7 +32,6 @@
     private CallerRequest request;
     private boolean bodyComplete = true;
     private boolean closing;
-    private boolean flushScheduled;
 
     /** Creates the connection. */
     CallerConnection(CallerServer server) {
@@ -327,23 +326,11 @@
                 cause, stage, exchange == null || request == null ? null : request.id(), context.channel(), error);
     }
 
-    /** Writes a message without flushing, as others follow at once. */
+    /** Writes a message that is flushed together with others of the same turn of the event loop. */
     void writeWithoutFlush(Object message) {
         context.write(message);
     }
 
-    /** Writes a message, and flushes it together with others that are written in the same turn of the event loop. */
-    void writeAndFlushSoon(Object message) {
-        context.write(message);
-        if (!flushScheduled) {
-            flushScheduled = true;
-            context.executor().execute(() -> {
-                flushScheduled = false;
-                context.flush();
-            });
-        }
-    }
-
     /** Writes and flushes a message. */
     void write(Object message) {
         context.writeAndFlush(message);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -122,7 +122,7 @@
             data.release();
             return;
         }
-        connection.writeAndFlushSoon(new DefaultHttpContent(data));
+        connection.writeWithoutFlush(new DefaultHttpContent(data));
     }
 
     /** Completes a started response. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -164,7 +164,8 @@
         StrictRequestDecoder decoder = new StrictRequestDecoder(config, connection::headBegun);
         connection.decoder(decoder);
         ReadPacing.install(channel);
-        channel.pipeline().addLast(decoder, ReadPacing.counter(), new HttpResponseEncoder(), connection);
+        channel.pipeline()
+                .addLast(decoder, ReadPacing.counter(), new HttpResponseEncoder(), new DeferredFlush(), connection);
     }
 
     /** Closes connections whose timeout for receiving a request has passed. */
