--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ConnectionOpener.java
@@ -19,7 +19,7 @@
      * Returns whether requests may be sent on open connections that lead through another router.
      *
      * @param relay the address of that router for other routers
-     * @return {@code false} if it is stopping, or nothing was heard from it
+     * @return {@code false} if it is stopping, or if it has sent no heartbeat recently
      */
     default boolean takesRequests(Address relay) {
         return true;
