Log and count responses that are not known to belong to a request

Callers got answers of other requests, and no line said on which connection an answer came, which id it bore, or that an answer was skipped.

Each response that bears another id, no id on a connection that carried an earlier request, or comes while no request is in flight is counted by cause and by what became of it, and leaves a line with the upstream, the relay, the connection, its earlier requests, the status and both ids; at most ten lines a second. The lines of served requests name their connection and its earlier requests, so that an id that comes twice on one connection shows too.

No decision changes.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
@@ -50,6 +50,11 @@
         return head;
     }
 
+    /** Returns the id that the response must echo, or {@code null} if responses have none. */
+    String requestId() {
+        return requestId;
+    }
+
     /** Returns the protocol that parses the response. */
     UpstreamProtocol protocol() {
         return protocol;
@@ -125,6 +130,24 @@
                 && connection.lastActiveMillis() < silentSinceMillis;
     }
 
+    /**
+     * Returns the number of the connection that carries the call, counted from 1 in each process.
+     *
+     * @return the number; 0 before the call is sent
+     */
+    public long connectionNumber() {
+        return connection == null ? 0 : connection.number();
+    }
+
+    /**
+     * Returns how many requests the connection carried before this call.
+     *
+     * @return requests; 0 on a new connection
+     */
+    public long earlierRequests() {
+        return connection == null ? 0 : connection.earlierRequests();
+    }
+
     /** Counts an event of the response, of which one message may contain many. */
     public void countEvent() {
         if (connection != null) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -12,6 +12,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.serving.observe.UnmatchedResponseCause;
+import org.apricotstack.serving.observe.UnmatchedResponseOutcome;
 
 /**
  * A connection to an upstream, for one request at a time.
@@ -29,10 +31,13 @@
     private static final long MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
 
     private final UpstreamConnections pool;
+    private final long number;
     private final Address address;
     private final Address relay;
     private ChannelHandlerContext context;
     private UpstreamCall call;
+    private UpstreamProtocol protocol;
+    private long requests;
     private ResponseHead answer;
     private boolean skippingLateResponse;
     private boolean informational;
@@ -46,8 +51,9 @@
     private long lastActiveMillis;
 
     /** Creates a connection that is being opened, through the given router or, if that is {@code null}, directly. */
-    UpstreamConnection(UpstreamConnections pool, Address address, Address relay) {
+    UpstreamConnection(UpstreamConnections pool, long number, Address address, Address relay) {
         this.pool = pool;
+        this.number = number;
         this.address = address;
         this.relay = relay;
     }
@@ -57,6 +63,16 @@
         context = ctx;
     }
 
+    /** Returns the number of the connection among those of its pool. */
+    long number() {
+        return number;
+    }
+
+    /** Returns how many requests the connection carried before the current or last one. */
+    long earlierRequests() {
+        return requests - 1;
+    }
+
     /** Returns the address of the upstream. */
     Address address() {
         return address;
@@ -90,6 +106,8 @@
     /** Sends a request. */
     void start(UpstreamCall next) {
         call = next;
+        protocol = next.protocol();
+        requests++;
         lastActiveMillis = pool.nowMillis();
         answer = null;
         skippingLateResponse = false;
@@ -139,10 +157,14 @@
 
     /** Processes the head of a response. */
     private void head(HttpResponse head) {
-        if (head.decoderResult().isFailure() || call == null) {
+        if (head.decoderResult().isFailure()) {
             failAsSpoiled();
             return;
         }
+        if (call == null) {
+            unexpectedHead(head);
+            return;
+        }
         informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational) {
             headSkipped();
@@ -153,15 +175,41 @@
         framed = PlainProtocol.isFramed(head);
         if (skippingLateResponse) {
             notReusable = true;
+            report(read, UnmatchedResponseCause.OTHER_ID, UnmatchedResponseOutcome.SKIPPED);
             call.listener().lateResponse(read);
             headSkipped();
             return;
         }
+        if (call.requestId() != null && read.requestId() == null && earlierRequests() > 0) {
+            report(read, UnmatchedResponseCause.NO_ID, UnmatchedResponseOutcome.USED);
+        }
         answer = read;
         notReusable |= read.closesConnection() || !framed;
         call.listener().head(read, head);
     }
 
+    /** Closes the connection after a response for which no request is in flight. */
+    private void unexpectedHead(HttpResponse head) {
+        if (context.channel().isActive()) {
+            report(protocol.read(head), UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
+        }
+        failAsSpoiled();
+    }
+
+    /** Reports a response that is not known to belong to the request in flight. */
+    private void report(ResponseHead read, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
+        pool.unmatched(new UnmatchedResponse(
+                address,
+                relay,
+                number,
+                earlierRequests(),
+                read.status(),
+                call == null ? null : call.requestId(),
+                read.requestId(),
+                cause,
+                outcome));
+    }
+
     /** Counts a head that is not the one of the response; an upstream may send them without end. */
     private void headSkipped() {
         skippedHeads++;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -55,8 +55,10 @@
     private final ServingLoop loop;
     private final ConnectionOpener opener;
     private final LinkTable links;
+    private final UnmatchedResponseObserver unmatchedResponses;
     private final Map<Address, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long opened;
+    private long lastConnectionNumber;
 
     /**
      * Creates an empty pool.
@@ -64,11 +66,14 @@
      * @param loop the event loop
      * @param opener opens connections
      * @param links tells which idle connections may be reused
+     * @param unmatchedResponses receives responses that are not known to belong to a request
      */
-    public UpstreamConnections(ServingLoop loop, ConnectionOpener opener, LinkTable links) {
+    public UpstreamConnections(
+            ServingLoop loop, ConnectionOpener opener, LinkTable links, UnmatchedResponseObserver unmatchedResponses) {
         this.loop = loop;
         this.opener = opener;
         this.links = links;
+        this.unmatchedResponses = unmatchedResponses;
     }
 
     /**
@@ -154,7 +159,7 @@
 
     /** Sends a call over a new connection. */
     private void start(Address address, OpenedConnection opened, UpstreamCall call) {
-        UpstreamConnection connection = new UpstreamConnection(this, address, opened.relay());
+        UpstreamConnection connection = new UpstreamConnection(this, ++lastConnectionNumber, address, opened.relay());
         opened.channel()
                 .pipeline()
                 .addLast(
@@ -199,6 +204,11 @@
         loop.taskFailed(failure);
     }
 
+    /** Reports a response that is not known to belong to a request. */
+    void unmatched(UnmatchedResponse response) {
+        unmatchedResponses.unmatched(response);
+    }
+
     /** Returns the time of the event loop. */
     long nowMillis() {
         return loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -60,6 +60,11 @@
             counters(SpeedChange.class, change -> "upstream_speed." + lower(change));
     private final Map<ConnectionCloseCause, Counter> connectionCloses =
             counters(ConnectionCloseCause.class, cause -> "connections.closed." + cause.code());
+    private final Map<UnmatchedResponseCause, Counter> unmatchedResponses =
+            counters(UnmatchedResponseCause.class, cause -> "unmatched_responses." + cause.code());
+    private final Map<UnmatchedResponseOutcome, Counter> unmatchedOutcomes =
+            counters(UnmatchedResponseOutcome.class, outcome -> "unmatched_responses.outcome." + outcome.code());
+    private final Counter unmatchedLinesSuppressed = registry.counter("unmatched_responses.lines_suppressed");
     private final Counter closeLinesSuppressed = registry.counter("connections.close_lines_suppressed");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter coldBegan = registry.counter("cold.began");
@@ -281,6 +286,22 @@
         connectionCloses.get(cause).inc();
     }
 
+    /**
+     * Counts a response of an upstream that is not known to belong to the request in flight on its connection.
+     *
+     * @param cause why
+     * @param outcome what became of it
+     */
+    public void unmatchedResponse(UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
+        unmatchedResponses.get(cause).inc();
+        unmatchedOutcomes.get(outcome).inc();
+    }
+
+    /** Counts an unmatched response whose log line is omitted, as there were too many. */
+    public void unmatchedResponseLineSuppressed() {
+        unmatchedLinesSuppressed.inc();
+    }
+
     /** Counts a closed connection whose log line is omitted, as there were too many. */
     public void closeLineSuppressed() {
         closeLinesSuppressed.inc();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -7,11 +7,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.notice.AdvertisedBackOff;
-import org.apricotstack.core.notice.AdvertisedDrain;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.BodyBuffer;
@@ -273,6 +270,11 @@
         }
     }
 
+    /** Returns the call that carries the attempt, or {@code null} before it is sent. */
+    final UpstreamCall call() {
+        return call;
+    }
+
     /** Counts an event of the response. */
     final void countEvent() {
         if (call != null) {
@@ -330,7 +332,7 @@
         if (finished) {
             return;
         }
-        FailureKind failure = failureOf(head);
+        FailureKind failure = ResponseFailure.of(head);
         if (failure == null || failure == FailureKind.ERROR && !run.mayRetry(failure)) {
             ByteBuf whole = body.take();
             close();
@@ -340,33 +342,6 @@
         }
     }
 
-    /** Classifies a complete response; {@code null} if it is not a failure. */
-    static FailureKind failureOf(ResponseHead answer) {
-        if (answer.wrongInstance()) {
-            return FailureKind.OTHER_INSTANCE;
-        }
-        if (answer.notRun()) {
-            return rejectionKind(answer);
-        }
-        if (answer.success()) {
-            return answer.sealed() && !answer.contentEncoded() ? null : FailureKind.SPOILED;
-        }
-        boolean serverError = answer.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        return serverError ? FailureKind.ERROR : null;
-    }
-
-    /** Returns why an upstream rejected a request without running it. */
-    private static FailureKind rejectionKind(ResponseHead answer) {
-        if (answer.faultyHelperAddress() != null) {
-            return FailureKind.HELPER_GONE;
-        }
-        if (answer.notice().drain() == AdvertisedDrain.DRAINING) {
-            return FailureKind.DRAINING;
-        }
-        boolean requestsBackOff = answer.notice().backOff().kind() == AdvertisedBackOff.Kind.STATED;
-        return requestsBackOff ? FailureKind.BACK_OFF : FailureKind.FULL;
-    }
-
     /** Returns the helper that the response names as the faulty one, or the upstream if it names none. */
     final UpstreamId faultyHelper() {
         return choice.helpers().stream()
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -239,6 +239,8 @@
                 .put("status", status)
                 .put("attempt", attempts.sent())
                 .put("upstream", attempt.upstream().id().value())
+                .put("connection", attempt.call().connectionNumber())
+                .put("earlier_requests", attempt.call().earlierRequests())
                 .put("took_millis", nowMillis - facts.arrivedMillis())
                 .put("longest_pause_millis", progress.longestTokenGapMillis())
                 .write();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamAttempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StreamAttempt.java
@@ -29,7 +29,7 @@
     public void head(ResponseHead answer, HttpResponse response) {
         super.head(answer, response);
         raw = response;
-        streaming = answer.success() && answer.eventStream() && failureOf(answer) == null;
+        streaming = answer.success() && answer.eventStream() && ResponseFailure.of(answer) == null;
     }
 
     @Override
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/RouterAddressGuardTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/RouterAddressGuardTest.java
@@ -18,7 +18,8 @@
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final RouterAddressGuard guard =
             new RouterAddressGuard(loop, new TcpConnectionOpener(loop), ROUTER::equals);
-    private final UpstreamConnections connections = new UpstreamConnections(loop, guard, new LinkTable());
+    private final UpstreamConnections connections =
+            new UpstreamConnections(loop, guard, new LinkTable(), response -> {});
 
     @AfterEach
     void stop() {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
@@ -125,7 +125,8 @@
     @ParameterizedTest
     @MethodSource("failuresAtEachSite")
     void endsTheCallOfAResponseThatCouldNotBeProcessed(Site site, Throwable failure) throws Exception {
-        UpstreamConnections connections = new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
+        UpstreamConnections connections =
+                new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable(), response -> {});
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             ThrowingListener listener = new ThrowingListener(site, failure);
             call(connections, serverSocket, listener, site == Site.FAILED ? SPOILED : WHOLE);
@@ -141,7 +142,8 @@
     /** Guards against a request that waits for the rest of a response that the router failed to process. */
     @Test
     void endsTheCallOfAnUnfinishedResponseThatCouldNotBeProcessed() throws Exception {
-        UpstreamConnections connections = new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
+        UpstreamConnections connections =
+                new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable(), response -> {});
         IllegalStateException failure = new IllegalStateException("the response cannot be processed");
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             ThrowingListener listener = new ThrowingListener(Site.HEAD, failure);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/SmallPiecesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/SmallPiecesTest.java
@@ -113,7 +113,8 @@
     /** Guards against an upstream whose small chunks keep the answers of all others waiting. */
     @Test
     void readsAnAnswerThatArrivesBesideManySmallChunks() throws IOException {
-        UpstreamConnections connections = new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
+        UpstreamConnections connections =
+                new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable(), response -> {});
         try (ServerSocket small = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 ServerSocket sound = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CountingListener flood = send(connections, small, true);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/WithheldRequestTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/WithheldRequestTest.java
@@ -70,7 +70,7 @@
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             Address address = new Address("127.0.0.1", serverSocket.getLocalPort());
             UpstreamConnections connections =
-                    new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable());
+                    new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable(), response -> {});
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
             RejectingListener listener = new RejectingListener();
             loop.execute(() ->
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -121,6 +121,13 @@
             "stops.requests_arrived",
             "stops.requests_cut",
             "streams.longest_pause_millis",
+            "unmatched_responses.lines_suppressed",
+            "unmatched_responses.no_id",
+            "unmatched_responses.no_request",
+            "unmatched_responses.other_id",
+            "unmatched_responses.outcome.connection_closed",
+            "unmatched_responses.outcome.skipped",
+            "unmatched_responses.outcome.used",
             "upstream_speed.none",
             "upstream_speed.recovered",
             "upstream_speed.slow");
