Responses without a body by their status end with their headers

A 204 or 304 without a Content-Length counted as a response whose end is that of its connection (RFC 9112, section 6.3): its connection was not reused, and through another router it failed as cut.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import org.apricotstack.core.notice.UpstreamNotice;
 
@@ -40,10 +41,17 @@
      * Returns whether the end of a response is marked; otherwise the end of its connection is its end.
      *
      * @param head status and headers
-     * @return whether the response has a length or consists of chunks
+     * @return whether the response has a length, consists of chunks, or has no body by its status
      */
     public static boolean isFramed(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        return hasNoBody(head.status())
+                || HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head);
+    }
+
+    /** Returns whether responses with a status end with their headers (RFC 9112, section 6.3). */
+    private static boolean hasNoBody(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.NO_CONTENT) || status.equals(HttpResponseStatus.NOT_MODIFIED);
     }
 
     /**
