Send requests without an id on new connections

A caller that sends no X-Request-Id got second answers to earlier requests whatever id they bore: without an id of its own, a request's response cannot be told from any other on a kept connection. Callers that send ids pay nothing.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -172,6 +172,14 @@
         return request.id().isEmpty() ? null : request.id();
     }
 
+    /**
+     * Returns whether the request must be sent on a new connection: on a kept one it may be lost without a sign whether
+     * it ran, and without an id its response cannot be told from that to an earlier request.
+     */
+    boolean needsNewConnection() {
+        return !route.idempotent() || echoedId() == null;
+    }
+
     /** Returns request line and headers as received from the caller. */
     HttpRequest head() {
         return request.head();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -367,7 +367,7 @@
                                 facts.echoedId(),
                                 head,
                                 body.retainedDuplicate(),
-                                !facts.route().idempotent(),
+                                facts.needsNewConnection(),
                                 attempt),
                 facts.silenceMillis(choice, now));
     }
