Take a response without an id only on the first request of a connection

What callers saw: the answer to an earlier request, a success where their server had answered with a failure, or the reverse.

Cause: an upstream echoes the id of each request, but a response without an id was accepted wherever it came. A second answer that an upstream sends late, on the connection that it keeps, then became the answer to the next request on it.

The own response is awaited for four times its expected time; if none comes, the attempt fails as 'unmatched' and an idempotent request is sent again, also to the same upstream. An unframed late response leaves no room for the own one, which is sent again at once. A connection whose responses have no ids is not kept, so an upstream that never sends ids is served by new connections.

Requests that may not be repeated always had connections of their own.

Tests: SecondAnswerTableTest (cells without an id), UnidentifiedResponsesTest, ReuseSuspensionTableTest. Passed with them: FaultyAnswersTest, StreamsTest, SilentUpstreamTest, ForwardingTest, EnginesTest, RetryBudgetTest, UpstreamRestartTest.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -25,6 +25,8 @@
     LINK_LOST(true, false, false),
     /** The response violates the protocol or lacks its seal. */
     SPOILED(true, true, false),
+    /** A response that is not known to belong to the request came instead of its own. */
+    UNMATCHED(true, false, false),
     /** The upstream reported an error. */
     ERROR(true, true, false),
     /** The upstream rejected the request without running it because it is at capacity. */
@@ -79,7 +81,7 @@
      *     caused the failure
      */
     public boolean concernsUpstream() {
-        return this != WITHHELD && this != BACK_OFF && this != LINK_LOST && this != NOT_RESERVED;
+        return this != WITHHELD && this != BACK_OFF && this != LINK_LOST && this != NOT_RESERVED && this != UNMATCHED;
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -214,6 +214,7 @@
         metrics.gauge("requests.not_proper", callers::malformedRequests);
         metrics.gauge("engines.placements", loadTable::size);
         metrics.gauge("upstreams.connections_opened", connections::opened);
+        metrics.gauge("upstreams.reuse_suspended", connections::reuseSuspended);
         metrics.gauge("upstreams.connections_to_routers_refused", guard::refused);
         metrics.gauge("retries.slack_share", () -> (long) retrySlackShare());
         metrics.gauge("suspects.known", suspects::size);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamCall.java
@@ -5,6 +5,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import org.apricotstack.core.upstream.FailureKind;
+import org.apricotstack.serving.observe.UnmatchedResponseCause;
 
 /** A request to an upstream, from the choice of a connection to the end of the response. */
 public final class UpstreamCall {
@@ -60,9 +61,18 @@
         return protocol;
     }
 
-    /** Returns whether a response belongs to this call. */
-    boolean isAnsweredBy(ResponseHead answer) {
-        return requestId == null || answer.requestId() == null || requestId.equals(answer.requestId());
+    /**
+     * Returns why a response is not known to belong to this call; {@code null} if it does. On a connection that carries
+     * its first request, a response without an id can belong to no other one.
+     */
+    UnmatchedResponseCause mismatch(ResponseHead response, boolean firstOnConnection) {
+        if (requestId == null) {
+            return null;
+        }
+        if (response.requestId() == null) {
+            return firstOnConnection ? null : UnmatchedResponseCause.NO_ID;
+        }
+        return requestId.equals(response.requestId()) ? null : UnmatchedResponseCause.OTHER_ID;
     }
 
     /** Returns the listener for the response. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -19,8 +19,9 @@
  * A connection to an upstream, for one request at a time.
  *
  * <p>A response to an earlier request may arrive late, bytes may follow a complete response, and a response without a
- * length may end with a reset, or with the end of the router that relays it. The echoed request id identifies a late
- * response, which is skipped. After any of these the connection is not reused.
+ * length may end with a reset, or with the end of the router that relays it. The echoed request id tells the response
+ * to the request in flight from late ones, which are skipped; a response without an id belongs only to the first
+ * request of a connection. After any of these the connection is not reused.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -68,7 +69,7 @@
         return number;
     }
 
-    /** Returns how many requests the connection carried before the current or last one. */
+    /** Returns how many requests the connection carried before the current or last one; 0 for its first one. */
     long earlierRequests() {
         return requests - 1;
     }
@@ -171,23 +172,32 @@
             return;
         }
         ResponseHead read = call.protocol().read(head);
-        skippingLateResponse = !call.isAnsweredBy(read);
         framed = PlainProtocol.isFramed(head);
-        if (skippingLateResponse) {
-            notReusable = true;
-            report(read, UnmatchedResponseCause.OTHER_ID, UnmatchedResponseOutcome.SKIPPED);
-            call.listener().lateResponse(read);
-            headSkipped();
+        UnmatchedResponseCause mismatch = call.mismatch(read, requests == 1);
+        if (mismatch != null) {
+            skip(read, mismatch);
             return;
         }
-        if (call.requestId() != null && read.requestId() == null && earlierRequests() > 0) {
-            report(read, UnmatchedResponseCause.NO_ID, UnmatchedResponseOutcome.USED);
-        }
         answer = read;
-        notReusable |= read.closesConnection() || !framed;
+        boolean echoes = call.requestId() == null || read.requestId() != null;
+        notReusable |= read.closesConnection() || !framed || !echoes;
         call.listener().head(read, head);
     }
 
+    /** Skips a response that is not known to belong to the request, which fails if no other response can follow. */
+    private void skip(ResponseHead read, UnmatchedResponseCause cause) {
+        notReusable = true;
+        report(read, cause, framed ? UnmatchedResponseOutcome.SKIPPED : UnmatchedResponseOutcome.REQUEST_FAILED);
+        call.listener().lateResponse(read);
+        if (!framed) {
+            pool.responseLost(address);
+            fail(FailureKind.UNMATCHED);
+            return;
+        }
+        skippingLateResponse = true;
+        headSkipped();
+    }
+
     /** Closes the connection after a response for which no request is in flight. */
     private void unexpectedHead(HttpResponse head) {
         if (context.channel().isActive()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.link.LinkTable;
+import org.apricotstack.core.link.ReuseSuspensionTable;
 import org.apricotstack.core.upstream.FailureKind;
 import reactor.core.publisher.Mono;
 
@@ -56,6 +57,7 @@
     private final ConnectionOpener opener;
     private final LinkTable links;
     private final UnmatchedResponseObserver unmatchedResponses;
+    private final ReuseSuspensionTable suspensions = new ReuseSuspensionTable();
     private final Map<Address, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long opened;
     private long lastConnectionNumber;
@@ -121,7 +123,8 @@
 
     /** Returns whether the link and the router through which an idle connection leads still take requests. */
     private boolean mayReuse(UpstreamConnection connection) {
-        return links.mayReuse(connection.address(), connection.isRelayed())
+        return suspensions.mayReuse(connection.address(), loop.nowMillis())
+                && links.mayReuse(connection.address(), connection.isRelayed())
                 && (!connection.isRelayed() || opener.takesRequests(connection.relay()));
     }
 
@@ -206,16 +209,41 @@
 
     /** Reports a response that is not known to belong to a request. */
     void unmatched(UnmatchedResponse response) {
+        suspensions.unmatched(response.upstream(), loop.nowMillis());
         unmatchedResponses.unmatched(response);
     }
 
+    /**
+     * Records that a request was not answered, as a response that is not known to belong to it came instead; further
+     * requests to the upstream get new connections for a while.
+     *
+     * @param upstream address of the upstream
+     */
+    public void responseLost(Address upstream) {
+        suspensions.responseLost(upstream, loop.nowMillis());
+    }
+
+    /**
+     * Returns the number of upstreams whose connections are not reused, as they sent responses that belong to no
+     * request.
+     *
+     * @return upstreams
+     */
+    public long reuseSuspended() {
+        return suspensions.suspendedCount(loop.nowMillis());
+    }
+
     /** Returns the time of the event loop. */
     long nowMillis() {
         return loop.nowMillis();
     }
 
-    /** Adds an idle connection to the pool. */
+    /** Adds an idle connection to the pool, or closes it if it would not be reused. */
     void addIdle(UpstreamConnection connection, long keepAliveMillis) {
+        if (!suspensions.mayReuse(connection.address(), loop.nowMillis())) {
+            connection.close();
+            return;
+        }
         long idleMillis = keepAliveMillis > 0 ? Math.max(0, keepAliveMillis - IDLE_MARGIN_MILLIS) : DEFAULT_IDLE_MILLIS;
         connection.reusableUntil(loop.nowMillis() + idleMillis);
         idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
@@ -249,6 +277,7 @@
     /** Closes idle connections whose keep-alive time has passed. */
     public void closeExpired() {
         long now = loop.nowMillis();
+        suspensions.expire(now);
         List<UpstreamConnection> expired = new ArrayList<>();
         for (Deque<UpstreamConnection> idleConnections : idle.values()) {
             for (UpstreamConnection connection : idleConnections) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseOutcome.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseOutcome.java
@@ -4,10 +4,10 @@
 
 /** What became of a response that is not known to belong to the request in flight on its connection. */
 public enum UnmatchedResponseOutcome {
-    /** It was used as the response to the request in flight. */
-    USED,
     /** It is skipped, and the response to the request in flight may still follow. */
     SKIPPED,
+    /** It ends only with its connection, so that the request in flight gets no response on it. */
+    REQUEST_FAILED,
     /** Its connection is closed; no request was in flight. */
     CONNECTION_CLOSED;
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -43,6 +43,7 @@
     private boolean kept;
     private boolean failureReported;
     private boolean finished;
+    private boolean unidentifiedResponse;
     private ResponseHead head;
     private HttpResponse raw;
     private final BodyBuffer body = new BodyBuffer();
@@ -153,10 +154,15 @@
     /** Abandons the attempt at a plain service. */
     private void abandonAsSilent() {
         if (!finished) {
-            abandon(FailureKind.SILENT);
+            abandon(silenceKind());
         }
     }
 
+    /** Returns the kind of failure if no response follows. */
+    private FailureKind silenceKind() {
+        return unidentifiedResponse ? FailureKind.UNMATCHED : FailureKind.SILENT;
+    }
+
     /**
      * Cancels the call and reports the failure if another upstream takes the request now; otherwise lets the attempt go
      * on, as its upstream may do so too.
@@ -164,9 +170,12 @@
     private void abandon(FailureKind kind) {
         KeptCause obstacle = run.replacements().acquire(this, kind);
         if (obstacle == null) {
+            if (kind == FailureKind.UNMATCHED) {
+                run.context().connections().responseLost(upstream().address());
+            }
             call.cancel();
             failed(kind);
-        } else if (kind == FailureKind.SILENT && !obstacle.forbidsRetry()) {
+        } else if (kind == silenceKind() && !obstacle.forbidsRetry()) {
             logKept(obstacle, kind);
             awaitReplacement();
         } else {
@@ -202,7 +211,7 @@
         if (finished) {
             return;
         }
-        if (run.replacements().obstacle(this, FailureKind.SILENT) != null) {
+        if (run.replacements().obstacle(this, silenceKind()) != null) {
             awaitReplacement();
         } else if (choice.placement() == null) {
             abandonAsSilent();
@@ -311,6 +320,20 @@
     @Override
     public void lateResponse(ResponseHead answer) {
         run.lateAnswerReceived(this, answer);
+        if (answer.requestId() == null && silenceMillis > 0 && !finished) {
+            unidentifiedResponse = true;
+            awaitOwnResponse();
+        }
+    }
+
+    /**
+     * Shortens the watchdog after a response without an id, which is either a late one, so that the own response
+     * follows in its usual time, or the own response, so that no other one follows.
+     */
+    private void awaitOwnResponse() {
+        long elapsedMillis = run.context().nowMillis() - sentMillis;
+        long expectedMillis = run.replacements().expectedMillis(choice);
+        watchdog(Math.min(silenceMillis, TimeoutPolicy.ownResponseLimitMillis(expectedMillis, elapsedMillis)));
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -85,7 +85,7 @@
         if (!suspectTracker.maySendAgain()) {
             return KeptCause.IN_TRIAL;
         }
-        UpstreamChoice choice = replacement(attempt);
+        UpstreamChoice choice = replacement(attempt, kind);
         if (choice == null) {
             return KeptCause.NO_REPLACEMENT;
         }
@@ -137,7 +137,7 @@
         if (cause != null) {
             return cause;
         }
-        UpstreamChoice choice = replacement(attempt);
+        UpstreamChoice choice = replacement(attempt, kind);
         if (!acquirePermit(choice)) {
             return KeptCause.NO_PERMIT;
         }
@@ -254,17 +254,22 @@
     }
 
     /** Returns the upstreams that take the request of an attempt; {@code null} if none can now. */
-    private UpstreamChoice replacement(Attempt attempt) {
+    private UpstreamChoice replacement(Attempt attempt, FailureKind kind) {
         boolean usable = awaitsPermit != null
                 && isPermitted(awaitsPermit.upstream().id())
                 && gates.unavailableCause(awaitsPermit) == null;
-        return usable ? awaitsPermit : chooseOther(attempt);
+        return usable ? awaitsPermit : chooseOther(attempt, kind);
     }
 
-    /** Chooses another upstream for the request of an attempt; {@code null} if none can take it now. */
-    private UpstreamChoice chooseOther(Attempt attempt) {
+    /**
+     * Chooses an upstream for the request of an attempt, another one if the failure concerns that of the attempt;
+     * {@code null} if none can take it now.
+     */
+    private UpstreamChoice chooseOther(Attempt attempt, FailureKind kind) {
         Set<UpstreamId> others = new HashSet<>(excluded);
-        others.add(attempt.upstream().id());
+        if (kind.concernsUpstream()) {
+            others.add(attempt.upstream().id());
+        }
         return chooser.choose(facts, progress.answerStarted(), others);
     }
 
@@ -273,6 +278,11 @@
         return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
     }
 
+    /** Returns the expected time from sending the request to the chosen upstreams to its response, in milliseconds. */
+    long expectedMillis(UpstreamChoice choice) {
+        return chooser.expectedMillis(facts, choice);
+    }
+
     /** Records that an attempt is not given up although its upstream is silent. */
     void keptDespiteSilence(Attempt attempt, KeptCause cause) {
         log.keptDespiteSilence(attempt, cause, context.nowMillis());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
@@ -32,6 +32,14 @@
 
     private static final long TOKEN_GAP_MARGIN_MILLIS = 600;
 
+    /**
+     * After a response that is not known to belong to the request, its own one is awaited until this factor times the
+     * expected time since the request was sent, and at least as long as a delayed acknowledgement may hold it back.
+     */
+    private static final long OWN_RESPONSE_FACTOR = 4;
+
+    private static final long MIN_OWN_RESPONSE_MILLIS = 100;
+
     /** Share of the remaining time after which a plain request is retried. */
     private static final double ANSWER_SHARE = 0.3;
 
@@ -76,6 +84,14 @@
         return route.idempotent() ? TOKEN_GAP_FACTOR * route.tokenGapTargetMillis() + TOKEN_GAP_MARGIN_MILLIS : 0;
     }
 
+    /**
+     * Returns how long the request's own response is awaited after one that is not known to belong to it, in
+     * milliseconds.
+     */
+    static long ownResponseLimitMillis(long expectedMillis, long elapsedMillis) {
+        return Math.max(MIN_OWN_RESPONSE_MILLIS, OWN_RESPONSE_FACTOR * expectedMillis - elapsedMillis);
+    }
+
     /** Returns the silence after which a plain request is sent to another upstream, in milliseconds. */
     static long answerLimitMillis(Route route, long remainingMillis) {
         return Math.max(1, Math.min((long) (remainingMillis * ANSWER_SHARE), 2 * route.targetLatencyMillis()));
