Send a request on no connection that carried its id before

Each connection now knows the hash codes of the last 64 ids that it carried; a request takes another idle connection, or a new one. Two ids with one hash code cost a new connection, nothing else.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -39,6 +39,7 @@
     private UpstreamCall call;
     private UpstreamProtocol protocol;
     private long requests;
+    private final CarriedRequestIds carriedIds = new CarriedRequestIds();
     private ResponseHead answer;
     private boolean skippingLateResponse;
     private boolean informational;
@@ -104,11 +105,19 @@
         return context.channel().isActive() && !notReusable && call == null && nowMillis < reusableUntilMillis;
     }
 
+    /** Returns whether an earlier request on the connection may have had the given id. */
+    boolean mayHaveCarried(String requestId) {
+        return carriedIds.mayContain(requestId);
+    }
+
     /** Sends a request. */
     void start(UpstreamCall next) {
         call = next;
         protocol = next.protocol();
         requests++;
+        if (next.requestId() != null) {
+            carriedIds.add(next.requestId());
+        }
         lastActiveMillis = pool.nowMillis();
         answer = null;
         skippingLateResponse = false;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -99,7 +99,7 @@
             boolean fresh,
             UpstreamListener listener) {
         UpstreamCall call = new UpstreamCall(protocol, requestId, head, body, listener);
-        UpstreamConnection idleConnection = fresh ? null : takeIdle(address);
+        UpstreamConnection idleConnection = fresh ? null : takeIdle(address, requestId);
         if (idleConnection == null) {
             connect(address, call);
         } else {
@@ -108,15 +108,20 @@
         return call;
     }
 
-    /** Returns an idle connection that may be reused, or {@code null}. */
-    private UpstreamConnection takeIdle(Address address) {
-        Deque<UpstreamConnection> idleConnections = idle.get(address);
-        while (idleConnections != null && !idleConnections.isEmpty()) {
-            UpstreamConnection connection = idleConnections.pollLast();
-            if (connection.usable(loop.nowMillis()) && mayReuse(connection)) {
+    /**
+     * Returns an idle connection that may be reused, or {@code null}; none that has carried a request with the same id.
+     */
+    private UpstreamConnection takeIdle(Address address, String requestId) {
+        List<UpstreamConnection> all = List.copyOf(idle.getOrDefault(address, new ArrayDeque<>()));
+        for (int i = all.size() - 1; i >= 0; i--) {
+            UpstreamConnection connection = all.get(i);
+            if (!connection.usable(loop.nowMillis()) || !mayReuse(connection)) {
+                removeIdle(connection);
+                connection.close();
+            } else if (requestId == null || !connection.mayHaveCarried(requestId)) {
+                removeIdle(connection);
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
