--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -16,7 +16,12 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
-/** HTTP calls with buffered responses, to the platform and to the control endpoints of upstreams. */
+/**
+ * HTTP calls with buffered responses, to the platform and to the control endpoints of upstreams.
+ *
+ * <p>The calls have no id, so that on a kept connection a second response to an earlier request cannot be told from the
+ * one to the call. Calls to servers that may send such responses require a new connection.
+ */
 public final class HttpCalls {
 
     /** Largest body of a response, in bytes; a page of the platform's documents has about a megabyte. */
