Exclude an upstream that sends foreign responses on new connections

A response of another request without an end, on a connection that carried nothing before, failed the attempt as unmatched, which lets the next attempt go to the same upstream on another connection, where the same happens. On a new connection the failure is the upstream's: it counts as spoiled, as before.

EndlessAnswersTest.closesTheConnectionAndRetriesAtAnotherUpstream (LATE_RESPONSE) failed with 'attempts_used' and passes.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -200,7 +200,7 @@
         call.listener().lateResponse(read);
         if (!framed) {
             pool.responseLost(address);
-            fail(FailureKind.UNMATCHED);
+            fail(requests == 1 ? FailureKind.SPOILED : FailureKind.UNMATCHED);
             return;
         }
         skippingLateResponse = true;
