Fetch the platform's documents on a connection of its own each time

A second response to the request for one topic, read after the request for the other was sent on the same kept connection, was taken for the documents of the other: a roster as a configuration or the reverse. Nothing in a delta names its topic or its request.

Each request, a long poll, now opens its connection and closes it at the end; the limit of four connections stays. A request to close, without more, did not help: the client kept the connection if the response did not close it.

The cost of the connections was not measured.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/platform/HttpPlatformDocuments.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/platform/HttpPlatformDocuments.java
@@ -18,7 +18,10 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
-/** Fetches and watches the platform's documents over HTTP. */
+/**
+ * Fetches and watches the platform's documents over HTTP. Each request uses a connection of its own, as a response does
+ * not name its request.
+ */
 public final class HttpPlatformDocuments implements PlatformDocuments, AutoCloseable {
 
     /** Response timeout in addition to the requested duration of the long poll. */
@@ -26,7 +29,10 @@
 
     private static final int MAX_CONNECTIONS = 4;
 
-    private final ConnectionProvider connections = ConnectionProvider.create("platform", MAX_CONNECTIONS);
+    private final ConnectionProvider connections = ConnectionProvider.builder("platform")
+            .maxConnections(MAX_CONNECTIONS)
+            .evictionPredicate((connection, metadata) -> true)
+            .build();
     private final HttpClient client = HttpClient.create(connections);
     private final List<Address> addresses;
     private final AtomicInteger current = new AtomicInteger();
