Take no list of held streams for the state of an engine, nor the reverse

Queries of engines share one kept connection and have no id. A second list of held streams, read after the state was asked for, was taken as a state without a model, and the engine got an order that it did not need; a second state was taken as a list of streams without a name, which had no effect.

The list is an array and the state an object, so a response of the other type is an error, and the engine is skipped until the next reconciliation.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineControl.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineControl.java
@@ -6,6 +6,7 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeType;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
@@ -55,7 +56,7 @@
     Mono<List<HeldStream>> held(Upstream upstream) {
         return call(HttpMethod.GET, upstream, EngineProtocol.HELD).map(bytes -> {
             List<HeldStream> held = new ArrayList<>();
-            for (JsonNode node : read(bytes, upstream)) {
+            for (JsonNode node : read(bytes, upstream, JsonNodeType.ARRAY)) {
                 held.add(new HeldStream(
                         node.path("name").asText(),
                         ProcessId.parse(node.path("owner").asText()),
@@ -69,7 +70,7 @@
     /** Reads the current state of an engine. */
     Mono<DesiredUpstreamState> state(Upstream upstream) {
         return call(HttpMethod.GET, upstream, EngineProtocol.STATE).map(bytes -> {
-            JsonNode node = read(bytes, upstream);
+            JsonNode node = read(bytes, upstream, JsonNodeType.OBJECT);
             List<String> adapters = new ArrayList<>();
             node.path("adapters").forEach(adapter -> adapters.add(adapter.asText()));
             return new DesiredUpstreamState(
@@ -100,13 +101,24 @@
                         && response.status().code() <= MAX_SUCCESS);
     }
 
-    /** Parses the JSON of an engine. */
-    private static JsonNode read(byte[] bytes, Upstream upstream) {
+    /** Parses the JSON of an engine. Another type shows that the response answers an earlier query. */
+    private static JsonNode read(byte[] bytes, Upstream upstream, JsonNodeType expected) {
         try {
-            return Json.STRICT.readTree(bytes);
+            JsonNode node = Json.STRICT.readTree(bytes);
+            if (node.getNodeType() != expected) {
+                throw malformed(upstream, null);
+            }
+            return node;
         } catch (IOException e) {
-            throw new ApricotException(
-                    ErrorCode.ENVIRONMENT, "The upstream " + upstream.id() + " did not answer with JSON; check it.", e);
+            throw malformed(upstream, e);
         }
     }
+
+    /** Creates the error for a response that is not what the query asks for. */
+    private static ApricotException malformed(Upstream upstream, IOException cause) {
+        return new ApricotException(
+                ErrorCode.ENVIRONMENT,
+                "The upstream " + upstream.id() + " did not answer with the expected JSON; check it.",
+                cause);
+    }
 }
