Guard the runs of the own interface against second responses of other forms

Completions and plain calls took no second response, as their connections are closed after each response; plain calls accept a response without an id, so that would show if connections were kept.

--- a/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/SecondUpstreamResponseTest.java
+++ b/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/SecondUpstreamResponseTest.java
@@ -8,11 +8,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.apricotstack.adapters.platform.HttpPlatformDocuments;
 import org.apricotstack.core.configuration.LengthClass;
@@ -39,7 +41,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -58,6 +62,15 @@
     private HttpUpstreamGateway gateway;
     private HttpPlatformDocuments documents;
     private volatile Calls calls;
+    private volatile Framing framing = Framing.LENGTH;
+
+    /** The form of the response to the first call. */
+    enum Framing {
+        LENGTH,
+        CHUNKS,
+        NO_CONTENT,
+        NOT_RUN
+    }
 
     /** Two calls one after the other, and the responses to them. */
     enum Calls {
@@ -154,8 +167,9 @@
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             String earlier = "";
             while (readRequest(in)) {
-                String answer =
-                        requests.incrementAndGet() == 1 ? response(calls.firstBody, 1) : response(calls.secondBody, 2);
+                boolean first = requests.incrementAndGet() == 1;
+                String answer = first ? response(calls.firstBody, 1) : response(calls.secondBody, 2);
+                framing = Framing.LENGTH;
                 socket.getOutputStream().write((earlier + answer).getBytes(StandardCharsets.ISO_8859_1));
                 earlier = answer;
             }
@@ -165,8 +179,15 @@
     }
 
     private String response(String body, int number) {
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n" + calls.header.formatted(number) + "\r\n"
-                + body;
+        String header = calls.header.formatted(number);
+        return switch (framing) {
+            case LENGTH -> "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            case CHUNKS -> "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+            case NO_CONTENT -> "HTTP/1.1 204 No Content\r\n" + header + "\r\n";
+            case NOT_RUN -> "HTTP/1.1 503 Service Unavailable\r\n" + header
+                    + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        };
     }
 
     private static boolean readRequest(BufferedReader in) throws IOException {
@@ -259,6 +280,18 @@
         assertNotTaken(outcomes(pair));
     }
 
+    static Stream<Arguments> runs() {
+        return Stream.of(Calls.PLAIN_WITHOUT_ID, Calls.PLAIN_WITH_ID, Calls.ENGINE)
+                .flatMap(pair -> Arrays.stream(Framing.values()).map(form -> Arguments.of(pair, form)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("runs")
+    void takesNoResponseOfAnotherFormToAnEarlierRun(Calls pair, Framing form) {
+        framing = form;
+        assertThat(outcomes(pair).get(1)).isEqualTo(SECOND);
+    }
+
     @Test
     void takesNoEarlierStateOfAnEngineForItsCurrentOne() {
         assertNotTaken(outcomes(Calls.STATE_AFTER_STATE));
