Answer HEAD without a body, and expect none from upstreams

Callers that sent HEAD read a body after the headers ("no_route not_run"), and took it for the next response on the connection. An upstream's response to HEAD was waited for until the time limit, as the decoder expected the body that Content-Length announces.

RFC 9110, section 9.3.2: a response to HEAD has no content; its Content-Length is the one of the response to GET (8.6). RFC 9112, section 6.3, rule 1: it ends with its headers, whatever they announce.

- CallerExchange knows the method.
It sends no body and no chunks after HEAD, and passes on the upstream's Content-Length; without one it adds none, as 0 would not be the length of the response to GET.
- UpstreamResponseDecoder expects no body of the response to a HEAD request in flight.
Netty's HttpClientCodec was not used: it counts responses, so that a late response to an earlier request, which has a body, would be taken for the one to HEAD.
Ids tell them apart here.
- Such a response counts as framed, so that its connection is kept and a relayed one does not look cut.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -97,7 +97,7 @@
         body.begin();
         request = null;
         bodyComplete = false;
-        exchange = new CallerExchange(this, HttpUtil.isKeepAlive(head));
+        exchange = new CallerExchange(this, head);
         listener = null;
         try {
             RequestHeadCheck.check(head, timer.limits());
@@ -303,7 +303,7 @@
         }
         report(timeout, null);
         if (exchange == null) {
-            exchange = new CallerExchange(this, false);
+            exchange = new CallerExchange(this);
         }
         refuseAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "request_timeout not_run");
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -29,18 +31,28 @@
 
     private final CallerConnection connection;
     private final boolean keepAlive;
+    private final boolean withoutBody;
     private boolean answerStarted;
     private boolean closesAfterResponse;
     private boolean ended;
 
     /** Creates an exchange for a request whose headers were just read. */
-    CallerExchange(CallerConnection connection, boolean keepAlive) {
+    CallerExchange(CallerConnection connection, HttpRequest head) {
         this.connection = connection;
-        this.keepAlive = keepAlive;
+        this.keepAlive = HttpUtil.isKeepAlive(head);
+        this.withoutBody = HttpMethod.HEAD.equals(head.method());
+    }
+
+    /** Creates an exchange for a request whose headers have not arrived whole. */
+    CallerExchange(CallerConnection connection) {
+        this.connection = connection;
+        this.keepAlive = false;
+        this.withoutBody = false;
     }
 
     /**
-     * Sends a complete response.
+     * Sends a complete response. A response to HEAD has no body; it keeps the length in its headers, as that is the one
+     * of a response to GET.
      *
      * @param status its status
      * @param headers its headers, without hop-by-hop headers
@@ -53,9 +65,11 @@
         }
         answerStarted = true;
         HttpHeaders own = copyOf(headers);
-        own.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        HttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, own, EmptyHttpHeaders.INSTANCE);
+        if (!withoutBody || body.isReadable()) {
+            own.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        HttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status, sentPartOf(body), own, EmptyHttpHeaders.INSTANCE);
         boolean close = closesAfter(response);
         ended = true;
         connection.write(response);
@@ -88,13 +102,24 @@
     public void begin(HttpResponseStatus status, HttpHeaders headers) {
         answerStarted = true;
         HttpHeaders own = copyOf(headers);
-        own.remove(HttpHeaderNames.CONTENT_LENGTH);
-        own.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        if (!withoutBody) {
+            own.remove(HttpHeaderNames.CONTENT_LENGTH);
+            own.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, own);
         closesAfterResponse = closesAfter(response);
         connection.writeWithoutFlush(response);
     }
 
+    /** Returns a body, or an empty one instead of it if the response must not have any. */
+    private ByteBuf sentPartOf(ByteBuf body) {
+        if (!withoutBody) {
+            return body;
+        }
+        body.release();
+        return emptyBody();
+    }
+
     /** Copies headers that were validated on arrival. */
     private static HttpHeaders copyOf(HttpHeaders headers) {
         return DefaultHttpHeadersFactory.headersFactory()
@@ -118,7 +143,7 @@
      * @param data the bytes; released after they are written
      */
     public void data(ByteBuf data) {
-        if (ended) {
+        if (ended || withoutBody) {
             data.release();
             return;
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -39,11 +40,14 @@
     /**
      * Returns whether the end of a response is marked; otherwise the end of its connection is its end.
      *
+     * @param method method of the request
      * @param head status and headers
-     * @return whether the response has a length or consists of chunks
+     * @return whether the response has a length, consists of chunks, or has no body by its method
      */
-    public static boolean isFramed(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    public static boolean isFramed(HttpMethod method, HttpResponse head) {
+        return HttpMethod.HEAD.equals(method)
+                || HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -172,7 +173,7 @@
         }
         ResponseHead read = call.protocol().read(head);
         skippingLateResponse = !call.isAnsweredBy(read);
-        framed = PlainProtocol.isFramed(head);
+        framed = PlainProtocol.isFramed(call.head().method(), head);
         if (skippingLateResponse) {
             notReusable = true;
             report(read, UnmatchedResponseCause.OTHER_ID, UnmatchedResponseOutcome.SKIPPED);
@@ -188,6 +189,13 @@
         call.listener().head(read, head);
     }
 
+    /** Returns whether a response belongs to a HEAD request in flight, so that it has no body. */
+    boolean isAnswerToHead(HttpResponse head) {
+        return call != null
+                && HttpMethod.HEAD.equals(call.head().method())
+                && call.isAnsweredBy(call.protocol().read(head));
+    }
+
     /** Closes the connection after a response for which no request is in flight. */
     private void unexpectedHead(HttpResponse head) {
         if (context.channel().isActive()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.concurrent.Future;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.link.LinkTable;
@@ -164,7 +163,8 @@
                 .pipeline()
                 .addLast(
                         new HttpRequestEncoder(),
-                        new HttpResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)),
+                        new UpstreamResponseDecoder(
+                                new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES), connection::isAnswerToHead),
                         ReadPacing.counter(),
                         connection);
         if (opened.isRelayed()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -311,7 +311,8 @@
         if (attempts.sent() == 1) {
             context.stop().completed(facts, attempt.choice().predictedMillis(), attempt.startMillis(), now);
         }
-        suspectTracker.answered(success && PlainProtocol.isFramed(raw));
+        suspectTracker.answered(
+                success && PlainProtocol.isFramed(facts.request().head().method(), raw));
         sender.end(attempt);
         close();
     }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/HttpDecodingFuzzTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/HttpDecodingFuzzTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -61,7 +62,7 @@
     private static void read(HttpObject message) {
         if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
             assertThat(new PlainProtocol().read(head).keepAliveMillis()).isNotNegative();
-            PlainProtocol.isFramed(head);
+            PlainProtocol.isFramed(HttpMethod.GET, head);
             PlainProtocol.withoutHopByHop(head.headers());
         }
     }
