Take 204 and 304 of upstreams for responses with a marked end

A response with 204 or 304 has no body, whatever its headers say (RFC 9112, section 6.3, rule 1), but counted as one that ends with its connection unless it had a length. Its connection was closed, so that the next request needed a new one, and through another router the response was taken for cut: callers got 502, after a second attempt where their request may be repeated.

PlainProtocol.isFramed knows both statuses now.

A response without framing through another router stays a 502, as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import org.apricotstack.core.notice.UpstreamNotice;
 
@@ -42,14 +43,20 @@
      *
      * @param method method of the request
      * @param head status and headers
-     * @return whether the response has a length, consists of chunks, or has no body by its method
+     * @return whether the response has a length, consists of chunks, or has no body by its method or status
      */
     public static boolean isFramed(HttpMethod method, HttpResponse head) {
         return HttpMethod.HEAD.equals(method)
+                || isWithoutBody(head.status())
                 || HttpUtil.isContentLengthSet(head)
                 || HttpUtil.isTransferEncodingChunked(head);
     }
 
+    /** Returns whether a final response with a status never has a body (RFC 9112, section 6.3). */
+    private static boolean isWithoutBody(HttpResponseStatus status) {
+        return HttpResponseStatus.NO_CONTENT.equals(status) || HttpResponseStatus.NOT_MODIFIED.equals(status);
+    }
+
     /**
      * Returns how long the server keeps an idle connection open.
      *
