Pass on the length in the headers of a 304

Callers got Content-Length: 0 with each 304. RFC 9110, section 8.6: a server must not send Content-Length with 304 unless it is the length that a 200 to the same request would have had. The upstream's length is passed on now, and none is added, as after HEAD.

AnswerFramingTableTest checks the length of each response without a body. Before: 24 of 110 failed (expected: null or "800", but was: "0"). After: 0 of 110.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerExchange.java
@@ -51,8 +51,8 @@
     }
 
     /**
-     * Sends a complete response. A response to HEAD has no body; it keeps the length in its headers, as that is the one
-     * of a response to GET.
+     * Sends a complete response. A response to HEAD and one with 304 have no body; they keep the length in their
+     * headers, as that is the one of a successful response to GET.
      *
      * @param status its status
      * @param headers its headers, without hop-by-hop headers
@@ -65,7 +65,7 @@
         }
         answerStarted = true;
         HttpHeaders own = copyOf(headers);
-        if (!withoutBody || body.isReadable()) {
+        if (body.isReadable() || !keepsLength(status)) {
             own.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         HttpResponse response = new DefaultFullHttpResponse(
@@ -111,6 +111,11 @@
         connection.writeWithoutFlush(response);
     }
 
+    /** Returns whether the length in the headers of a response is not that of its body (RFC 9110, section 8.6). */
+    private boolean keepsLength(HttpResponseStatus status) {
+        return withoutBody || HttpResponseStatus.NOT_MODIFIED.equals(status);
+    }
+
     /** Returns a body, or an empty one instead of it if the response must not have any. */
     private ByteBuf sentPartOf(ByteBuf body) {
         if (!withoutBody) {
