Refuse request targets with bytes that are not visible ASCII

The raw byte E9 in a path or query reached the upstream as C3 A9: the decoder reads ISO 8859-1 and the encoder writes UTF-8. Control characters were passed on. RFC 3986, section 2: a URI consists of visible ASCII characters, others are percent-encoded; RFC 9112, section 3: a server should answer 400 to an invalid request line. That is done now, with a text that says what to send.

ForwardingTest.refusesATargetWithBytesThatAreNotVisibleAscii: before, 5 of 5 failed (expected: 400, but was: 200); after, 23 of 23 tests passed.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
@@ -20,6 +20,9 @@
     /** Length of the separator between a header's name and value, in bytes. */
     private static final int COLON_BYTES = 2;
 
+    private static final char FIRST_VISIBLE = '!';
+    private static final char LAST_VISIBLE = '~';
+
     private RequestHeadCheck() {}
 
     /**
@@ -33,6 +36,11 @@
         if (head.decoderResult().isFailure()) {
             throw notProper(head.decoderResult().cause());
         }
+        if (!isVisibleAscii(head.uri())) {
+            throw refusal(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "Send bytes of the path and query that are not visible ASCII percent-encoded.");
+        }
         if (lineBytes(head) > limits.headerBytes()) {
             throw refusal(
                     HttpResponseStatus.REQUEST_URI_TOO_LONG,
@@ -63,6 +71,11 @@
         return new BadRequestException(status.code(), message);
     }
 
+    /** Returns whether a text consists of visible ASCII characters, as request targets do (RFC 3986, section 2). */
+    private static boolean isVisibleAscii(String text) {
+        return text.chars().allMatch(character -> character >= FIRST_VISIBLE && character <= LAST_VISIBLE);
+    }
+
     /** Returns the length of the request line. */
     private static long lineBytes(HttpRequest head) {
         return (long) head.method().name().length()
