Refuse chunk sizes that the decoder cannot read

A caller's body was forwarded, and a response of an upstream answered, with another content than was sent. RFC 9112, section 7.1: recipients must prevent errors by overflow.

ChunkSizeCheck reads the chunk sizes among the bytes that the decoder consumed, at both sides, and replaces what was decoded from a larger size than 2^31 - 1 by a malformed chunk. Callers get 413 with the largest size, and a response counts as spoiled. Sizes with leading zeros and with extensions are read as before; the decoder has no hook for this, and its state is private.

ChunkSizeCheckTest decodes bodies in pieces with lines like sizes in data, extensions and trailers.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/RequestHeadCheck.java
@@ -58,7 +58,7 @@
 
     /** Creates the refusal of a request that could not be decoded. */
     static BadRequestException notProper(Throwable cause) {
-        return refusal(DecodingErrors.status(cause), "The request is not proper HTTP; send it as HTTP/1.1.");
+        return refusal(DecodingErrors.status(cause), DecodingErrors.message(cause));
     }
 
     /** Creates the refusal of a body that is too long. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/StrictRequestDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/StrictRequestDecoder.java
@@ -12,7 +12,7 @@
 import io.netty.util.ByteProcessor;
 
 /**
- * Decodes requests, and rejects those with two contradicting lengths.
+ * Decodes requests, and rejects those with two contradicting lengths or a chunk size that is too large.
  *
  * <p>Servers disagree about a request with both a Content-Length and chunks: what one takes for the rest of the body,
  * another takes for a second request. If such a request were forwarded, a caller could smuggle a request inside
@@ -24,6 +24,7 @@
     private static final ByteProcessor BLANK = value -> value >= 0 && value <= ' ';
 
     private final Runnable onHeadBegun;
+    private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private boolean headBegun;
     private boolean bodyExpected;
 
@@ -45,7 +46,9 @@
             onHeadBegun.run();
         }
         int before = out.size();
+        int from = buffer.readerIndex();
         super.decode(ctx, buffer, out);
+        chunkSizes.decoded(buffer, from, out, before);
         out.subList(before, out.size()).forEach(this::decoded);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
@@ -1,7 +1,10 @@
 package org.apricotstack.serving.http;
 
+import java.util.List;
 import java.util.function.Predicate;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
@@ -10,11 +13,12 @@
 /**
  * Decodes responses, and expects no body after a response to HEAD, whatever its headers announce (RFC 9112, section
  * 6.3). A late response to another request may precede it, so that the method of the request in flight alone does not
- * tell whether a body follows.
+ * tell whether a body follows. Rejects chunk sizes that are too large.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
 
     private final Predicate<HttpResponse> answersHead;
+    private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
 
     /** Creates a decoder with a predicate that returns whether a response belongs to a HEAD request in flight. */
     UpstreamResponseDecoder(HttpDecoderConfig config, Predicate<HttpResponse> answersHead) {
@@ -22,6 +26,14 @@
         this.answersHead = answersHead;
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        int before = out.size();
+        int from = buffer.readerIndex();
+        super.decode(ctx, buffer, out);
+        chunkSizes.decoded(buffer, from, out, before);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return super.isContentAlwaysEmpty(message)
