--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/PlainProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -40,18 +41,20 @@
     /**
      * Returns whether the end of a response is marked; otherwise the end of its connection is its end.
      *
+     * @param method method of the request
      * @param head status and headers
-     * @return whether the response has a length, consists of chunks, or has no body by its status
+     * @return whether the response has a length, consists of chunks, or has no body by its method or status
      */
-    public static boolean isFramed(HttpResponse head) {
-        return hasNoBody(head.status())
+    public static boolean isFramed(HttpMethod method, HttpResponse head) {
+        return HttpMethod.HEAD.equals(method)
+                || isWithoutBody(head.status())
                 || HttpUtil.isContentLengthSet(head)
                 || HttpUtil.isTransferEncodingChunked(head);
     }
 
-    /** Returns whether responses with a status end with their headers (RFC 9112, section 6.3). */
-    private static boolean hasNoBody(HttpResponseStatus status) {
-        return status.equals(HttpResponseStatus.NO_CONTENT) || status.equals(HttpResponseStatus.NOT_MODIFIED);
+    /** Returns whether a final response with a status never has a body (RFC 9112, section 6.3). */
+    private static boolean isWithoutBody(HttpResponseStatus status) {
+        return HttpResponseStatus.NO_CONTENT.equals(status) || HttpResponseStatus.NOT_MODIFIED.equals(status);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -181,24 +182,25 @@
             return;
         }
         ResponseHead read = call.protocol().read(head);
-        framed = PlainProtocol.isFramed(head);
         UnmatchedResponseCause mismatch = call.mismatch(read, requests == 1);
         if (mismatch != null) {
-            skip(read, mismatch);
+            skip(head, read, mismatch);
             return;
         }
         answer = read;
+        framed = PlainProtocol.isFramed(call.head().method(), head);
         boolean echoes = call.requestId() == null || read.requestId() != null;
         notReusable |= read.closesConnection() || !framed || !echoes;
         call.listener().head(read, head);
     }
 
     /** Skips a response that is not known to belong to the request, which fails if no other response can follow. */
-    private void skip(ResponseHead read, UnmatchedResponseCause cause) {
+    private void skip(HttpResponse head, ResponseHead read, UnmatchedResponseCause cause) {
+        boolean canBeFollowed = PlainProtocol.isFramed(HttpMethod.GET, head);
         notReusable = true;
-        report(read, cause, framed ? UnmatchedResponseOutcome.SKIPPED : UnmatchedResponseOutcome.REQUEST_FAILED);
+        report(read, cause, canBeFollowed ? UnmatchedResponseOutcome.SKIPPED : UnmatchedResponseOutcome.REQUEST_FAILED);
         call.listener().lateResponse(read);
-        if (!framed) {
+        if (!canBeFollowed) {
             pool.responseLost(address);
             fail(requests == 1 ? FailureKind.SPOILED : FailureKind.UNMATCHED);
             return;
@@ -207,6 +209,13 @@
         headSkipped();
     }
 
+    /** Returns whether a response belongs to a HEAD request in flight, so that it has no body. */
+    boolean isAnswerToHead(HttpResponse head) {
+        return call != null
+                && HttpMethod.HEAD.equals(call.head().method())
+                && call.mismatch(call.protocol().read(head), requests == 1) == null;
+    }
+
     /** Closes the connection after a response for which no request is in flight. */
     private void unexpectedHead(HttpResponse head) {
         if (context.channel().isActive()) {
