Apply a configuration whatever the names of its client accounts

The decoder made a ClientAccountId of the name, which allows letters, digits and four marks only and belongs to the product's own configuration; its error rejected the whole document. AccountName allows what a field value can carry unchanged: ISO 8859-1 without control characters, no white space at the ends. An account with another name, or with a key that is no text, is one part: its keys are unknown keys (401), the rest is applied, the gauge configuration.parts_unusable counts such parts of the version in force and the line configuration_part_unusable names them. No such name reaches a header.

The digest of suspected requests and the forwarded parameters use AccountName; own accounts keep ClientAccountId. RequestDigestTest changed in that type only.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/route/KeyedAccount.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/route/KeyedAccount.java
@@ -1,12 +1,12 @@
 package org.apricotstack.core.route;
 
-import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.AccountName;
 
 /**
  * A client account that was identified by its key.
  *
- * @param id the account
+ * @param name the account
  * @param priority priority of its requests, which takes precedence over that of the route; 0 is the most urgent,
  *     negative if none is configured
  */
-public record KeyedAccount(ClientAccountId id, int priority) {}
+public record KeyedAccount(AccountName name, int priority) {}
--- a/apricotstack-core/src/main/java/org/apricotstack/core/suspect/RequestDigest.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/suspect/RequestDigest.java
@@ -8,7 +8,7 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.AccountName;
 
 /**
  * Identifies a request across its repeats, which have different ids and may arrive at different routers.
@@ -38,7 +38,7 @@
      * @param bodyBytes length of the body, in bytes
      * @return the hash
      */
-    public static long hashHead(String method, String host, String target, ClientAccountId account, long bodyBytes) {
+    public static long hashHead(String method, String host, String target, AccountName account, long bodyBytes) {
         Hasher hasher = hashFunctionOf(account).newHasher();
         for (String part : List.of(method, host, target)) {
             hasher.putInt(part.length()).putUnencodedChars(part);
@@ -53,7 +53,7 @@
      * @param account the client account, or {@code null} if the request needs none
      * @return the hash
      */
-    public static long hashBody(ByteBuffer[] pieces, ClientAccountId account) {
+    public static long hashBody(ByteBuffer[] pieces, AccountName account) {
         Hasher hasher = hashFunctionOf(account).newHasher();
         for (ByteBuffer piece : pieces) {
             hasher.putBytes(piece);
@@ -62,7 +62,7 @@
     }
 
     /** Returns the hash function keyed by an account. */
-    private static HashFunction hashFunctionOf(ClientAccountId account) {
+    private static HashFunction hashFunctionOf(AccountName account) {
         HashCode key = KEY_FUNCTION.hashString(account == null ? "" : account.value(), StandardCharsets.UTF_8);
         ByteBuffer keyBytes = ByteBuffer.wrap(key.asBytes());
         return Hashing.sipHash24(keyBytes.getLong(), keyBytes.getLong());
--- a/apricotstack-core/src/test/java/org/apricotstack/core/suspect/RequestDigestTest.java
+++ b/apricotstack-core/src/test/java/org/apricotstack/core/suspect/RequestDigestTest.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
-import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.AccountName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -19,7 +19,7 @@
     }
 
     private static RequestDigest digest(String method, String host, String target, String account, String body) {
-        ClientAccountId id = account == null ? null : new ClientAccountId(account);
+        AccountName id = account == null ? null : new AccountName(account);
         return new RequestDigest(
                 RequestDigest.hashHead(method, host, target, id, body.length()),
                 RequestDigest.hashBody(new ByteBuffer[] {bytes(body)}, id));
@@ -27,7 +27,7 @@
 
     @Test
     void isEqualForARepeatSplitIntoOtherBuffers() {
-        ClientAccountId account = new ClientAccountId("account-1");
+        AccountName account = new AccountName("account-1");
         ByteBuffer[] pieces = {bytes("pro"), bytes(""), bytes("mpt")};
         assertThat(RequestDigest.hashBody(pieces, account)).isEqualTo(KNOWN.body());
         assertThat(digest("POST", "a.example", "/prompts/1", "account-1", "prompt"))
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ForwardingParameters.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ForwardingParameters.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.AccountName;
 import org.apricotstack.core.upstream.UpstreamEntry;
 
 /**
@@ -18,7 +18,7 @@
 public record ForwardingParameters(
         UpstreamEntry upstream,
         long remainingMillis,
-        ClientAccountId account,
+        AccountName account,
         int priority,
         List<Helper> helpers,
         String lastEventId) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/CurrentConfiguration.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.publication;
 
+import com.google.common.base.Ascii;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.upstream.Revisions;
@@ -14,6 +15,12 @@
  */
 final class CurrentConfiguration {
 
+    /** Maximum number of unusable parts of one configuration that are logged. */
+    private static final int MAX_LOGGED_PARTS = 16;
+
+    /** Maximum length of a logged problem, in characters; it may quote the document. */
+    private static final int MAX_PROBLEM_LENGTH = 200;
+
     private final PublicationDecoder reader;
     private final DecisionLog log;
     private ServingConfiguration decoded;
@@ -78,6 +85,7 @@
         decoded = configuration;
         document = read;
         write("configuration_in_force", configuration, read, source);
+        writeUnusableParts();
         onInForce.run();
     }
 
@@ -86,6 +94,14 @@
         return Revisions.history(read.revision()) == Revisions.history(revision()) && read.revision() < revision();
     }
 
+    /** Logs the parts of the configuration in force that cannot be used. */
+    private void writeUnusableParts() {
+        decoded.unusableParts().stream().limit(MAX_LOGGED_PARTS).forEach(part -> log.line("configuration_part_unusable")
+                .put("version", version())
+                .put("problem", Ascii.truncate(part, MAX_PROBLEM_LENGTH, "..."))
+                .write());
+    }
+
     /** Logs whether a configuration was put into force. */
     private void write(String event, ServingConfiguration configuration, Publication read, String source) {
         log.line(event)
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving.publication;
 
+import org.apricotstack.core.route.ServingConfiguration;
 import org.apricotstack.core.upstream.Evacuation;
 import org.apricotstack.core.upstream.Revisions;
 import org.apricotstack.serving.observe.ServingMetrics;
@@ -29,6 +30,7 @@
         metrics.gauge("upstreams.listed", state::upstreamsListed);
         metrics.gauge("configuration.revision", () -> Revisions.inHistory(state.configurationRevision()));
         metrics.gauge("configuration.version", state::configurationVersion);
+        metrics.gauge("configuration.parts_unusable", () -> unusableParts(state));
         metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
         metrics.gauge("evacuations.in_force", () -> state.evacuations().all().size());
         state.evacuations()
@@ -36,4 +38,10 @@
                         inForce.stream().map(Evacuation::dataCentre).toList()));
         metrics.gauge("documents.rejected", state::rejected);
     }
+
+    /** Returns the number of parts of the configuration in force that cannot be used. */
+    private static long unusableParts(PublishedState state) {
+        ServingConfiguration configuration = state.configuration();
+        return configuration == null ? 0 : configuration.unusableParts().size();
+    }
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import org.apricotstack.core.engine.PromptAdmission;
 import org.apricotstack.core.engine.PromptRequest;
-import org.apricotstack.core.id.ClientAccountId;
+import org.apricotstack.core.id.AccountName;
 import org.apricotstack.core.id.PromptPartId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.route.KeyedAccount;
@@ -131,21 +131,21 @@
         return new ForwardingParameters(
                 choice.upstream(),
                 Math.max(1, remainingMillis(nowMillis)),
-                clientAccountId(),
+                accountName(),
                 priority(),
                 helpers.helpers(),
                 lastEventId);
     }
 
-    /** Returns the client account, or {@code null}. */
-    ClientAccountId clientAccountId() {
-        return account == null ? null : account.id();
+    /** Returns the name of the client account, or {@code null}. */
+    AccountName accountName() {
+        return account == null ? null : account.name();
     }
 
     /** Returns a hash of the request's method, host, target, account and body length. */
     long headDigest(int bodyBytes) {
         return RequestDigest.hashHead(
-                head().method().name(), request.host(), request.target(), clientAccountId(), bodyBytes);
+                head().method().name(), request.host(), request.target(), accountName(), bodyBytes);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -51,7 +51,7 @@
                 .put("service", facts.service().value())
                 .put(
                         "account",
-                        facts.account() == null ? null : facts.clientAccountId().value())
+                        facts.account() == null ? null : facts.accountName().value())
                 .put("configuration", facts.configurationVersion())
                 .put("limit_millis", facts.endMillis() - facts.arrivedMillis())
                 .put("target_millis", facts.route().targetLatencyMillis())
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectTracker.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/SuspectTracker.java
@@ -43,7 +43,7 @@
     /** Returns the digest that is the same for all repeats of the request. */
     RequestDigest digest() {
         if (digest == null) {
-            digest = new RequestDigest(head(), RequestDigest.hashBody(body.nioBuffers(), facts.clientAccountId()));
+            digest = new RequestDigest(head(), RequestDigest.hashBody(body.nioBuffers(), facts.accountName()));
         }
         return digest;
     }
