Accept request targets in absolute form

"GET http://a.example/safe/x" got 400. RFC 9112, section 3.2.2: a server must accept the absolute form, and its host takes precedence over the Host header, which a proxy replaces. The target is converted to origin form with the Host header of its host before the route is selected, so that upstreams see what they see of other callers.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequest.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerRequest.java
@@ -10,7 +10,7 @@
  *
  * @param id the caller's id of this attempt, forwarded unchanged; empty if there is none
  * @param host host name that the request is for
- * @param target path and query, as received
+ * @param target path and query, as received; without scheme and host if it was received in absolute form
  * @param apiKey the caller's API key, or {@code null}
  * @param timeoutMillis how long the caller waits, in milliseconds; {@link #NO_TIMEOUT} if not specified
  * @param lastEventId id of the last event that the caller has of the stream, or {@code null}
@@ -18,7 +18,7 @@
  * @param maxAnswerTokens longest answer, in tokens; 0 if unknown
  * @param promptParts parts of the prompt in order, the last of which belongs to the request or its session alone; empty
  *     if unknown
- * @param head the request line and headers, as received
+ * @param head the request line and headers, as received except for a target in absolute form
  */
 public record CallerRequest(
         String id,
