Send a request again on a new connection after an unmatched response

The second attempt could take a kept connection to another upstream with the same fault, and meet it there, which used up the attempts.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -42,6 +42,7 @@
     private int arrivals;
     private boolean connectionLostOnce;
     private boolean mayHaveRun;
+    private boolean unmatched;
 
     /** Creates a counter without attempts. */
     AttemptCount(Route route) {
@@ -65,6 +66,7 @@
     /** Records how an attempt failed, and whether it is not counted. */
     void failed(FailureKind kind, boolean isUncounted) {
         mayHaveRun |= kind.mayHaveRun();
+        unmatched |= kind == FailureKind.UNMATCHED;
         if (kind.arrives()) {
             arrivals++;
         }
@@ -75,6 +77,11 @@
         }
     }
 
+    /** Returns whether an attempt failed as a response that is not known to belong to the request came instead. */
+    boolean unmatched() {
+        return unmatched;
+    }
+
     /** Records that the run ended with an attempt in flight, which may have run the request, or {@code null}. */
     void endedInFlight(Attempt inFlight) {
         mayHaveRun |= inFlight != null && sent > 0;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -367,7 +367,7 @@
                                 facts.echoedId(),
                                 head,
                                 body.retainedDuplicate(),
-                                facts.needsNewConnection(),
+                                facts.needsNewConnection() || attempts.unmatched(),
                                 attempt),
                 facts.silenceMillis(choice, now));
     }
