Await the own response no longer than silence was allowed before

The time that was left now bounds the wait.

Only plain upstreams have a usual time to a response; engines keep their own checks of silence, which the shorter limit had also confused (the failure of a dead engine was compared with another kind).

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -38,6 +38,7 @@
     private UpstreamCall call;
     private ScheduledFuture<?> watchdog;
     private long silenceMillis;
+    private long silenceEndMillis;
     private int watchdogGeneration;
     private boolean takesRetry;
     private boolean kept;
@@ -86,6 +87,7 @@
             watchdog.cancel(false);
         }
         silenceMillis = limitMillis;
+        silenceEndMillis = run.context().nowMillis() + limitMillis;
         watchdogGeneration++;
         if (limitMillis <= 0) {
             watchdog = null;
@@ -320,20 +322,20 @@
     @Override
     public void lateResponse(ResponseHead answer) {
         run.lateAnswerReceived(this, answer);
-        if (answer.requestId() == null && silenceMillis > 0 && !finished) {
+        if (answer.requestId() == null && silenceMillis > 0 && choice.placement() == null && !finished) {
             unidentifiedResponse = true;
             awaitOwnResponse();
         }
     }
 
     /**
-     * Shortens the watchdog after a response without an id, which is either a late one, so that the own response
-     * follows in its usual time, or the own response, so that no other one follows.
+     * Shortens the watchdog after a response of a plain upstream without an id, which is either a late one, so that the
+     * own response follows in its usual time, or the own response, so that no other one follows.
      */
     private void awaitOwnResponse() {
-        long elapsedMillis = run.context().nowMillis() - sentMillis;
+        long now = run.context().nowMillis();
         long expectedMillis = run.replacements().expectedMillis(choice);
-        watchdog(Math.min(silenceMillis, TimeoutPolicy.ownResponseLimitMillis(expectedMillis, elapsedMillis)));
+        watchdog(TimeoutPolicy.ownResponseLimitMillis(expectedMillis, now - sentMillis, silenceEndMillis - now));
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -278,7 +278,7 @@
         return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
     }
 
-    /** Returns the expected time from sending the request to the chosen upstreams to its response, in milliseconds. */
+    /** Returns the expected time from sending the request to a plain upstream to its response, in milliseconds. */
     long expectedMillis(UpstreamChoice choice) {
         return chooser.expectedMillis(facts, choice);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/TimeoutPolicy.java
@@ -34,10 +34,11 @@
 
     /**
      * After a response that is not known to belong to the request, its own one is awaited until this factor times the
-     * expected time since the request was sent, and at least as long as a delayed acknowledgement may hold it back.
+     * expected time since the request was sent, and at least for a short time.
      */
     private static final long OWN_RESPONSE_FACTOR = 4;
 
+    /** A delayed acknowledgement may hold back the end of a response for 40 ms, and a retransmission for longer. */
     private static final long MIN_OWN_RESPONSE_MILLIS = 100;
 
     /** Share of the remaining time after which a plain request is retried. */
@@ -87,9 +88,14 @@
     /**
      * Returns how long the request's own response is awaited after one that is not known to belong to it, in
      * milliseconds.
+     *
+     * @param expectedMillis the expected time from sending the request to its response
+     * @param elapsedMillis the time since the request was sent
+     * @param leftMillis the time left until the request is sent to another upstream for silence
      */
-    static long ownResponseLimitMillis(long expectedMillis, long elapsedMillis) {
-        return Math.max(MIN_OWN_RESPONSE_MILLIS, OWN_RESPONSE_FACTOR * expectedMillis - elapsedMillis);
+    static long ownResponseLimitMillis(long expectedMillis, long elapsedMillis, long leftMillis) {
+        long usualMillis = Math.max(MIN_OWN_RESPONSE_MILLIS, OWN_RESPONSE_FACTOR * expectedMillis - elapsedMillis);
+        return Math.max(1, Math.min(leftMillis, usualMillis));
     }
 
     /** Returns the silence after which a plain request is sent to another upstream, in milliseconds. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/UpstreamChooser.java
@@ -266,14 +266,12 @@
     }
 
     /**
-     * Returns the expected time from sending a request to the chosen upstreams to its response or first event, in
-     * milliseconds; the latency target if nothing is known.
+     * Returns the expected time from sending a request to a plain upstream to its response, in milliseconds; the
+     * latency target if nothing is known.
      */
     long expectedMillis(RequestFacts facts, UpstreamChoice choice) {
-        double expected = choice.placement() != null
-                ? choice.predictedMillis()
-                : responseTimes.expectedMillis(
-                        facts.service(), facts.route().name(), choice.upstream().id());
+        double expected = responseTimes.expectedMillis(
+                facts.service(), facts.route().name(), choice.upstream().id());
         return expected > 0 ? Math.round(expected) : facts.route().targetLatencyMillis();
     }
 
