Pass on no response whose head begins with a part of another one

A response that breaks off in its status line or in a header, on a connection that goes on, stayed in the decoder and no message showed it. The next response was appended to it: status and first headers of the one, id, seal and body of the other.

A connection on which bytes are left that are not decoded is not kept and not reused. On a kept connection, a head with another status line in its reason phrase or in a header fails the attempt as unmatched, and the request is sent again on a new connection.

Also from the review: on the first request of a connection, a response without an id is taken only if no response of another request came before it (a caller got 'second' there).

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UnmatchedResponse.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UnmatchedResponse.java
@@ -11,7 +11,7 @@
  * @param relay address of the router through which the connection leads, or {@code null} for a direct one
  * @param connection number of the connection, see {@link UpstreamCall#connectionNumber}
  * @param earlierRequests number of requests that the connection carried before the one in flight
- * @param status HTTP status
+ * @param status HTTP status; 0 if it is not decoded
  * @param requestId id of the request in flight; {@code null} if there is none or it has no id
  * @param responseId id in the response, or {@code null}
  * @param cause why the response is not known to belong to the request
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -32,10 +33,18 @@
     /** Maximum size of the bodies of late responses that are skipped for one request, in bytes. */
     private static final long MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
 
+    /** Status of a response that is not decoded. */
+    private static final int UNKNOWN_STATUS = 0;
+
+    /** Maximum size of a status line and headers, in bytes. */
+    private static final int HEADER_BYTES = 32 * 1024;
+
     private final UpstreamConnections pool;
     private final long number;
     private final Address address;
     private final Address relay;
+    private final UpstreamResponseDecoder decoder =
+            new UpstreamResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES), this::isAnswerToHead);
     private ChannelHandlerContext context;
     private UpstreamCall call;
     private UpstreamProtocol protocol;
@@ -43,6 +52,7 @@
     private final CarriedRequestIds carriedIds = new CarriedRequestIds();
     private ResponseHead answer;
     private boolean skippingLateResponse;
+    private boolean skippedResponse;
     private boolean informational;
     private boolean framed;
     private int skippedHeads;
@@ -66,6 +76,11 @@
         context = ctx;
     }
 
+    /** Returns the decoder of its responses. */
+    UpstreamResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Returns the number of the connection among those of its pool. */
     long number() {
         return number;
@@ -103,7 +118,11 @@
 
     /** Returns whether the connection may be reused for a request. */
     boolean usable(long nowMillis) {
-        return context.channel().isActive() && !notReusable && call == null && nowMillis < reusableUntilMillis;
+        return context.channel().isActive()
+                && !notReusable
+                && call == null
+                && !decoder.holdsBytes()
+                && nowMillis < reusableUntilMillis;
     }
 
     /** Returns whether an earlier request on the connection may have had the given id. */
@@ -182,7 +201,11 @@
             return;
         }
         ResponseHead read = call.protocol().read(head);
-        UnmatchedResponseCause mismatch = call.mismatch(read, requests == 1);
+        if (requests > 1 && SplicedHeadCheck.isSpliced(head)) {
+            failAsUnmatched(read, UnmatchedResponseCause.SPLICED);
+            return;
+        }
+        UnmatchedResponseCause mismatch = mismatch(read);
         if (mismatch != null) {
             skip(head, read, mismatch);
             return;
@@ -196,24 +219,38 @@
 
     /** Skips a response that is not known to belong to the request, which fails if no other response can follow. */
     private void skip(HttpResponse head, ResponseHead read, UnmatchedResponseCause cause) {
-        boolean canBeFollowed = PlainProtocol.isFramed(HttpMethod.GET, head);
-        notReusable = true;
-        report(read, cause, canBeFollowed ? UnmatchedResponseOutcome.SKIPPED : UnmatchedResponseOutcome.REQUEST_FAILED);
-        call.listener().lateResponse(read);
-        if (!canBeFollowed) {
-            pool.responseLost(address);
-            fail(requests == 1 ? FailureKind.SPOILED : FailureKind.UNMATCHED);
+        if (!PlainProtocol.isFramed(HttpMethod.GET, head)) {
+            failAsUnmatched(read, cause);
             return;
         }
+        notReusable = true;
+        skippedResponse = true;
         skippingLateResponse = true;
+        report(read, cause, UnmatchedResponseOutcome.SKIPPED);
+        call.listener().lateResponse(read);
         headSkipped();
     }
 
+    /**
+     * Fails the request after a response that is not known to belong to it and that no other one can follow. On the
+     * first request of the connection the upstream itself is at fault.
+     */
+    private void failAsUnmatched(ResponseHead read, UnmatchedResponseCause cause) {
+        report(read, cause, UnmatchedResponseOutcome.REQUEST_FAILED);
+        pool.responseLost(address);
+        fail(requests == 1 ? FailureKind.SPOILED : FailureKind.UNMATCHED);
+    }
+
+    /** Returns why a response is not known to belong to the request in flight; {@code null} if it does. */
+    private UnmatchedResponseCause mismatch(ResponseHead read) {
+        return call.mismatch(read, requests == 1 && !skippedResponse);
+    }
+
     /** Returns whether a response belongs to a HEAD request in flight, so that it has no body. */
     boolean isAnswerToHead(HttpResponse head) {
         return call != null
                 && HttpMethod.HEAD.equals(call.head().method())
-                && call.mismatch(call.protocol().read(head), requests == 1) == null;
+                && mismatch(call.protocol().read(head)) == null;
     }
 
     /** Closes the connection after a response for which no request is in flight. */
@@ -226,14 +263,19 @@
 
     /** Reports a response that is not known to belong to the request in flight. */
     private void report(ResponseHead read, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
+        report(read.status(), read.requestId(), cause, outcome);
+    }
+
+    /** Reports a response that is not known to belong to the request in flight, with its status and id. */
+    private void report(int status, String responseId, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
         pool.unmatched(new UnmatchedResponse(
                 address,
                 relay,
                 number,
                 earlierRequests(),
-                read.status(),
+                status,
                 call == null ? null : call.requestId(),
-                read.requestId(),
+                responseId,
                 cause,
                 outcome));
     }
@@ -288,7 +330,12 @@
     private void finish() {
         UpstreamCall ended = call;
         call = null;
+        boolean extraBytes = decoder.holdsBytes();
+        if (extraBytes) {
+            report(UNKNOWN_STATUS, null, UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
+        }
         boolean keep = !notReusable
+                && !extraBytes
                 && writeFuture.isDone()
                 && writeFuture.isSuccess()
                 && context.channel().isActive();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -10,7 +10,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
@@ -49,9 +48,6 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 600;
 
-    /** Maximum size of a status line and headers, in bytes. */
-    private static final int HEADER_BYTES = 32 * 1024;
-
     private final ServingLoop loop;
     private final ConnectionOpener opener;
     private final LinkTable links;
@@ -169,12 +165,7 @@
         UpstreamConnection connection = new UpstreamConnection(this, ++lastConnectionNumber, address, opened.relay());
         opened.channel()
                 .pipeline()
-                .addLast(
-                        new HttpRequestEncoder(),
-                        new UpstreamResponseDecoder(
-                                new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES), connection::isAnswerToHead),
-                        ReadPacing.counter(),
-                        connection);
+                .addLast(new HttpRequestEncoder(), connection.decoder(), ReadPacing.counter(), connection);
         if (opened.isRelayed()) {
             call.listener().relayed(opened.relay());
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
@@ -26,6 +26,11 @@
         this.answersHead = answersHead;
     }
 
+    /** Returns whether bytes have arrived that are not decoded, such as a part of a head. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
         int before = out.size();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseCause.java
@@ -8,6 +8,8 @@
     OTHER_ID,
     /** It has no id, and the connection has carried an earlier request. */
     NO_ID,
+    /** Its head begins with a part of another response. */
+    SPLICED,
     /** No request is in flight. */
     NO_REQUEST;
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseOutcome.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseOutcome.java
@@ -6,7 +6,7 @@
 public enum UnmatchedResponseOutcome {
     /** It is skipped, and the response to the request in flight may still follow. */
     SKIPPED,
-    /** It ends only with its connection, so that the request in flight gets no response on it. */
+    /** No other response can follow it on its connection, so that the request in flight fails. */
     REQUEST_FAILED,
     /** Its connection is closed; no request was in flight. */
     CONNECTION_CLOSED;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -130,6 +130,7 @@
             "unmatched_responses.outcome.connection_closed",
             "unmatched_responses.outcome.request_failed",
             "unmatched_responses.outcome.skipped",
+            "unmatched_responses.spliced",
             "upstream_speed.none",
             "upstream_speed.recovered",
             "upstream_speed.slow");
