Log a rejected configuration once for each revision

Operators who published a configuration that cannot be decoded got a line from each router with each check of the platform, about one a second, although docs/OPERATIONS.md promises one.

Cause: only documents of upstreams were remembered. Change: the revision of the last rejected configuration is remembered, too. The counter counts as before.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/RejectedDocuments.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/RejectedDocuments.java
@@ -13,7 +13,7 @@
 
 /**
  * Counts and logs documents that cannot be used. One that describes an upstream is logged once until a valid one
- * follows, as everything is read again after each failure of the platform.
+ * follows, and a configuration once for each revision, as the same documents are read again and again.
  */
 final class RejectedDocuments {
 
@@ -25,6 +25,7 @@
 
     private final DecisionLog log;
     private final Set<UpstreamId> upstreams = new HashSet<>();
+    private long configurationRevision;
     private long count;
 
     /** Creates a count of 0. */
@@ -52,8 +53,7 @@
     /** Records a document that cannot be used. */
     void rejected(Publication document, String source, ApricotException problem) {
         count++;
-        if (!document.isConfiguration()
-                && (upstreams.size() >= MAX_REMEMBERED || !upstreams.add(document.upstream()))) {
+        if (document.isConfiguration() ? !isNewConfiguration(document) : !isNewUpstream(document)) {
             return;
         }
         log.line("document_rejected")
@@ -67,4 +67,16 @@
                 .put("problem", Ascii.truncate(problem.getMessage(), MAX_PROBLEM_LENGTH, "..."))
                 .write();
     }
+
+    /** Remembers the revision of a configuration, and returns whether it is another one than before. */
+    private boolean isNewConfiguration(Publication document) {
+        boolean isNew = document.revision() != configurationRevision;
+        configurationRevision = document.revision();
+        return isNew;
+    }
+
+    /** Remembers the upstream that a document describes, and returns whether it was not remembered yet. */
+    private boolean isNewUpstream(Publication document) {
+        return upstreams.size() < MAX_REMEMBERED && upstreams.add(document.upstream());
+    }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/RejectedEntriesLogTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/RejectedEntriesLogTest.java
@@ -55,7 +55,7 @@
     private static final class ContentDecoder implements PublicationDecoder {
         @Override
         public ServingConfiguration configuration(Publication document) {
-            throw new AssertionError("No configuration is published here.");
+            throw new ApricotException(ErrorCode.INVALID_CONFIGURATION, "The configuration is odd; replace it.");
         }
 
         @Override
@@ -130,4 +130,17 @@
         state.apply(entry("odd-later", ODD), "watch");
         assertThat(linesOf("document_rejected")).isEqualTo(MAX_LINES + 1);
     }
+
+    /** The platform is asked for its configuration every second. */
+    @Test
+    void logsAnOddConfigurationOnceForEachRevision() {
+        for (int published = 0; published < 2; published++) {
+            Publication odd = new Publication(null, ++revision, ODD, false);
+            for (int i = 0; i < HEARTBEATS; i++) {
+                state.apply(odd, "platform_check");
+            }
+        }
+        assertThat(state.rejected()).isEqualTo(2L * HEARTBEATS);
+        assertThat(linesOf("document_rejected")).isEqualTo(2);
+    }
 }
