Give the queries to engines ids, which their responses repeat

A second response to an earlier query of an engine's state, or of its list of streams, was taken for the response to the next query of the same kind on the kept connection. The owner of the engine then compared an outdated state with the desired one, and sent no order, or one that was not needed.

Cause: the queries share one connection for each engine, and nothing in a response names its query; only the two kinds were told apart, by their types of JSON.

Change: a query carries X-Query-Id, which the engine repeats. A response with another id is refused and its connection closed. A response without an id is accepted only if the query is the first on its connection, and the connection is then not kept; so engines that repeat no ids are served as before, over a new connection for each query. The simulated engine repeats the ids.

Ruled out: a new connection for each query to every engine. It ends the class as well, but each query then costs a handshake, where the header has 15 bytes and the digits of the number, in both directions.

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineControl.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineControl.java
@@ -4,34 +4,48 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeType;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.AttributeKey;
 import org.apricotstack.adapters.json.Json;
 import org.apricotstack.core.configuration.Upstream;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.failure.ErrorCode;
+import org.apricotstack.core.id.AttemptId;
 import org.apricotstack.core.id.ProcessId;
 import org.apricotstack.core.order.DesiredUpstreamState;
 import org.apricotstack.core.owner.HeldStream;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 
 /**
  * Reads the held streams and the state of engines, and sets their desired state. Queries use one keep-alive connection
  * to each engine, as opening a connection for each costs more bytes than the response; releases and state changes use
  * new connections.
+ *
+ * <p>Each query has an id, which the engine repeats in its response, so that a second response to an earlier query is
+ * not taken for the one to the current query. The connections to an engine that does not repeat the ids are not kept.
  */
 final class EngineControl {
 
     private static final int MAX_SUCCESS = 299;
     private static final int CONFLICT = 409;
 
+    /** Set on connections that carried a query; on these, a response without an id may answer an earlier one. */
+    private static final AttributeKey<Boolean> CARRIED_QUERY =
+            AttributeKey.valueOf(EngineControl.class, "carriedQuery");
+
     private final HttpClient client;
     private final HttpClient queryClient;
+    private final AtomicLong lastQuery = new AtomicLong();
 
     /** Creates a client that uses new connections for changes and keep-alive connections for queries. */
     EngineControl(HttpClient client, HttpClient queryClient) {
@@ -39,22 +53,50 @@
         this.queryClient = queryClient;
     }
 
-    /** Makes a call without a body. A status above 299 is an error. */
-    Mono<byte[]> call(HttpMethod method, Upstream upstream, String path) {
-        return (method == HttpMethod.GET ? queryClient : client)
-                .request(method)
-                .uri(EngineCalls.uri(upstream, path))
-                .responseSingle((response, body) -> response.status().code() <= MAX_SUCCESS
-                        ? body.asByteArray().defaultIfEmpty(new byte[0])
-                        : Mono.error(new ApricotException(
-                                ErrorCode.ENVIRONMENT,
-                                "The upstream " + upstream.id() + " answered with status "
-                                        + response.status().code() + "; check it.")));
+    /** Releases a held stream. A status above 299 is an error. */
+    Mono<Void> release(Upstream upstream, AttemptId attempt) {
+        return client.delete()
+                .uri(EngineCalls.uri(upstream, EngineProtocol.HELD + "/" + attempt))
+                .responseSingle((response, body) -> body(upstream, response, body))
+                .then();
+    }
+
+    /** Reads a document of an engine. A status above 299 is an error. */
+    private Mono<byte[]> query(Upstream upstream, String path) {
+        return Mono.defer(() -> {
+            String id = Long.toString(lastQuery.incrementAndGet());
+            AtomicBoolean belongs = new AtomicBoolean();
+            return queryClient
+                    .headers(headers -> headers.set(EngineProtocol.QUERY, id))
+                    .doOnResponse((response, connection) -> belongs.set(belongs(id, response, connection)))
+                    .get()
+                    .uri(EngineCalls.uri(upstream, path))
+                    .responseSingle((response, body) ->
+                            belongs.get() ? body(upstream, response, body) : Mono.error(otherQuery(upstream)));
+        });
+    }
+
+    /** Returns whether a response belongs to a query, and lets its connection be kept only if it has the query's id. */
+    private static boolean belongs(String query, HttpClientResponse response, Connection connection) {
+        String echoed = response.responseHeaders().get(EngineProtocol.QUERY);
+        boolean first = connection.channel().attr(CARRIED_QUERY).getAndSet(true) == null;
+        boolean hasId = query.equals(echoed);
+        if (!hasId) {
+            connection.markPersistent(false);
+        }
+        return hasId || echoed == null && first;
+    }
+
+    /** Returns the body of a response. */
+    private static Mono<byte[]> body(Upstream upstream, HttpClientResponse response, ByteBufMono body) {
+        return response.status().code() <= MAX_SUCCESS
+                ? body.asByteArray().defaultIfEmpty(new byte[0])
+                : Mono.error(unexpectedStatus(upstream, response));
     }
 
     /** Lists the streams that an engine holds. */
     Mono<List<HeldStream>> held(Upstream upstream) {
-        return call(HttpMethod.GET, upstream, EngineProtocol.HELD).map(bytes -> {
+        return query(upstream, EngineProtocol.HELD).map(bytes -> {
             List<HeldStream> held = new ArrayList<>();
             for (JsonNode node : read(bytes, upstream, JsonNodeType.ARRAY)) {
                 held.add(new HeldStream(
@@ -69,7 +111,7 @@
 
     /** Reads the current state of an engine. */
     Mono<DesiredUpstreamState> state(Upstream upstream) {
-        return call(HttpMethod.GET, upstream, EngineProtocol.STATE).map(bytes -> {
+        return query(upstream, EngineProtocol.STATE).map(bytes -> {
             JsonNode node = read(bytes, upstream, JsonNodeType.OBJECT);
             List<String> adapters = new ArrayList<>();
             node.path("adapters").forEach(adapter -> adapters.add(adapter.asText()));
@@ -101,7 +143,7 @@
                         && response.status().code() <= MAX_SUCCESS);
     }
 
-    /** Parses the JSON of an engine. Another type shows that the response answers an earlier query. */
+    /** Parses the JSON of an engine. */
     private static JsonNode read(byte[] bytes, Upstream upstream, JsonNodeType expected) {
         try {
             JsonNode node = Json.STRICT.readTree(bytes);
@@ -114,6 +156,22 @@
         }
     }
 
+    /** Creates the error for an unexpected status. */
+    private static ApricotException unexpectedStatus(Upstream upstream, HttpClientResponse response) {
+        return new ApricotException(
+                ErrorCode.ENVIRONMENT,
+                "The upstream " + upstream.id() + " answered with status "
+                        + response.status().code() + "; check it.");
+    }
+
+    /** Creates the error for a response that may answer another query. */
+    private static ApricotException otherQuery(Upstream upstream) {
+        return new ApricotException(
+                ErrorCode.ENVIRONMENT,
+                "The upstream " + upstream.id()
+                        + " sent a response without the id of the query; the query is repeated.");
+    }
+
     /** Creates the error for a response that is not what the query asks for. */
     private static ApricotException malformed(Upstream upstream, IOException cause) {
         return new ApricotException(
--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineProtocol.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/EngineProtocol.java
@@ -18,6 +18,12 @@
     /** Request and response header: the id of the attempt. */
     public static final String ATTEMPT = "X-Attempt-Id";
 
+    /**
+     * Request and response header: the id of a query, a GET of {@link #HELD} or {@link #STATE}. Engines repeat it; an
+     * engine that does not gets a new connection for each query.
+     */
+    public static final String QUERY = "X-Query-Id";
+
     /** Request header: the owner process that sends the request. */
     public static final String OWNER = "X-Owner";
 
--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/HttpUpstreamGateway.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/HttpUpstreamGateway.java
@@ -4,7 +4,6 @@
 import java.util.List;
 
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpMethod;
 import org.apricotstack.core.configuration.LengthClass;
 import org.apricotstack.core.configuration.Upstream;
 import org.apricotstack.core.dispatch.Assignment;
@@ -87,8 +86,7 @@
 
     @Override
     public Mono<Void> release(Upstream upstream, AttemptId attempt) {
-        return control.call(HttpMethod.DELETE, upstream, EngineProtocol.HELD + "/" + attempt)
-                .then();
+        return control.release(upstream, attempt);
     }
 
     @Override
--- a/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/SecondUpstreamResponseTest.java
+++ b/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/SecondUpstreamResponseTest.java
@@ -56,6 +56,7 @@
     private static final String LAST_CHUNK = "0";
     private static final String FIRST = "first";
     private static final String SECOND = "second";
+    private static final String QUERY_ID = "X-Query-Id: %d\r\n";
 
     private final AtomicInteger requests = new AtomicInteger();
     private ServerSocket server;
@@ -89,6 +90,22 @@
                 state(FIRST), state(SECOND), "", test -> test.gateway.state(test.upstream()), test -> test.gateway
                         .state(test.upstream())
                         .map(DesiredUpstreamState::model)),
+        STATE_AFTER_HELD_WITH_ID(
+                held(FIRST),
+                state(SECOND),
+                QUERY_ID,
+                test -> test.gateway.heldStreams(test.upstream()),
+                test -> test.gateway.state(test.upstream()).map(DesiredUpstreamState::model)),
+        STATE_AFTER_STATE_WITH_ID(
+                state(FIRST), state(SECOND), QUERY_ID, test -> test.gateway.state(test.upstream()), test -> test.gateway
+                        .state(test.upstream())
+                        .map(DesiredUpstreamState::model)),
+        HELD_AFTER_HELD_WITH_ID(
+                held(FIRST),
+                held(SECOND),
+                QUERY_ID,
+                test -> test.gateway.heldStreams(test.upstream()),
+                test -> test.gateway.heldStreams(test.upstream()).map(Object::toString)),
         DOCUMENTS_OF_OTHER_TOPIC(delta(FIRST), delta(SECOND), "", test -> test.documents(0), test -> test.documents(1));
 
         private final String firstBody;
--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/engine/StandInEngine.java
@@ -71,7 +71,7 @@
                 .post(EngineProtocol.RESERVATIONS, this::reserve)
                 .get(EngineProtocol.HELD, this::held)
                 .delete(EngineProtocol.HELD + "/{name}", this::release)
-                .get(EngineProtocol.STATE, (request, response) -> response.sendString(Mono.fromSupplier(state::write)))
+                .get(EngineProtocol.STATE, this::state)
                 .post(EngineProtocol.STATE, this::order)
                 .post("/faults/{fault}", (request, response) -> setFault(request, response, true))
                 .delete("/faults/{fault}", (request, response) -> setFault(request, response, false));
@@ -163,8 +163,23 @@
                         Mono.from(response.status(reserved ? 200 : UNAVAILABLE).send()));
     }
 
+    /** Repeats the id of a query. */
+    private static void repeatQueryId(HttpServerRequest request, HttpServerResponse response) {
+        String id = request.requestHeaders().get(EngineProtocol.QUERY);
+        if (id != null) {
+            response.header(EngineProtocol.QUERY, id);
+        }
+    }
+
+    /** Reports the current state. */
+    private Publisher<Void> state(HttpServerRequest request, HttpServerResponse response) {
+        repeatQueryId(request, response);
+        return response.sendString(Mono.fromSupplier(state::write));
+    }
+
     /** Lists the streams and reservations. */
     private Publisher<Void> held(HttpServerRequest request, HttpServerResponse response) {
+        repeatQueryId(request, response);
         return response.sendString(Mono.<List<EngineRunner.HeldByName>>create(sink -> runner.held(sink::success))
                 .map(held -> {
                     ArrayNode list = Json.STRICT.createArrayNode();
