Close idle connections at each HTTP port, the longest idle first at the maximum

Callers that ask the directory for addresses and stay connected kept all others from learning one: at 512 connections each new one was closed, for as long as the others liked. The ports for the directory, readiness and metrics use the server of the callers' port, but only that one was checked for timeouts; and at its maximum the callers' port, too, closed the new connection, however long others had been idle.

Each port now has its own limits (ListeningPort). At the maximum the longest idle connection is closed for a new one, after what has arrived on it is read, as with other idle closes (idle_at_maximum, a counter without lines); it stays if a request was among that. If none is idle, the new one is closed as before.

Ruled out: counting by client address, as addresses are shared; closing connections on which a head is arriving, as the header time ends these; closing at once, which would lose a request that is in the socket's buffer.

OwnReadiness was moved out of the router for its length; it does what it did.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ConnectionCloseLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ConnectionCloseLog.java
@@ -23,8 +23,8 @@
     static final int MAX_LINES_PER_SECOND = 10;
 
     /** Causes that are only counted if no request was on the connection. */
-    private static final Set<ConnectionCloseCause> IDLE_CAUSES =
-            EnumSet.of(ConnectionCloseCause.IDLE_TIMEOUT, ConnectionCloseCause.IDLE_AT_STOP);
+    private static final Set<ConnectionCloseCause> IDLE_CAUSES = EnumSet.of(
+            ConnectionCloseCause.IDLE_TIMEOUT, ConnectionCloseCause.IDLE_AT_STOP, ConnectionCloseCause.IDLE_AT_MAXIMUM);
 
     /** Age of something that has not happened. */
     private static final long NEVER = -1;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -22,11 +22,11 @@
 import org.apricotstack.serving.gossip.GossipHub;
 import org.apricotstack.serving.gossip.GossipServer;
 import org.apricotstack.serving.gossip.HeartbeatPort;
-import org.apricotstack.serving.gossip.Readiness;
 import org.apricotstack.serving.gossip.RouterIdentity;
 import org.apricotstack.serving.http.CallerServer;
 import org.apricotstack.serving.http.ConnectionOpener;
 import org.apricotstack.serving.http.HttpCalls;
+import org.apricotstack.serving.http.ListeningPort;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.http.TcpConnectionOpener;
 import org.apricotstack.serving.http.UpstreamConnections;
@@ -55,9 +55,6 @@
     /** Share of the process memory for request bodies. */
     private static final double BODY_SHARE = 0.1;
 
-    /** Share of the sockets for callers. */
-    private static final double CALLER_SHARE = 0.6;
-
     /** Share of the sockets that connections relayed for other routers may use, each with two. */
     private static final double RELAY_SHARE = 0.1;
 
@@ -150,14 +147,19 @@
                 options.identity().process().host(),
                 state,
                 log,
-                new OwnReadiness(),
+                new OwnReadiness(this::ready, stopPolicy, loop),
                 follower::isFollowing,
                 follower::restartIfSilent);
         StopGate stopGate = new StopGate(stopPolicy, () -> peers.others(loop.nowMillis()), loadTable, stalls);
         runs = new RequestDispatcher(context(ports, outlierDetector, loadTable, calls, stopGate));
         closes = new ConnectionCloseLog(loop, stopPolicy.timeline(), log, metrics);
         callers = new CallerServer(
-                loop, ports.callers(), runs, this::limits, (int) (options.maxSockets() * CALLER_SHARE), closes);
+                loop,
+                ports.callers(),
+                runs,
+                this::limits,
+                ListeningPort.CALLERS.maxConnections(options.maxSockets()),
+                closes);
         stop = new StopSequence(loop, callers, runs, links.server()::drain, hub, stopGate, this::lastOfDataCentre, log);
         addListeners();
         addGauges(loadTable, ports.unknown());
@@ -273,20 +275,6 @@
         }
     }
 
-    /** What this router tells the others of its state. */
-    private final class OwnReadiness implements Readiness {
-
-        @Override
-        public boolean ready() {
-            return ServingRouter.this.ready();
-        }
-
-        @Override
-        public long stopLeftMillis() {
-            return stopPolicy.timeline().takesRequestsMillis(loop.nowMillis());
-        }
-    }
-
     /** Returns whether this router is the last one of its data centre that callers can ask for addresses. */
     private boolean lastOfDataCentre() {
         return peers.isLastOfDataCentre(hub.ownPeer(), loop.nowMillis());
@@ -305,8 +293,12 @@
         loop.run(connections::closeExpired);
     }
 
-    /** Returns the limits for requests of callers. */
-    private CallerLimits limits() {
+    /**
+     * Returns the limits for requests of callers.
+     *
+     * @return those of the configuration in force
+     */
+    public CallerLimits limits() {
         ServingConfiguration configuration = state.configuration();
         return configuration == null ? CallerLimits.DEFAULT : configuration.limits();
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerConnection.java
@@ -54,6 +54,7 @@
     /** Records that the first byte of a request arrived. */
     void headBegun() {
         timer.restart();
+        server.becameBusy(this);
     }
 
     /** Returns whether no request is processed, but a next one has begun to arrive. */
@@ -224,8 +225,8 @@
         while (!pendingMessages.isEmpty() && (exchange == null || !bodyComplete)) {
             process(pendingMessages.poll());
         }
-        if (exchange == null && server.closesIdle()) {
-            closeIfIdle();
+        if (exchange == null) {
+            server.becameIdle(this);
         }
     }
 
@@ -247,21 +248,25 @@
         context.close();
     }
 
+    /** Returns whether no request is processed or has begun to arrive. */
+    boolean isIdle() {
+        return !closing && exchange == null && !isHeadArriving();
+    }
+
     /**
-     * Closes the connection if it has no request in flight; otherwise the next response closes it. Responses are
-     * written and what has arrived is read first. What arrives later is not read, so that the caller knows that its
-     * request has not run.
+     * Closes the connection if it has no request in flight. Responses are written and what has arrived is read first.
+     * What arrives later is not read, so that the caller knows that its request has not run.
      */
-    void closeIfIdle() {
-        if (!closing && exchange == null && !isHeadArriving()) {
-            readBeforeClose.begin(context, this::closeIfStillIdle);
+    void closeIfIdle(ConnectionCloseCause cause) {
+        if (isIdle()) {
+            readBeforeClose.begin(context, () -> closeIfStillIdle(cause));
         }
     }
 
     /** Closes the connection unless a request has begun to arrive. */
-    private void closeIfStillIdle() {
-        if (!closing && exchange == null && !isHeadArriving()) {
-            closeNow(ConnectionCloseCause.IDLE_AT_STOP);
+    private void closeIfStillIdle(ConnectionCloseCause cause) {
+        if (isIdle() && server.closesIdle(this)) {
+            closeNow(cause);
         }
     }
 
@@ -310,13 +315,8 @@
 
     /** Returns the timeout that applies now, or {@code null} while a response is due. */
     private ConnectionCloseCause timeout() {
-        if (exchange != null) {
-            return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
-        }
-        if (WriteProgress.unwrittenBytes(context.channel()) > 0) {
-            return ConnectionCloseCause.RESPONSE_UNREAD;
-        }
-        return isHeadArriving() ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
+        boolean unwritten = WriteProgress.unwrittenBytes(context.channel()) > 0;
+        return ReceiveTimer.timeout(exchange, bodyComplete, unwritten, isHeadArriving());
     }
 
     /** Reports that the connection is about to be closed, with the error that caused it or {@code null}. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/CallerServer.java
@@ -47,9 +47,10 @@
     private final CallerProtocol protocol;
     private final CallerHandler handler;
     private final Supplier<CallerLimits> limits;
-    private final int maxConnections;
+    private final ConnectionMaximum maximum;
     private final ConnectionCloseObserver observer;
     private final Set<CallerConnection> connections = new HashSet<>();
+    private final IdleConnections idle = new IdleConnections();
     private Channel listenChannel;
     private boolean stopping;
     private boolean closesIdle;
@@ -62,7 +63,7 @@
      * @param protocol parses the requests
      * @param handler handles the requests
      * @param limits the configured limits for callers that are in force
-     * @param maxConnections maximum of open connections, so that file descriptors do not run out
+     * @param maxConnections maximum of open connections; the longest idle one is closed for a new one beyond it
      */
     public CallerServer(
             ServingLoop loop,
@@ -80,7 +81,7 @@
      * @param protocol parses the requests
      * @param handler handles the requests
      * @param limits the configured limits for callers that are in force
-     * @param maxConnections maximum of open connections, so that file descriptors do not run out
+     * @param maxConnections maximum of open connections; the longest idle one is closed for a new one beyond it
      * @param observer records the connections that are closed
      */
     public CallerServer(
@@ -95,7 +96,7 @@
         this.protocol = protocol;
         this.handler = handler;
         this.limits = limits;
-        this.maxConnections = maxConnections;
+        this.maximum = new ConnectionMaximum(maxConnections);
     }
 
     /**
@@ -145,7 +146,7 @@
 
     /** Sets up a new connection. */
     private void accept(Channel channel) {
-        if (connections.size() >= maxConnections) {
+        if (!makeRoom()) {
             observer.closed(new ConnectionClose(
                     ConnectionCloseCause.TOO_MANY_CONNECTIONS,
                     RequestStage.IDLE,
@@ -157,6 +158,7 @@
         }
         CallerConnection connection = new CallerConnection(this);
         connections.add(connection);
+        idle.add(connection);
         int headerBytes =
                 Math.max(DECODED_HEADER_BYTES, limits.get().headerBytes() + RequestHeadCheck.HEADER_SLACK_BYTES);
         HttpDecoderConfig config =
@@ -168,6 +170,12 @@
                 .addLast(decoder, ReadPacing.counter(), new HttpResponseEncoder(), new DeferredFlush(), connection);
     }
 
+    /** Returns whether a connection can be accepted, for which the longest idle one may have to be closed. */
+    private boolean makeRoom() {
+        int open = connections.size();
+        return maximum.hasRoom(open, idle.leaving()) || maximum.mayReplace(open) && idle.closeLongestIdle();
+    }
+
     /** Closes connections whose timeout for receiving a request has passed. */
     public void closeTimedOut() {
         long now = loop.nowMillis();
@@ -184,7 +192,9 @@
     /** Closes connections without a request in flight, and from now on each one that becomes idle. */
     public void closeIdle() {
         closesIdle = true;
-        List.copyOf(connections).forEach(connection -> loop.run(connection::closeIfIdle));
+        for (CallerConnection connection : List.copyOf(connections)) {
+            loop.run(() -> connection.closeIfIdle(ConnectionCloseCause.IDLE_AT_STOP));
+        }
     }
 
     /**
@@ -207,6 +217,20 @@
     /** Removes a closed connection. */
     void closed(CallerConnection connection) {
         connections.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** Records that the last response on a connection is written; closes it if idle connections are closed. */
+    void becameIdle(CallerConnection connection) {
+        idle.add(connection);
+        if (closesIdle) {
+            connection.closeIfIdle(ConnectionCloseCause.IDLE_AT_STOP);
+        }
+    }
+
+    /** Records that a request has begun to arrive on a connection. */
+    void becameBusy(CallerConnection connection) {
+        idle.remove(connection);
     }
 
     /** Counts a malformed request. */
@@ -228,9 +252,9 @@
         return stopping;
     }
 
-    /** Returns whether idle connections are closed. */
-    boolean closesIdle() {
-        return closesIdle;
+    /** Returns whether a connection is to be closed if it is idle. */
+    boolean closesIdle(CallerConnection connection) {
+        return closesIdle || idle.isLeaving(connection);
     }
 
     /** Returns the limits for callers. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ReceiveTimer.java
@@ -43,6 +43,18 @@
         return startLimits.larger(server.limits());
     }
 
+    /** Returns the timeout that applies to a connection, or {@code null} while a response is due. */
+    static ConnectionCloseCause timeout(
+            CallerExchange exchange, boolean bodyComplete, boolean unwritten, boolean headArriving) {
+        if (exchange != null) {
+            return bodyComplete ? null : ConnectionCloseCause.BODY_TIMEOUT;
+        }
+        if (unwritten) {
+            return ConnectionCloseCause.RESPONSE_UNREAD;
+        }
+        return headArriving ? ConnectionCloseCause.HEADER_TIMEOUT : ConnectionCloseCause.IDLE_TIMEOUT;
+    }
+
     /** Returns the timeout that the cause names. */
     private static long timeoutMillis(ConnectionCloseCause timeout, CallerLimits limits) {
         return timeout == ConnectionCloseCause.HEADER_TIMEOUT
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ConnectionCloseCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ConnectionCloseCause.java
@@ -22,7 +22,9 @@
     BEHIND_CLOSING_RESPONSE,
     /** The router is stopping and the connection was idle. */
     IDLE_AT_STOP,
-    /** The maximum of open connections was reached. */
+    /** The maximum of open connections was reached, and the connection was the longest idle one. */
+    IDLE_AT_MAXIMUM,
+    /** The maximum of open connections was reached, and none was idle. */
     TOO_MANY_CONNECTIONS,
     /** The caller reset the connection, or it was lost. */
     CALLER_RESET;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -50,6 +50,7 @@
             "connections.closed.decode_error",
             "connections.closed.handler_error",
             "connections.closed.header_timeout",
+            "connections.closed.idle_at_maximum",
             "connections.closed.idle_at_stop",
             "connections.closed.idle_timeout",
             "connections.closed.response_unread",
