Bound the connections at the port for other routers

That port accepted any number of connections and closed none: whoever opened some and sent nothing, or a message byte by byte, held their descriptors for good, until the router could accept no caller either.

The first whole message has to arrive within 5 s, and a connection that is not used for 10 minutes is closed. At a fifth of the sockets the longest unused connection goes for a new one: first those without a whole message, so that many silent ones do not end the streams of all routers, and never a relayed one on which a response may be due. What has arrived is read before the close. Causes are counted with those of the other ports.

Ruled out: an idle time of some seconds, as at the HTTP ports. The sender of updates suspects this router when its stream is closed, and streams to standby routers carry nothing for long.

--- a/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
+++ b/apricotstack-bench/src/main/java/org/apricotstack/bench/measure/GossipNode.java
@@ -42,6 +42,8 @@
 
     private static final Address ANY_PORT = new Address("127.0.0.1", 0);
 
+    private static final int MAX_CONNECTIONS = 1_000;
+
     /** Typical length and prefill time of a short prompt. */
     private static final long PROMPT_TOKENS = 5_000;
 
@@ -87,7 +89,7 @@
                 () -> true,
                 () -> true,
                 () -> {});
-        server = new GossipServer(loop, ANY_PORT, hub, RelayServer.none(loop));
+        server = new GossipServer(loop, ANY_PORT, hub, RelayServer.none(loop), MAX_CONNECTIONS, cause -> {});
         identity = new RouterIdentity(
                 process, new DataCentreId("dc"), ANY_PORT, new Address(ANY_PORT.ip(), server.port()), capacityPercent);
         heartbeats = new HeartbeatPort(loop, identity.peerAddress());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -236,7 +236,13 @@
      */
     public RouterIdentity start() {
         RouterIdentity configured = options.identity();
-        gossipServer = new GossipServer(loop, configured.peerAddress(), hub, links.server());
+        gossipServer = new GossipServer(
+                loop,
+                configured.peerAddress(),
+                hub,
+                links.server(),
+                ListeningPort.CONTROL.maxConnections(options.maxSockets()),
+                metrics::connectionClosed);
         identity = new RouterIdentity(
                 configured.process(),
                 configured.dataCentre(),
@@ -290,6 +296,7 @@
         loop.run(hub.limits()::expire);
         loop.run(hub::reportPlatformChanges);
         loop.run(callers::closeTimedOut);
+        loop.run(gossipServer::closeTimedOut);
         loop.run(connections::closeExpired);
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConnectionKindDetector.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConnectionKindDetector.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import org.apricotstack.serving.relay.ConnectionUse;
 import org.apricotstack.serving.relay.RelayFraming;
 import org.apricotstack.serving.relay.RelayServer;
 
@@ -15,10 +16,12 @@
 final class ConnectionKindDetector extends ByteToMessageDecoder {
 
     private final RelayServer relays;
+    private final ConnectionUse use;
 
     /** Creates the detector of one connection, whose pipeline is that of a gossip stream. */
-    ConnectionKindDetector(RelayServer relays) {
+    ConnectionKindDetector(RelayServer relays, ConnectionUse use) {
         this.relays = relays;
+        this.use = use;
     }
 
     @Override
@@ -32,7 +35,7 @@
             String remoteIp = ((InetSocketAddress) context.channel().remoteAddress())
                     .getAddress()
                     .getHostAddress();
-            pipeline.addLast(relays.handler(remoteIp));
+            pipeline.addLast(relays.handler(remoteIp, use));
         }
         pipeline.remove(this);
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
@@ -1,6 +1,7 @@
 package org.apricotstack.serving.gossip;
 
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -18,6 +19,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.serving.http.ReadPacing;
 import org.apricotstack.serving.http.ServingLoop;
+import org.apricotstack.serving.observe.ConnectionCloseCause;
 import org.apricotstack.serving.relay.RelayServer;
 import org.apricotstack.wire.news.NewsFrame;
 
@@ -29,6 +31,7 @@
     private final GossipHandler handler;
     private final Channel listening;
     private final ChannelGroup streams;
+    private final ControlConnections connections;
     private long malformed;
 
     /**
@@ -38,10 +41,19 @@
      * @param address the address to listen on
      * @param handler receives the frames
      * @param relays serves the connections that are to be relayed to upstreams
+     * @param maxConnections maximum of open connections; the longest idle one is closed for a new one beyond it
+     * @param onClose receives why a connection is closed
      * @throws ApricotException with {@link ErrorCode#ENVIRONMENT} if the address cannot be used
      */
-    public GossipServer(ServingLoop loop, Address address, GossipHandler handler, RelayServer relays) {
+    public GossipServer(
+            ServingLoop loop,
+            Address address,
+            GossipHandler handler,
+            RelayServer relays,
+            int maxConnections,
+            Consumer<ConnectionCloseCause> onClose) {
         this.handler = handler;
+        connections = new ControlConnections(loop, maxConnections, onClose);
         streams = new DefaultChannelGroup(loop.loop());
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop.group())
@@ -52,9 +64,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ReadPacing.install(channel);
-                        channel.pipeline().addLast(new ConnectionKindDetector(relays));
-                        GossipFraming.addHandlers(channel, NewsFrame.getDefaultInstance(), new Receiver());
+                        accept(channel, relays);
                     }
                 })
                 .bind(new InetSocketAddress(address.ip(), address.port()))
@@ -68,6 +78,23 @@
         listening = bound.channel();
     }
 
+    /** Sets up a new connection. */
+    private void accept(Channel channel, RelayServer relays) {
+        ControlConnection connection = connections.accept(channel);
+        if (connection == null) {
+            channel.close();
+            return;
+        }
+        ReadPacing.install(channel);
+        channel.pipeline().addLast(new ConnectionKindDetector(relays, connection));
+        GossipFraming.addHandlers(channel, NewsFrame.getDefaultInstance(), new Receiver(connection));
+    }
+
+    /** Closes connections that are idle for too long, or whose first message does not arrive in time. */
+    public void closeTimedOut() {
+        connections.closeTimedOut();
+    }
+
     /**
      * Returns the port.
      *
@@ -96,6 +123,11 @@
     private final class Receiver extends SimpleChannelInboundHandler<NewsFrame> {
 
         private final InboundGossipStream stream = new InboundGossipStream();
+        private final ControlConnection connection;
+
+        private Receiver(ControlConnection connection) {
+            this.connection = connection;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
@@ -104,6 +136,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, NewsFrame frame) {
+            connection.used();
             handler.frame(frame, stream);
             if (!frame.hasDocuments()) {
                 if (frame.hasHeartbeat()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ListeningPort.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/ListeningPort.java
@@ -11,7 +11,12 @@
     /** Tells the platform whether the router is ready. */
     READINESS(CallerLimits.DEFAULT, 0.02, 64),
     /** Tells the metrics; its idle time is longer than the usual intervals between two readings. */
-    METRICS(Limits.lasting(3_000, 120_000), 0.02, 64);
+    METRICS(Limits.lasting(3_000, 120_000), 0.02, 64),
+    /**
+     * Takes state updates of other routers and connections to be relayed. Its idle time is long, as the sender of
+     * updates suspects this router when its connection is closed.
+     */
+    CONTROL(Limits.lasting(5_000, 600_000), 0.2, Integer.MAX_VALUE);
 
     /** Least maximum of open connections, which a process with few descriptors has, too. */
     static final int MIN_CONNECTIONS = 8;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayServer.java
@@ -87,10 +87,11 @@
      * Creates the handler of a connection that begins with a request.
      *
      * @param remoteIp the IP address of the other side
+     * @param use receives the use of the connection
      * @return the handler
      */
-    public ChannelHandler handler(String remoteIp) {
-        return new RequestDecoder(remoteIp);
+    public ChannelHandler handler(String remoteIp, ConnectionUse use) {
+        return new RequestDecoder(remoteIp, use);
     }
 
     /**
@@ -140,10 +141,12 @@
     private final class RequestDecoder extends ByteToMessageDecoder {
 
         private final String remoteIp;
+        private final ConnectionUse use;
         private boolean requested;
 
-        private RequestDecoder(String remoteIp) {
+        private RequestDecoder(String remoteIp, ConnectionUse use) {
             this.remoteIp = remoteIp;
+            this.use = use;
         }
 
         @Override
@@ -156,6 +159,7 @@
                 return;
             }
             requested = true;
+            use.used();
             RelayReply reply = check(upstream, remoteIp);
             if (reply == RelayReply.CONNECTED) {
                 connect(context, upstream);
@@ -182,7 +186,8 @@
         /** Joins both connections. */
         private void join(ChannelHandlerContext context, Channel upstream) {
             Channel router = context.channel();
-            RelayedConnection connection = new RelayedConnection(router, upstream, loop.nowMillis());
+            RelayedConnection connection = new RelayedConnection(router, upstream, use, loop.nowMillis());
+            use.inUseWhile(() -> connection.inUse(PAUSE_MILLIS, loop.nowMillis()));
             connections.add(connection);
             relayed++;
             router.closeFuture().addListener(closed -> connections.remove(connection));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayedConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/relay/RelayedConnection.java
@@ -7,14 +7,16 @@
 
     private final Channel router;
     private final Channel upstream;
+    private final ConnectionUse use;
     private boolean requestSent;
     private boolean responseStarted;
     private long lastMillis;
 
     /** Creates a connection on which nothing was relayed. */
-    RelayedConnection(Channel router, Channel upstream, long nowMillis) {
+    RelayedConnection(Channel router, Channel upstream, ConnectionUse use, long nowMillis) {
         this.router = router;
         this.upstream = upstream;
+        this.use = use;
         this.lastMillis = nowMillis;
     }
 
@@ -23,12 +25,14 @@
         requestSent = true;
         responseStarted = false;
         lastMillis = nowMillis;
+        use.used();
     }
 
     /** Records that bytes of a response were relayed. */
     void responseRelayed(long nowMillis) {
         responseStarted = true;
         lastMillis = nowMillis;
+        use.used();
     }
 
     /** Returns whether a response may be outstanding, or did not pause for the given time yet. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/GossipServerTest.java
@@ -26,13 +26,20 @@
     /** Timeout for a read, in milliseconds. */
     private static final int PATIENCE_MILLIS = 15_000;
 
+    private static final int MAX_CONNECTIONS = 1_000;
+
     private static final NewsFrame HEARTBEAT = NewsFrame.newBuilder()
             .setHeartbeat(Heartbeat.newBuilder().setHost("peer"))
             .build();
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
-    private final GossipServer server =
-            new GossipServer(loop, new Address("127.0.0.1", 0), new DocumentHandler(), RelayServer.none(loop));
+    private final GossipServer server = new GossipServer(
+            loop,
+            new Address("127.0.0.1", 0),
+            new DocumentHandler(),
+            RelayServer.none(loop),
+            MAX_CONNECTIONS,
+            cause -> {});
 
     @AfterEach
     void stop() {
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/OutboundGossipStreamTest.java
@@ -25,14 +25,21 @@
     /** Timeout for a frame, in seconds. */
     private static final long PATIENCE_SECONDS = 15;
 
+    private static final int MAX_CONNECTIONS = 1_000;
+
     private static final EncodedFrame HEARTBEAT = EncodedFrame.of(NewsFrame.newBuilder()
             .setHeartbeat(Heartbeat.newBuilder().setHost("here"))
             .build());
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final BlockingQueue<NewsFrame> received = new LinkedBlockingQueue<>();
-    private final GossipServer server =
-            new GossipServer(loop, new Address("127.0.0.1", 0), new RecordingHandler(), RelayServer.none(loop));
+    private final GossipServer server = new GossipServer(
+            loop,
+            new Address("127.0.0.1", 0),
+            new RecordingHandler(),
+            RelayServer.none(loop),
+            MAX_CONNECTIONS,
+            cause -> {});
     private final List<Long> inFlight = new ArrayList<>();
     private final OutboundGossipStream stream = new OutboundGossipStream(
             loop, new Address("127.0.0.1", server.port()), new RecordingHandler(), this::fullState, () -> {});
