--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/Names.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/Names.java
@@ -8,8 +8,13 @@
 /** Checks names that come from callers, operators and peers. */
 public final class Names {
 
-    /** The pattern that each name matches. */
-    public static final Pattern PATTERN = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+    /** Maximum length of a key of the platform, in bytes; names that come from such keys may be as long. */
+    static final int MAX_KEY_BYTES = 200;
+
+    /** Maximum length of other names, in characters. */
+    private static final int MAX_LENGTH = 128;
+
+    private static final Pattern CHARACTERS = Pattern.compile("[A-Za-z0-9._:-]+");
 
     private Names() {}
 
@@ -18,24 +23,48 @@
      *
      * @param kind what the name identifies, for the message
      * @param value the name to check
-     * @throws ApricotException with {@link ErrorCode#INVALID_NAME} if it does not match {@link #PATTERN}
+     * @throws ApricotException with {@link ErrorCode#INVALID_NAME} if it is not valid
      */
     static void require(String kind, String value) {
-        if (value == null || !PATTERN.matcher(value).matches()) {
-            throw new ApricotException(
-                    ErrorCode.INVALID_NAME,
-                    "The " + kind + " name " + (value == null ? "is absent" : "has a form that is not allowed")
-                            + "; use 1 to 128 letters, digits, dots, hyphens, underscores or colons.");
+        require(kind, value, MAX_LENGTH);
+    }
+
+    /**
+     * Checks one name.
+     *
+     * @param kind what the name identifies, for the message
+     * @param value the name to check
+     * @param maxLength its maximum length, in characters
+     * @throws ApricotException with {@link ErrorCode#INVALID_NAME} if it is not valid
+     */
+    static void require(String kind, String value, int maxLength) {
+        if (!isValid(value, maxLength)) {
+            throw invalid(kind, value, "1 to " + maxLength + " letters, digits, dots, hyphens, underscores or colons");
         }
     }
 
+    /** Creates the error for a name that is not valid. */
+    static ApricotException invalid(String kind, String value, String allowed) {
+        return new ApricotException(
+                ErrorCode.INVALID_NAME,
+                "The " + kind + " name " + (value == null ? "is absent" : "has a form that is not allowed") + "; use "
+                        + allowed + ".");
+    }
+
     /**
      * Tells whether a text is a valid name.
      *
      * @param value the text, possibly {@code null}
-     * @return whether it matches {@link #PATTERN}
+     * @return whether it has 1 to 128 letters, digits, dots, hyphens, underscores or colons
      */
     public static boolean isValid(String value) {
-        return value != null && PATTERN.matcher(value).matches();
+        return isValid(value, MAX_LENGTH);
+    }
+
+    /** Tells whether a text is a valid name of at most a number of characters. */
+    static boolean isValid(String value, int maxLength) {
+        return value != null
+                && value.length() <= maxLength
+                && CHARACTERS.matcher(value).matches();
     }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/UpstreamId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/UpstreamId.java
@@ -6,7 +6,7 @@
  * <p>A restarted upstream may keep its name, but it has none of its previous state. State that is stored by this id,
  * such as placements, reservations and failures, therefore belongs to one incarnation and does not apply to the next.
  *
- * @param value the name: 1 to 128 letters, digits, dots, hyphens, underscores or colons
+ * @param value the name: 1 to 200 letters, digits, dots, hyphens, underscores or colons
  * @param incarnation distinguishes the incarnations of one name and increases with each restart; {@link
  *     #ANY_INCARNATION} if unknown
  */
@@ -17,7 +17,17 @@
 
     /** Checks the name. */
     public UpstreamId {
-        Names.require("upstream", value);
+        Names.require("upstream", value, Names.MAX_KEY_BYTES);
+    }
+
+    /**
+     * Tells whether a text is a valid name.
+     *
+     * @param value the text, possibly {@code null}
+     * @return whether an upstream may have this name
+     */
+    public static boolean isValid(String value) {
+        return Names.isValid(value, Names.MAX_KEY_BYTES);
     }
 
     /**
