Test which connections make room for new ones in three more states

Mutants of the choice that no test caught: a connection whose response is not written was chosen, which cannot be closed and keeps its place; and one on which a request arrived before its close went on counting as about to leave, so that one connection too many stayed open. The code had neither fault.

Each of the two tests fails with its mutant (read timed out after 15 s), and the first also with any connection taken for idle. A third one guards heads that begin in the read of the request before; no mutant tried needs it.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/MaximumConnectionsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/MaximumConnectionsTest.java
@@ -5,6 +5,10 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +22,9 @@
     private static final String REST_OF_HEAD = "st: h\r\n\r\n";
     private static final String SERVED = "HTTP/1.1 200";
 
+    /** Length of a response that does not fit into the buffers of the system. */
+    private static final int UNREAD_BYTES = 32 * 1024 * 1024;
+
     private final CallerServerFixture fixture = new CallerServerFixture();
     private final List<RawConnection> callers = new ArrayList<>();
 
@@ -118,6 +125,34 @@
         assertThat(arriving.read()).startsWith(SERVED);
     }
 
+    @Test
+    void keepsConnectionsOnWhichAHeadBeganInTheReadOfTheRequestBefore() throws IOException {
+        RawConnection arriving = connect();
+        arriving.send(REQUEST + HALF_HEAD);
+        assertThat(arriving.read()).startsWith(SERVED);
+        fillWithIdle();
+        request(connect());
+        assertThat(callers.get(1).readToEnd()).isEmpty();
+        arriving.send(REST_OF_HEAD);
+        assertThat(arriving.read()).startsWith(SERVED);
+    }
+
+    /** A connection whose caller does not read cannot make room. */
+    @Test
+    void choosesNoConnectionWithAResponseThatIsNotWritten() throws IOException {
+        fixture.handler((request, exchange) -> {
+            ByteBuf body = Unpooled.wrappedBuffer(new byte[UNREAD_BYTES]);
+            exchange.answer(HttpResponseStatus.OK, new DefaultHttpHeaders(), body);
+            return DiscardingRequestListener.INSTANCE;
+        });
+        connect().send(REQUEST);
+        fixture.awaitArriving();
+        fixture.handler(CallerServerFixture::answer);
+        fillWithIdle();
+        request(connect());
+        assertThat(callers.get(1).readToEnd()).isEmpty();
+    }
+
     /** Lets bytes arrive on connections, and new connections be opened, before the server reads or accepts any. */
     private void whileTheLoopStands(Arrival arrival) throws IOException {
         CountDownLatch entered = new CountDownLatch(1);
@@ -150,6 +185,23 @@
         request(longestIdle);
     }
 
+    @Test
+    void countsNoConnectionAsLeavingOnWhichARequestHasArrived() throws IOException {
+        fillWithIdle();
+        CountDownLatch opened = hold(1);
+        whileTheLoopStands(() -> {
+            connect();
+            callers.get(0).send(REQUEST);
+        });
+        CallerServerFixture.await(opened);
+        fixture.awaitIdleCheck();
+        fixture.handler(CallerServerFixture::answer);
+        callers.get(1).closeAndAwaitReceipt();
+        request(callers.get(3));
+        request(connect());
+        assertThat(callers.get(2).readToEnd()).isEmpty();
+    }
+
     @Test
     void exceedsTheMaximumByOneInEightAtMostUntilIdleConnectionsAreClosed() throws IOException {
         fillWithIdle();
