Tell a response that broke off at the end of a line from none

What callers saw in a test: with one upstream, a refusal instead of their own response, if a late response broke off just after its status line or after a whole header and the connection went on. The attempts counted as spoiled, so that the upstream was blamed, and kept connections went on to be used. Found in review; it also saw such idle connections reused.

Cause: the decoder consumes whole lines of a head, so that no undecoded bytes were left on the connection, which was all that was looked at. The next status line then came as a header, which is malformed, and a malformed head counted as the upstream's own response.

Change: the decoder tells whether a response has begun whose rest is missing, and such a connection is neither kept nor reused. A malformed head on a connection that carried an earlier request fails the attempt as unmatched, is logged and counted (cause malformed) and suspends the reuse, unless the connection ended.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -121,7 +121,7 @@
         return context.channel().isActive()
                 && !notReusable
                 && call == null
-                && !decoder.holdsBytes()
+                && !decoder.holdsPartOfResponse()
                 && nowMillis < reusableUntilMillis;
     }
 
@@ -188,7 +188,7 @@
     /** Processes the head of a response. */
     private void head(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
-            failAsSpoiled();
+            malformedHead();
             return;
         }
         if (call == null) {
@@ -253,6 +253,20 @@
                 && mismatch(call.protocol().read(head)) == null;
     }
 
+    /**
+     * Fails the request after a malformed head, which on a kept connection may begin with a part of another one unless
+     * it is cut by the end of the connection.
+     */
+    private void malformedHead() {
+        if (call == null || requests == 1 || !context.channel().isActive()) {
+            failAsSpoiled();
+            return;
+        }
+        report(UNKNOWN_STATUS, null, UnmatchedResponseCause.MALFORMED, UnmatchedResponseOutcome.REQUEST_FAILED);
+        pool.responseLost(address);
+        fail(FailureKind.UNMATCHED);
+    }
+
     /** Closes the connection after a response for which no request is in flight. */
     private void unexpectedHead(HttpResponse head) {
         if (context.channel().isActive()) {
@@ -330,7 +344,7 @@
     private void finish() {
         UpstreamCall ended = call;
         call = null;
-        boolean extraBytes = decoder.holdsBytes();
+        boolean extraBytes = decoder.holdsPartOfResponse();
         if (extraBytes) {
             report(UNKNOWN_STATUS, null, UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes responses, and expects no body after a response to HEAD, whatever its headers announce (RFC 9112, section
@@ -19,6 +20,7 @@
 
     private final Predicate<HttpResponse> answersHead;
     private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
+    private boolean responseBegun;
 
     /** Creates a decoder with a predicate that returns whether a response belongs to a HEAD request in flight. */
     UpstreamResponseDecoder(HttpDecoderConfig config, Predicate<HttpResponse> answersHead) {
@@ -26,9 +28,9 @@
         this.answersHead = answersHead;
     }
 
-    /** Returns whether bytes have arrived that are not decoded, such as a part of a head. */
-    boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+    /** Returns whether a part of a response has arrived, of which the rest is missing. */
+    boolean holdsPartOfResponse() {
+        return responseBegun || actualReadableBytes() > 0;
     }
 
     @Override
@@ -37,6 +39,11 @@
         int from = buffer.readerIndex();
         super.decode(ctx, buffer, out);
         chunkSizes.decoded(buffer, from, out, before);
+        if (out.size() > before) {
+            responseBegun = !(out.get(out.size() - 1) instanceof LastHttpContent);
+        } else if (buffer.readerIndex() > from) {
+            responseBegun = true;
+        }
     }
 
     @Override
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseCause.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/UnmatchedResponseCause.java
@@ -10,6 +10,8 @@
     NO_ID,
     /** Its head begins with a part of another response. */
     SPLICED,
+    /** Its head is malformed, and the connection has carried an earlier request. */
+    MALFORMED,
     /** No request is in flight. */
     NO_REQUEST;
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -125,6 +125,7 @@
             "stops.requests_cut",
             "streams.longest_pause_millis",
             "unmatched_responses.lines_suppressed",
+            "unmatched_responses.malformed",
             "unmatched_responses.no_id",
             "unmatched_responses.no_request",
             "unmatched_responses.other_id",
