Keep the streams of routers in touch when the control port is full

In a fleet with more active routers than the port has connections, each new stream would have ended another one in use: its sender would suspect this router, connect again, and end a third one, for as long as all are up.

A stream makes room only 15 s after its last message; routers in touch send a heartbeat at least every 13 s, in a fleet of a thousand. Until then the new connection is closed. Ruled out: no replacement of streams at all, as the streams of routers that have left would keep new ones away for ten minutes.

The new test fails without the condition, and the one for relayed connections without theirs.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ControlConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ControlConnection.java
@@ -10,6 +10,9 @@
 /** A connection that another router opened: a gossip stream, or one that is relayed to an upstream. */
 final class ControlConnection implements ConnectionUse {
 
+    /** Longest interval between two heartbeats of a router in touch, in milliseconds. */
+    private static final long MAX_HEARTBEAT_INTERVAL_MILLIS = 15_000;
+
     private final Channel channel;
     private final ControlConnections all;
     private BooleanSupplier inUse = () -> false;
@@ -40,10 +43,16 @@
     }
 
     /** Returns whether a response may be outstanding on the connection. */
-    boolean isInUse() {
+    private boolean isInUse() {
         return inUse.getAsBoolean();
     }
 
+    /** Returns whether the connection may be closed for a new one: nothing is due on it, and it was not used lately. */
+    boolean isIdle(long nowMillis) {
+        boolean usedLately = messageReceived && nowMillis - lastMillis <= MAX_HEARTBEAT_INTERVAL_MILLIS;
+        return !usedLately && !isInUse();
+    }
+
     /** Returns the timeout that has passed, or {@code null} if none has. */
     ConnectionCloseCause passedTimeout(CallerLimits limits, long nowMillis) {
         if (isInUse()) {
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ControlConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ControlConnections.java
@@ -36,7 +36,7 @@
         this.onClose = onClose;
     }
 
-    /** Adds a new connection, or returns {@code null} if there are too many and all are in use. */
+    /** Adds a new connection, or returns {@code null} if there are too many and none is idle. */
     ControlConnection accept(Channel channel) {
         if (!makeRoom()) {
             onClose.accept(ConnectionCloseCause.TOO_MANY_CONNECTIONS);
@@ -59,7 +59,7 @@
     /** Begins to close the longest idle connection of some; returns whether there is one. */
     private boolean closeLongestIdle(Set<ControlConnection> connections) {
         for (ControlConnection connection : connections) {
-            if (!leaving.contains(connection) && !connection.isInUse()) {
+            if (!leaving.contains(connection) && connection.isIdle(loop.nowMillis())) {
                 closeUnlessUsed(connection, ConnectionCloseCause.IDLE_AT_MAXIMUM);
                 return true;
             }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/relay/ControlPortTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/relay/ControlPortTest.java
@@ -37,6 +37,10 @@
     private static final int WAIT_TIMEOUT_MILLIS = 15_000;
     private static final long READ_BEFORE_CLOSE_MILLIS = 20;
     private static final int MAX_CONNECTIONS = 2;
+
+    /** Time without use after which a connection may make room for a new one. */
+    private static final long IDLE_MILLIS = 15_001;
+
     private static final CallerLimits LIMITS = ListeningPort.CONTROL.limits(CallerLimits.DEFAULT);
     private static final NewsFrame HEARTBEAT = NewsFrame.newBuilder()
             .setHeartbeat(Heartbeat.newBuilder().setHost("peer"))
@@ -164,12 +168,29 @@
         Socket second = connect();
         heartbeat(second);
         heartbeat(first);
+        nowMillis += IDLE_MILLIS;
         heartbeat(connect());
         assertThat(isClosed(second)).isTrue();
         assertThat(causes).containsExactly(ConnectionCloseCause.IDLE_AT_MAXIMUM);
         heartbeat(first);
     }
 
+    /** In a fleet with more active routers than connections, each new stream would end another one. */
+    @Test
+    void closesNoStreamOfARouterInTouchForANewOne() throws IOException {
+        List<Socket> streams = new ArrayList<>();
+        while (streams.size() < MAX_CONNECTIONS) {
+            Socket stream = connect();
+            heartbeat(stream);
+            streams.add(stream);
+        }
+        assertThat(isClosed(connect())).isTrue();
+        assertThat(causes).containsExactly(ConnectionCloseCause.TOO_MANY_CONNECTIONS);
+        for (Socket stream : streams) {
+            heartbeat(stream);
+        }
+    }
+
     /** Connections that send nothing would end the streams of all routers. */
     @Test
     void closesAConnectionWithoutAMessageBeforeAStreamThatIsIdleForLonger() throws IOException {
@@ -188,6 +209,7 @@
         pass(relay, replica);
         Socket stream = connect();
         heartbeat(stream);
+        nowMillis += IDLE_MILLIS;
         Socket newStream = connect();
         heartbeat(newStream);
         assertThat(isClosed(stream)).isTrue();
