Close the connections of a list's later pages after their responses

Its store gives 661 entries in pages of two and takes 100 connections; each page left an idle connection for 4 s, so that the store reset the rest, the read failed and began anew.

Cause: each page of a full read gets a new connection, and the pool keeps it. A real store gives 500 entries in a page, but a large list would do the same.

Ruled out: keeping the pages of a read on one connection, as the pool does not tell whose it is, and a larger limit in the test's store.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.apricotstack.core.id.Address;
@@ -134,6 +135,7 @@
     void start(UpstreamCall next) {
         call = next;
         protocol = next.protocol();
+        notReusable |= !HttpUtil.isKeepAlive(next.head());
         requests++;
         if (next.requestId() != null) {
             carriedIds.add(next.requestId());
