--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/relay/ControlPortTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/relay/ControlPortTest.java
@@ -37,6 +37,7 @@
     private static final int WAIT_TIMEOUT_MILLIS = 15_000;
     private static final long READ_BEFORE_CLOSE_MILLIS = 20;
     private static final int MAX_CONNECTIONS = 2;
+    private static final long LONGER_THAN_PAUSE_MILLIS = 3_001;
 
     /** Time without use after which a connection may make room for a new one. */
     private static final long IDLE_MILLIS = 15_001;
@@ -219,6 +220,18 @@
         assertThat(causes).containsExactly(ConnectionCloseCause.IDLE_AT_MAXIMUM, ConnectionCloseCause.IDLE_TIMEOUT);
     }
 
+    /** Guards against a stop that takes a late response to an earlier request for the one that is due. */
+    @Test
+    void keepsARelayedConnectionWhoseRequestHasNoResponseWhenARouterStops() throws IOException {
+        Socket relay = relayed();
+        Socket replica = waiting(upstream.accept());
+        pass(relay, replica);
+        pass(replica, relay);
+        nowMillis += LONGER_THAN_PAUSE_MILLIS;
+        int open = CompletableFuture.supplyAsync(relays::drain, loop::execute).join();
+        assertThat(open).isEqualTo(1);
+    }
+
     @Test
     void refusesANewConnectionWhileAllAreInUse() throws IOException {
         for (int i = 0; i < MAX_CONNECTIONS; i++) {
