Log what a router lacks in order to serve, and count it

Cause: after a start, a router that lacks configuration, list or evacuations refuses everything with no_configuration and says nothing of why; 15 s after a common start of 76 routers nothing told a store that answers too late from one part that never comes.

Change: serving_impossible 1 s after the start and after twice the time from then on names what is missing, the calls to the platform and why the last one failed, and how many routers are heard, ready and know more; serving_possible ends it. Gauge published_parts.missing. No logic is changed.

Tests: ReadinessLogTest; which parts are missing, the number of lines, the end.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -85,6 +85,7 @@
     private GossipServer gossipServer;
     private HeartbeatPort heartbeatPort;
     private final StallDetector stalls;
+    private final ReadinessLog readiness;
 
     /**
      * Creates a router that is not started.
@@ -135,6 +136,7 @@
         connections = new UpstreamConnections(loop, guard, links.table(), new UnmatchedResponseLog(loop, log, metrics));
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
+        readiness = new ReadinessLog(state, follower, peers, log, loop.nowMillis());
         suspects = new SuspectTable(options.identity().process(), new CauseLog(loop, log));
         hub = new GossipHub(
                 loop,
@@ -291,6 +293,7 @@
         long now = loop.nowMillis();
         loop.run(follower::resumeIfNeeded);
         loop.run(() -> state.removeExpired(now));
+        loop.run(() -> readiness.update(now));
         loop.run(() -> suspects.expire(now));
         loop.run(() -> runs.expire(!follower.unavailable()));
         loop.run(hub.limits()::expire);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/DecisionLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/DecisionLog.java
@@ -59,8 +59,14 @@
         this(host, wallClockMillis, new FileOutputStream(FileDescriptor.out));
     }
 
-    /** Creates a log and starts its writer thread. */
-    DecisionLog(String host, LongSupplier wallClockMillis, OutputStream out) {
+    /**
+     * Creates a log that writes to a stream.
+     *
+     * @param host the host's name
+     * @param wallClockMillis the time of day in Unix milliseconds
+     * @param out receives the lines
+     */
+    public DecisionLog(String host, LongSupplier wallClockMillis, OutputStream out) {
         this.host = host;
         this.wallClockMillis = wallClockMillis;
         this.out = out;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationFollower.java
@@ -72,6 +72,7 @@
     private long callStartedMillis;
     private long calls;
     private long faults;
+    private String lastProblem;
 
     /**
      * Creates a follower.
@@ -237,6 +238,7 @@
             return;
         }
         faults++;
+        lastProblem = error.getMessage();
         // A watch after a failure can miss changes for seconds, whereas a snapshot is current when it is read.
         readAll = true;
         startCallAfter(callId, backOff.nextMillis());
@@ -378,6 +380,15 @@
         return state.freshness().ageMillis(loop.nowMillis());
     }
 
+    /**
+     * Returns why the last failed call failed.
+     *
+     * @return the message; {@code null} if no call has failed
+     */
+    public String lastProblem() {
+        return lastProblem;
+    }
+
     /**
      * Returns the number of failed calls.
      *
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationGauges.java
@@ -30,6 +30,8 @@
         metrics.gauge("upstreams.listed", state::upstreamsListed);
         metrics.gauge("configuration.revision", () -> Revisions.inHistory(state.configurationRevision()));
         metrics.gauge("configuration.version", state::configurationVersion);
+        metrics.gauge(
+                "published_parts.missing", () -> PublishedPart.missing(state).size());
         metrics.gauge("configuration.parts_unusable", () -> unusableParts(state));
         metrics.gauge("upstreams.revision", () -> Revisions.inHistory(state.upstreamsRevision()));
         metrics.gauge("evacuations.in_force", () -> state.evacuations().all().size());
