Reject responses whose heads violate HTTP instead of using what the decoder repaired

What callers saw: a status of 000, 099, 600, 999, 1000, 20 or +20 was forwarded as the status; a name with a blank lost its second word, and so became a length, or a header that nobody sent; a line without a colon became an empty header; a coding beside a length, or an informational response of status 000, led to no answer until the deadline.

Cause: the decoder repairs such heads and leaves no sign of it in what it returns. The router checked only what the decoder marks as failed.

Change: ResponseHeadSyntax reads each byte of a head that the decoder consumed, as the grammar has it; the first violation ends the connection, and nothing of the head is used. White space before a colon is removed as before (RFC 9112, 5.1). Responses to all calls of a router pass this decoder: requests, orders, reports, the store.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -25,6 +25,8 @@
     LINK_LOST(true, false, false),
     /** The response violates the protocol or lacks its seal. */
     SPOILED(true, true, false),
+    /** The head of the response violates HTTP. */
+    MALFORMED(true, true, false),
     /** A response that is not known to belong to the request came instead of its own. */
     UNMATCHED(true, false, false),
     /** The upstream reported an error. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/UnmatchedResponseLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/UnmatchedResponseLog.java
@@ -1,5 +1,6 @@
 package org.apricotstack.serving;
 
+import org.apricotstack.serving.http.MalformedResponse;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.http.UnmatchedResponse;
 import org.apricotstack.serving.http.UnmatchedResponseObserver;
@@ -7,7 +8,10 @@
 import org.apricotstack.serving.observe.LineRate;
 import org.apricotstack.serving.observe.ServingMetrics;
 
-/** Counts and logs responses of upstreams that are not known to belong to the request in flight on their connection. */
+/**
+ * Counts and logs responses of upstreams that violate HTTP, or that are not known to belong to the request in flight on
+ * their connection.
+ */
 final class UnmatchedResponseLog implements UnmatchedResponseObserver {
 
     /** Maximum of lines in a second, so that an upstream that repeats its responses does not displace other lines. */
@@ -19,19 +23,21 @@
     private final DecisionLog log;
     private final ServingMetrics metrics;
     private final LineRate lines;
+    private final LineRate malformedLines;
 
     /** Creates a log. */
     UnmatchedResponseLog(ServingLoop loop, DecisionLog log, ServingMetrics metrics) {
         this.log = log;
         this.metrics = metrics;
         this.lines = new LineRate(MAX_LINES_PER_SECOND, loop::nowMillis);
+        this.malformedLines = new LineRate(MAX_LINES_PER_SECOND, loop::nowMillis);
     }
 
     @Override
     public void unmatched(UnmatchedResponse response) {
-        metrics.unmatchedResponse(response.cause(), response.outcome());
+        metrics.upstreamResponses().unmatched(response.cause(), response.outcome());
         if (!lines.take()) {
-            metrics.unmatchedResponseLineSuppressed();
+            metrics.upstreamResponses().unmatchedLineSuppressed();
             return;
         }
         log.line("unmatched_response")
@@ -49,6 +55,25 @@
                 .write();
     }
 
+    @Override
+    public void malformed(MalformedResponse response) {
+        metrics.upstreamResponses().malformed(response.violation());
+        if (!malformedLines.take()) {
+            metrics.upstreamResponses().malformedLineSuppressed();
+            return;
+        }
+        log.line("malformed_response")
+                .put("request", bounded(response.requestId()))
+                .put("upstream", response.upstream().toString())
+                .put(
+                        "through",
+                        response.relay() == null ? null : response.relay().toString())
+                .put("connection", response.connection())
+                .put("earlier_requests", response.earlierRequests())
+                .put("cause", response.violation().code())
+                .write();
+    }
+
     /** Returns the first characters of an id; {@code null} for none. */
     private static String bounded(String id) {
         return id == null || id.length() <= MAX_ID_CHARS ? id : id.substring(0, MAX_ID_CHARS);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.apricotstack.core.http.HeadViolation;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.observe.UnmatchedResponseCause;
@@ -28,12 +29,6 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum number of heads before the one of the response: informational ones and those of late responses. */
-    private static final int MAX_SKIPPED_HEADS = 32;
-
-    /** Maximum size of the bodies of late responses that are skipped for one request, in bytes. */
-    private static final long MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
-
     /** Status of a response that is not decoded. */
     private static final int UNKNOWN_STATUS = 0;
 
@@ -51,13 +46,12 @@
     private UpstreamProtocol protocol;
     private long requests;
     private final CarriedRequestIds carriedIds = new CarriedRequestIds();
+    private final SkippedResponses skipped = new SkippedResponses();
     private ResponseHead answer;
     private boolean skippingLateResponse;
     private boolean skippedResponse;
     private boolean informational;
     private boolean framed;
-    private int skippedHeads;
-    private long skippedBytes;
     private boolean notReusable;
     private boolean broken;
     private ChannelFuture writeFuture;
@@ -143,8 +137,7 @@
         lastActiveMillis = pool.nowMillis();
         answer = null;
         skippingLateResponse = false;
-        skippedHeads = 0;
-        skippedBytes = 0;
+        skipped.reset();
         next.attachTo(this);
         context.write(next.head());
         writeFuture = context.writeAndFlush(new DefaultLastHttpContent(next.takeBody()));
@@ -190,7 +183,7 @@
     /** Processes the head of a response. */
     private void head(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
-            malformedHead();
+            malformedHead(MalformedHeadException.violation(head.decoderResult().cause()));
             return;
         }
         if (call == null) {
@@ -259,9 +252,11 @@
      * Fails the request after a malformed head, which on a kept connection may begin with a part of another one unless
      * it is cut by the end of the connection.
      */
-    private void malformedHead() {
+    private void malformedHead(HeadViolation violation) {
+        pool.malformed(
+                new MalformedResponse(address, relay, number, earlierRequests(), requestIdInFlight(), violation));
         if (call == null || requests == 1 || !context.channel().isActive()) {
-            failAsSpoiled();
+            fail(FailureKind.MALFORMED);
             return;
         }
         report(UNKNOWN_STATUS, null, UnmatchedResponseCause.MALFORMED, UnmatchedResponseOutcome.REQUEST_FAILED);
@@ -285,21 +280,17 @@
     /** Reports a response that is not known to belong to the request in flight, with its status and id. */
     private void report(int status, String responseId, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
         pool.unmatched(new UnmatchedResponse(
-                address,
-                relay,
-                number,
-                earlierRequests(),
-                status,
-                call == null ? null : call.requestId(),
-                responseId,
-                cause,
-                outcome));
-    }
-
-    /** Counts a head that is not the one of the response; an upstream may send them without end. */
+                address, relay, number, earlierRequests(), status, requestIdInFlight(), responseId, cause, outcome));
+    }
+
+    /** Returns the id of the request in flight; {@code null} if there is none or it has no id. */
+    private String requestIdInFlight() {
+        return call == null ? null : call.requestId();
+    }
+
+    /** Counts a head that is not the one of the response. */
     private void headSkipped() {
-        skippedHeads++;
-        if (skippedHeads > MAX_SKIPPED_HEADS) {
+        if (skipped.skipHead()) {
             failAsSpoiled();
         }
     }
@@ -314,8 +305,7 @@
         if (informational || skippingLateResponse) {
             informational &= !last;
             skippingLateResponse &= !last;
-            skippedBytes += content.content().readableBytes();
-            if (skippedBytes > MAX_SKIPPED_BYTES) {
+            if (skipped.skipBytes(content.content().readableBytes())) {
                 failAsSpoiled();
             }
             return;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -203,6 +203,11 @@
         loop.taskFailed(failure);
     }
 
+    /** Reports a response whose head violates HTTP. */
+    void malformed(MalformedResponse response) {
+        unmatchedResponses.malformed(response);
+    }
+
     /** Reports a response that is not known to belong to a request. */
     void unmatched(UnmatchedResponse response) {
         suspensions.unmatched(response.upstream(), loop.nowMillis());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseDecoder.java
@@ -14,11 +14,12 @@
 /**
  * Decodes responses, and expects no body after a response to HEAD, whatever its headers announce (RFC 9112, section
  * 6.3). A late response to another request may precede it, so that the method of the request in flight alone does not
- * tell whether a body follows. Rejects chunk sizes that are too large.
+ * tell whether a body follows. Rejects heads that violate HTTP, and chunk sizes that are too large.
  */
 final class UpstreamResponseDecoder extends HttpResponseDecoder {
 
     private final Predicate<HttpResponse> answersHead;
+    private final ResponseHeadCheck heads = new ResponseHeadCheck();
     private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private boolean responseBegun;
 
@@ -35,9 +36,14 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        if (heads.isMalformed()) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
         int before = out.size();
         int from = buffer.readerIndex();
         super.decode(ctx, buffer, out);
+        heads.decoded(buffer, from, out, before);
         chunkSizes.decoded(buffer, from, out, before);
         if (out.size() > before) {
             responseBegun = !(out.get(out.size() - 1) instanceof LastHttpContent);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/observe/ServingMetrics.java
@@ -60,11 +60,7 @@
             counters(SpeedChange.class, change -> "upstream_speed." + lower(change));
     private final Map<ConnectionCloseCause, Counter> connectionCloses =
             counters(ConnectionCloseCause.class, cause -> "connections.closed." + cause.code());
-    private final Map<UnmatchedResponseCause, Counter> unmatchedResponses =
-            counters(UnmatchedResponseCause.class, cause -> "unmatched_responses." + cause.code());
-    private final Map<UnmatchedResponseOutcome, Counter> unmatchedOutcomes =
-            counters(UnmatchedResponseOutcome.class, outcome -> "unmatched_responses.outcome." + outcome.code());
-    private final Counter unmatchedLinesSuppressed = registry.counter("unmatched_responses.lines_suppressed");
+    private final UpstreamResponseMetrics upstreamResponses = new UpstreamResponseMetrics(registry);
     private final Counter closeLinesSuppressed = registry.counter("connections.close_lines_suppressed");
     private final Counter limitsUnreadable = registry.counter("limits.unreadable");
     private final Counter coldBegan = registry.counter("cold.began");
@@ -95,11 +91,7 @@
 
     /** Creates a counter for each constant. */
     private <E extends Enum<E>> Map<E, Counter> counters(Class<E> type, Function<E, String> name) {
-        Map<E, Counter> counters = new EnumMap<>(type);
-        for (E constant : type.getEnumConstants()) {
-            counters.put(constant, registry.counter(name.apply(constant)));
-        }
-        return counters;
+        return EnumCounters.create(registry, type, name);
     }
 
     /** Creates a histogram over the last minute. */
@@ -287,19 +279,12 @@
     }
 
     /**
-     * Counts a response of an upstream that is not known to belong to the request in flight on its connection.
+     * Returns the counters of responses that are not forwarded as they are.
      *
-     * @param cause why
-     * @param outcome what became of it
+     * @return counters of this registry
      */
-    public void unmatchedResponse(UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
-        unmatchedResponses.get(cause).inc();
-        unmatchedOutcomes.get(outcome).inc();
-    }
-
-    /** Counts an unmatched response whose log line is omitted, as there were too many. */
-    public void unmatchedResponseLineSuppressed() {
-        unmatchedLinesSuppressed.inc();
+    public UpstreamResponseMetrics upstreamResponses() {
+        return upstreamResponses;
     }
 
     /** Counts a closed connection whose log line is omitted, as there were too many. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/FailingListenerTest.java
@@ -36,7 +36,7 @@
     private static final long WAIT_TIMEOUT_SECONDS = 15;
     private static final String WHOLE = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
     private static final String UNFINISHED = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel";
-    private static final String SPOILED = "no response\r\n\r\n";
+    private static final String MALFORMED = "no response\r\n\r\n";
 
     private final ServingLoop loop = new ServingLoop(System::nanoTime);
     private final BlockingQueue<Throwable> reported = new LinkedBlockingQueue<>();
@@ -129,9 +129,9 @@
                 new UpstreamConnections(loop, new TcpConnectionOpener(loop), new LinkTable(), response -> {});
         try (ServerSocket serverSocket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             ThrowingListener listener = new ThrowingListener(site, failure);
-            call(connections, serverSocket, listener, site == Site.FAILED ? SPOILED : WHOLE);
+            call(connections, serverSocket, listener, site == Site.FAILED ? MALFORMED : WHOLE);
             assertThat(listener.outcome.get(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS))
-                    .isEqualTo(site == Site.FAILED ? FailureKind.SPOILED : FailureKind.CUT);
+                    .isEqualTo(site == Site.FAILED ? FailureKind.MALFORMED : FailureKind.CUT);
             assertThat(reported.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isSameAs(failure);
             ThrowingListener next = new ThrowingListener(null, null);
             call(connections, serverSocket, next, WHOLE);
