Complete no response by the end of its connection while its request is being sent

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part, ended its sending side and reset the connection; the part was forwarded as a complete response.

Cause: the end of the connection completed a response unless a reset had been seen. Whether the request was written was not asked, and could not be known: the kernel takes some megabytes that an upstream never reads, and closes the channel at the end of the upstream's side, before a reset that follows it is noticed. For the same reason a sound early response with a length was lost: a failed write closed the connection before what had arrived was read.

Change: the kernel takes at most 16 KiB that it has not sent; a response without a length whose connection ends before the request is written fails as cut_while_sending, and one whose connection was reset after its end as cut. A failed write leaves the connection open for half a second to read what arrived.

What remains: a short request that the upstream's kernel has taken, and a reset that comes later than the end, look like a complete response.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/upstream/FailureKind.java
@@ -10,6 +10,8 @@
     RESET(true, true, false),
     /** The response was truncated. */
     CUT(true, true, false),
+    /** The connection ended a response without a length while the request was still being sent. */
+    CUT_WHILE_SENDING(true, true, false),
     /** The response, or its next event, did not arrive in time. */
     SILENT(true, true, true),
     /** The first or next event did not arrive in time, while the upstream made progress on other requests. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -29,9 +30,6 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
-    /** Status of a response that is not decoded. */
-    private static final int UNKNOWN_STATUS = 0;
-
     /** Maximum size of a status line and headers, in bytes. */
     private static final int HEADER_BYTES = 32 * 1024;
 
@@ -47,6 +45,7 @@
     private long requests;
     private final CarriedRequestIds carriedIds = new CarriedRequestIds();
     private final SkippedResponses skipped = new SkippedResponses();
+    private final ResponseReporter reporter;
     private ResponseHead answer;
     private boolean skippingLateResponse;
     private boolean skippedResponse;
@@ -64,6 +63,7 @@
         this.number = number;
         this.address = address;
         this.relay = relay;
+        this.reporter = new ResponseReporter(pool, number, address, relay);
     }
 
     @Override
@@ -138,13 +138,14 @@
         answer = null;
         skippingLateResponse = false;
         skipped.reset();
+        reporter.requestStarted(next.requestId());
         next.attachTo(this);
         context.write(next.head());
         writeFuture = context.writeAndFlush(new DefaultLastHttpContent(next.takeBody()));
         writeFuture.addListener(done -> {
             if (!done.isSuccess()) {
-                broken = true;
-                context.close();
+                notReusable = true;
+                pool.closeAfterFailedWrite(this);
             }
         });
     }
@@ -221,7 +222,7 @@
         notReusable = true;
         skippedResponse = true;
         skippingLateResponse = true;
-        report(read, cause, UnmatchedResponseOutcome.SKIPPED);
+        reporter.unmatched(read, cause, UnmatchedResponseOutcome.SKIPPED);
         call.listener().lateResponse(read);
         headSkipped();
     }
@@ -231,7 +232,7 @@
      * first request of the connection the upstream itself is at fault.
      */
     private void failAsUnmatched(ResponseHead read, UnmatchedResponseCause cause) {
-        report(read, cause, UnmatchedResponseOutcome.REQUEST_FAILED);
+        reporter.unmatched(read, cause, UnmatchedResponseOutcome.REQUEST_FAILED);
         pool.responseLost(address);
         fail(requests == 1 ? FailureKind.SPOILED : FailureKind.UNMATCHED);
     }
@@ -253,41 +254,29 @@
      * it is cut by the end of the connection.
      */
     private void malformedHead(HeadViolation violation) {
-        pool.malformed(
-                new MalformedResponse(address, relay, number, earlierRequests(), requestIdInFlight(), violation));
-        if (call == null || requests == 1 || !context.channel().isActive()) {
+        if (violation == HeadViolation.OTHER && UpstreamSocket.hasEnded(context.channel())) {
+            failAsSpoiled();
+            return;
+        }
+        reporter.malformed(violation);
+        if (call == null || requests == 1) {
             fail(FailureKind.MALFORMED);
             return;
         }
-        report(UNKNOWN_STATUS, null, UnmatchedResponseCause.MALFORMED, UnmatchedResponseOutcome.REQUEST_FAILED);
+        reporter.undecoded(UnmatchedResponseCause.MALFORMED, UnmatchedResponseOutcome.REQUEST_FAILED);
         pool.responseLost(address);
         fail(FailureKind.UNMATCHED);
     }
 
     /** Closes the connection after a response for which no request is in flight. */
     private void unexpectedHead(HttpResponse head) {
-        if (context.channel().isActive()) {
-            report(protocol.read(head), UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
+        if (!UpstreamSocket.hasEnded(context.channel())) {
+            ResponseHead read = protocol.read(head);
+            reporter.unmatched(read, UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
         }
         failAsSpoiled();
     }
 
-    /** Reports a response that is not known to belong to the request in flight. */
-    private void report(ResponseHead read, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
-        report(read.status(), read.requestId(), cause, outcome);
-    }
-
-    /** Reports a response that is not known to belong to the request in flight, with its status and id. */
-    private void report(int status, String responseId, UnmatchedResponseCause cause, UnmatchedResponseOutcome outcome) {
-        pool.unmatched(new UnmatchedResponse(
-                address, relay, number, earlierRequests(), status, requestIdInFlight(), responseId, cause, outcome));
-    }
-
-    /** Returns the id of the request in flight; {@code null} if there is none or it has no id. */
-    private String requestIdInFlight() {
-        return call == null ? null : call.requestId();
-    }
-
     /** Counts a head that is not the one of the response. */
     private void headSkipped() {
         if (skipped.skipHead()) {
@@ -325,20 +314,31 @@
 
     /** Ends the call at the end of its response; without a length, the end may be that of the connection alone. */
     private void finishOrFail() {
-        if (!framed && (broken || isRelayed())) {
+        if (framed) {
+            finish();
+        } else if (!writeFuture.isSuccess()) {
+            fail(FailureKind.CUT_WHILE_SENDING);
+        } else if (broken || isRelayed() || UpstreamSocket.isReset(context.channel())) {
             fail(FailureKind.CUT);
         } else {
             finish();
         }
     }
 
+    /** Returns the call, which ends. */
+    private UpstreamCall takeCall() {
+        UpstreamCall taken = call;
+        call = null;
+        reporter.requestEnded();
+        return taken;
+    }
+
     /** Ends the call with a complete response, and keeps the connection if it can be reused. */
     private void finish() {
-        UpstreamCall ended = call;
-        call = null;
+        UpstreamCall ended = takeCall();
         boolean extraBytes = decoder.holdsPartOfResponse();
         if (extraBytes) {
-            report(UNKNOWN_STATUS, null, UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
+            reporter.undecoded(UnmatchedResponseCause.NO_REQUEST, UnmatchedResponseOutcome.CONNECTION_CLOSED);
         }
         boolean keep = !notReusable
                 && !extraBytes
@@ -362,13 +362,19 @@
     /** Closes the connection and ends the call without a complete response. */
     private void fail(FailureKind kind) {
         close();
-        UpstreamCall ended = call;
-        call = null;
+        UpstreamCall ended = takeCall();
         if (ended != null) {
             ended.fail(kind);
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         notReusable = true;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -48,6 +48,9 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 600;
 
+    /** Time in which a response that has arrived is read after its request could not be sent, in milliseconds. */
+    private static final long FAILED_WRITE_MILLIS = 500;
+
     private final ServingLoop loop;
     private final ConnectionOpener opener;
     private final LinkTable links;
@@ -162,6 +165,7 @@
 
     /** Sends a call over a new connection. */
     private void start(Address address, OpenedConnection opened, UpstreamCall call) {
+        UpstreamSocket.configure(opened.channel());
         UpstreamConnection connection = new UpstreamConnection(this, ++lastConnectionNumber, address, opened.relay());
         opened.channel()
                 .pipeline()
@@ -234,6 +238,11 @@
         return suspensions.suspendedCount(loop.nowMillis());
     }
 
+    /** Closes a connection on which a request could not be sent, unless a response that has arrived ends it before. */
+    void closeAfterFailedWrite(UpstreamConnection connection) {
+        loop.schedule(FAILED_WRITE_MILLIS, connection::close);
+    }
+
     /** Returns the time of the event loop. */
     long nowMillis() {
         return loop.nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/AttemptCount.java
@@ -34,7 +34,8 @@
             EnumSet.of(FailureKind.FULL, FailureKind.OTHER_INSTANCE, FailureKind.HELPER_GONE);
 
     /** Failures by which a draining upstream drops the connection while the request is in flight. */
-    private static final Set<FailureKind> CONNECTION_LOST = EnumSet.of(FailureKind.RESET, FailureKind.CUT);
+    private static final Set<FailureKind> CONNECTION_LOST =
+            EnumSet.of(FailureKind.RESET, FailureKind.CUT, FailureKind.CUT_WHILE_SENDING);
 
     private final Route route;
     private int sent;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CrashCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CrashCheck.java
@@ -25,7 +25,7 @@
 
     /** Failures that may be caused by a crash; a connection may also fall silent when its upstream crashes. */
     private static final Set<FailureKind> POSSIBLE_CRASH =
-            EnumSet.of(FailureKind.RESET, FailureKind.CUT, FailureKind.SILENT);
+            EnumSet.of(FailureKind.RESET, FailureKind.CUT, FailureKind.CUT_WHILE_SENDING, FailureKind.SILENT);
 
     /** Maximum of remembered planned stops; each is needed until the requests that ran there have ended. */
     private static final int MAX_PLANNED_STOPS = 64;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/observe/ServingMetricsTest.java
@@ -11,6 +11,7 @@
     private static final List<String> NAMES = List.of(
             "attempts.failed.back_off",
             "attempts.failed.cut",
+            "attempts.failed.cut_while_sending",
             "attempts.failed.draining",
             "attempts.failed.error",
             "attempts.failed.full",
@@ -117,6 +118,7 @@
             "reservations.unanswered",
             "retries.back_off",
             "retries.cut",
+            "retries.cut_while_sending",
             "retries.draining",
             "retries.error",
             "retries.full",
