Reproduce a common loss from which service does not return

Routers in virtual time whose links and platform have a rate lose power together, amid a platform that is slow, away or silent to some, lost datagrams, and a second loss.

--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
@@ -36,6 +36,9 @@
     /** One way between two routers, in milliseconds. */
     private static final long LATENCY_MILLIS = 1;
 
+    /** Time without a reply after which a stream closes its connection, in milliseconds, as in a router process. */
+    private static final long SILENT_MILLIS = 1_800;
+
     /** Interval between two checks for expired state, in milliseconds, as in a router process. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
 
@@ -44,7 +47,8 @@
     private static final int PORT = 1;
     private static final int CAPACITY_PERCENT = 75;
 
-    private final VirtualPlatform platform = new VirtualPlatform();
+    private final VirtualLinks links = new VirtualLinks();
+    private final VirtualPlatform platform = new VirtualPlatform(links);
     private final List<Router> routers = new ArrayList<>();
     private final Map<Address, Router> byAddress = new HashMap<>();
     private final Set<Router> stopped = new HashSet<>();
@@ -54,6 +58,8 @@
     private int messagesToLose;
     private long nowMillis;
     private long datagrams;
+    private double routerMegabitsPerSecond;
+    private long incarnations;
 
     /** Starts routers in three data centres. */
     VirtualFleet(int size, long seed) {
@@ -105,6 +111,40 @@
         frozen.forEach(router -> router.loop.execute(router.follower::resync));
     }
 
+    /** Limits the links of all routers, and the one of the platform. */
+    void limitLinks(double megabitsPerSecond, double platformMegabitsPerSecond) {
+        routerMegabitsPerSecond = megabitsPerSecond;
+        links.limit(platform, platformMegabitsPerSecond);
+        routers.forEach(router -> links.limit(router, megabitsPerSecond));
+    }
+
+    /** Kills all routers at once, and starts new processes on the same hosts. */
+    void restartAll() {
+        int size = routers.size();
+        routers.forEach(links::remove);
+        routers.clear();
+        byAddress.clear();
+        stopped.clear();
+        for (int i = 0; i < size; i++) {
+            Router router = new Router(i);
+            router.time.advanceTo(nowMillis);
+            routers.add(router);
+            byAddress.put(router.identity.peerAddress(), router);
+            if (routerMegabitsPerSecond > 0) {
+                links.limit(router, routerMegabitsPerSecond);
+            }
+        }
+        routers.forEach(Router::start);
+    }
+
+    /** Returns the share of routers that can serve. */
+    double ready() {
+        return (double) routers.stream()
+                        .filter(router -> router.state.complete())
+                        .count()
+                / routers.size();
+    }
+
     long datagrams() {
         return datagrams;
     }
@@ -116,6 +156,7 @@
     void advance(long millis) {
         for (long i = 0; i < millis; i++) {
             nowMillis++;
+            links.advance();
             for (Router router : routers) {
                 if (!stopped.contains(router)) {
                     router.time.advanceTo(nowMillis);
@@ -168,7 +209,11 @@
             Address address =
                     new Address("10." + index % DATA_CENTRES + "." + index / 200 + "." + (1 + index % 200), PORT);
             identity = new RouterIdentity(
-                    new ProcessId(new HostId("router-" + index), 1), dataCentre, address, address, CAPACITY_PERCENT);
+                    new ProcessId(new HostId("router-" + index), ++incarnations),
+                    dataCentre,
+                    address,
+                    address,
+                    CAPACITY_PERCENT);
             OutlierDetector outliers = new OutlierDetector();
             EngineLoadTable loads = new EngineLoadTable();
             UpstreamTable upstreams = new UpstreamTable();
@@ -253,6 +298,7 @@
         private final Router peer;
         private final GossipHandler handler;
         private final InboundGossipStream inbound = new InboundGossipStream();
+        private long lastReplyMillis = nowMillis;
 
         VirtualStream(Router own, Address address, GossipHandler handler) {
             this.own = own;
@@ -285,14 +331,18 @@
         @Override
         public boolean fetch(EncodedFrame heartbeat, NewsFrame request) {
             send(heartbeat);
+            if (nowMillis - lastReplyMillis > SILENT_MILLIS) {
+                links.close(this);
+                lastReplyMillis = nowMillis;
+            }
             if (!isLost()) {
                 deliver(own, peer, () -> {
                     NewsReply reply = peer.hub.documents(request.getDocuments());
-                    deliver(
-                            peer,
-                            own,
-                            () -> handler.reply(
-                                    reply, peer.identity.peerAddress().toString()));
+                    String source = peer.identity.peerAddress().toString();
+                    links.transfer(peer, own, this, reply.getSerializedSize(), () -> {
+                        lastReplyMillis = nowMillis;
+                        deliver(peer, own, () -> handler.reply(reply, source));
+                    });
                 });
             }
             return true;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualPlatform.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.apricotstack.core.failure.ApricotException;
@@ -37,23 +38,27 @@
 
     private static final String UPSTREAM = "engine";
 
+    private final VirtualLinks links;
     private final Set<Object> silentTo = new HashSet<>();
     private final List<Watch> watches = new ArrayList<>();
     private final List<Publication> documents = new ArrayList<>();
     private long revision;
     private long calls;
+    private int configurationBytes;
+    private long addedMillis;
 
-    /** Publishes one upstream and the first configuration. */
-    VirtualPlatform() {
+    /** Publishes one upstream and the first configuration, which are read over the given links. */
+    VirtualPlatform(VirtualLinks links) {
+        this.links = links;
         documents.add(new Publication(new UpstreamId(UPSTREAM), ++revision, new byte[0], false));
-        documents.add(configuration(1, ++revision));
+        documents.add(configuration(1));
     }
 
     /** Decodes documents of which only the version matters. */
     static final class VersionDecoder implements PublicationDecoder {
         @Override
         public ServingConfiguration configuration(Publication document) {
-            long version = Long.parseLong(new String(document.content(), StandardCharsets.UTF_8));
+            long version = Long.parseLong(new String(document.content(), StandardCharsets.UTF_8).strip());
             return new ServingConfiguration(
                     version, new RouteTable(List.of()), Map.of(), CallerLimits.DEFAULT, AccountKeys.NOT_REQUIRED);
         }
@@ -71,14 +76,25 @@
         }
     }
 
-    private static Publication configuration(long version, long revision) {
-        return new Publication(null, revision, Long.toString(version).getBytes(StandardCharsets.UTF_8), false);
+    private Publication configuration(long version) {
+        String text = version + " ".repeat(configurationBytes);
+        return new Publication(null, ++revision, text.getBytes(StandardCharsets.UTF_8), false);
+    }
+
+    /** Lets later configurations have some bytes more. */
+    void enlargeConfigurations(int bytes) {
+        configurationBytes = bytes;
+    }
+
+    /** Lets each later answer take longer. */
+    void slowDown(long millis) {
+        addedMillis = millis;
     }
 
     /** Publishes a configuration and answers the open watches. */
     void publish(long version) {
         documents.removeIf(Publication::isConfiguration);
-        documents.add(configuration(version, ++revision));
+        documents.add(configuration(version));
         watches.removeIf(Watch::isEnded);
         List.copyOf(watches).forEach(Watch::answerIfChanged);
     }
@@ -147,10 +163,21 @@
                             .filter(document -> document.revision() > after)
                             .toList(),
                     false);
-            loop.schedule(ROUND_TRIP_MILLIS / 2, () -> sink.success(changes));
+            loop.schedule(
+                    addedMillis + ROUND_TRIP_MILLIS / 2,
+                    () -> transfer(router, loop, changes.documents(), sink, changes));
         }
     }
 
+    /** Sends an answer with some documents. */
+    private <T> void transfer(Object router, ServingLoop loop, List<Publication> sent, MonoSink<T> sink, T answer) {
+        long bytes =
+                sent.stream().mapToLong(document -> document.content().length).sum();
+        Object connection = new Object();
+        sink.onDispose(() -> links.close(connection));
+        links.transfer(this, router, connection, bytes, () -> loop.execute(() -> sink.success(answer)));
+    }
+
     /** The platform as one router reaches it. */
     private final class Source implements PublicationSource {
 
@@ -167,17 +194,19 @@
             return call(
                     ROUND_TRIP_MILLIS,
                     CHECK_TIMEOUT_MILLIS,
-                    () -> new Check(
-                            revision,
-                            documents.stream()
-                                    .filter(Publication::isConfiguration)
-                                    .findFirst()));
+                    () -> documents.stream()
+                            .filter(Publication::isConfiguration)
+                            .toList(),
+                    read -> new Check(revision, read.stream().findFirst()));
         }
 
         @Override
         public Mono<Snapshot> readAll() {
             return call(
-                    2 * ROUND_TRIP_MILLIS, READ_TIMEOUT_MILLIS, () -> new Snapshot(revision, List.copyOf(documents)));
+                    2 * ROUND_TRIP_MILLIS,
+                    READ_TIMEOUT_MILLIS,
+                    () -> List.copyOf(documents),
+                    read -> new Snapshot(revision, read));
         }
 
         @Override
@@ -195,12 +224,17 @@
         }
 
         /** Answers a call from the state at that time, or ends it with the timeout. */
-        private <T> Mono<T> call(long roundTripMillis, long timeoutMillis, Supplier<T> answer) {
+        private <T> Mono<T> call(
+                long roundTripMillis,
+                long timeoutMillis,
+                Supplier<List<Publication>> read,
+                Function<List<Publication>, T> answer) {
             return Mono.create(sink -> {
                 calls++;
-                loop.schedule(roundTripMillis, () -> {
+                loop.schedule(addedMillis + roundTripMillis, () -> {
                     if (!silentTo.contains(router)) {
-                        sink.success(answer.get());
+                        List<Publication> sent = read.get();
+                        transfer(router, loop, sent, sink, answer.apply(sent));
                     }
                 });
                 loop.schedule(timeoutMillis, () -> sink.error(timeout()));
