Let service return after a common loss with a large configuration

What callers would see: after all routers were lost at once, they refuse everything with no_configuration for longer than 15 s, though the platform answers.

Cause: a transfer that takes longer than a fixed time was given up and begun anew. A call of a full read had 1.5 s for the whole answer; a stream to a peer was closed 1.8 s after the last complete reply, also while one was arriving; and while a reply arrived, others were asked for the same documents, each of which was sent at the same time as all others. One router alone needs 0.6 s for a megabyte over 14 Mbit/s. All at once need longer than the limits, so that each repeat added load and completed nothing.

Change: a full read fails after 1.5 s without a byte, or 10 s; any byte counts as life of a stream; while documents arrive, no other peer is asked for up to 4 s; a router sends at most two large replies at the same time, so that the first who have the documents pass them on.

Tests: CommonLossTest; CallLimitsTest, SlowReplyTest and LargeRepliesTest without a model.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/ConfigurationSpread.java
@@ -80,7 +80,9 @@
     private void fetchIfDue() {
         long now = loop.nowMillis();
         OptionalLong due = policy.dueMillis(followsPlatform.getAsBoolean());
-        if (due.isPresent() && due.getAsLong() <= now) {
+        if (due.isPresent() && streams.isReceiving()) {
+            due = OptionalLong.of(Math.max(due.getAsLong(), now + ConfigurationFetchPolicy.HEDGE_MILLIS));
+        } else if (due.isPresent() && due.getAsLong() <= now) {
             policy.fetchStarted(now)
                     .ifPresent(peer ->
                             documents.fetch(peer, streams.open(peer.peerAddress(), handler), heartbeats.greeting()));
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipFraming.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipFraming.java
@@ -30,11 +30,13 @@
 
     private GossipFraming() {}
 
-    /** Creates the initializer of a connection that receives messages of one type. */
-    static ChannelInitializer<Channel> initializer(MessageLite messageType, Supplier<ChannelInboundHandler> handler) {
+    /** Creates the initializer of a connection that receives messages of one type, and before that their bytes. */
+    static ChannelInitializer<Channel> initializer(
+            MessageLite messageType, Supplier<ChannelInboundHandler> bytes, Supplier<ChannelInboundHandler> handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(bytes.get());
                 addHandlers(channel, messageType, handler.get());
             }
         };
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
@@ -11,6 +11,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.DecoderException;
@@ -22,16 +24,21 @@
 import org.apricotstack.serving.observe.ConnectionCloseCause;
 import org.apricotstack.serving.relay.RelayServer;
 import org.apricotstack.wire.news.NewsFrame;
+import org.apricotstack.wire.news.NewsReply;
 
 /** Accepts the gossip streams of other routers, and the connections that they ask this one to relay. */
 public final class GossipServer implements AutoCloseable {
 
     private static final byte[] EMPTY_REPLY = {};
 
+    /** Maximum number of bytes that the kernel takes before it has sent them, so that the end of a reply is known. */
+    private static final long MAX_UNSENT_BYTES = 64 * 1024;
+
     private final GossipHandler handler;
     private final Channel listening;
     private final ChannelGroup streams;
     private final ControlConnections connections;
+    private final LargeReplies largeReplies = new LargeReplies();
     private long malformed;
 
     /**
@@ -86,6 +93,9 @@
             return;
         }
         ReadPacing.install(channel);
+        if (channel instanceof EpollSocketChannel) {
+            channel.config().setOption(EpollChannelOption.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES);
+        }
         channel.pipeline().addLast(new ConnectionKindDetector(relays, connection));
         GossipFraming.addHandlers(channel, NewsFrame.getDefaultInstance(), new Receiver(connection));
     }
@@ -145,8 +155,15 @@
             } else if (context.channel().isWritable()) {
                 // Otherwise a peer that does not read its replies would fill the memory with documents; it asks again
                 // later.
-                byte[] reply = handler.documents(frame.getDocuments()).toByteArray();
-                context.write(Unpooled.wrappedBuffer(reply), context.voidPromise());
+                send(context, handler.documents(frame.getDocuments()));
+            }
+        }
+
+        /** Sends documents, unless too many large replies are being sent. */
+        private void send(ChannelHandlerContext context, NewsReply reply) {
+            int bytes = reply.getSerializedSize();
+            if (largeReplies.begin(bytes)) {
+                context.write(Unpooled.wrappedBuffer(reply.toByteArray())).addListener(done -> largeReplies.end(bytes));
             }
         }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipStream.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipStream.java
@@ -25,6 +25,9 @@
     /** Requests documents; opens the stream first if there is none, or if the peer has been silent for too long. */
     boolean fetch(EncodedFrame heartbeat, NewsFrame request);
 
+    /** Returns whether a part of a reply has arrived, and the rest is on its way. */
+    boolean isReceiving();
+
     @Override
     void close();
 }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStream.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStream.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.apricotstack.core.id.Address;
@@ -27,10 +28,16 @@
  */
 final class OutboundGossipStream implements GossipStream {
 
-    /** Time without a reply after which the connection is closed, in milliseconds. */
+    /** Time without a byte after which the connection is closed, in milliseconds. */
     private static final long SILENT_MILLIS = 1_800;
 
-    /** Number of heartbeats without a reply that have the same effect in a large fleet. */
+    /** Time without a byte after which the rest of a reply is not waited for, in milliseconds. */
+    private static final long INTERRUPTED_MILLIS = 500;
+
+    /** Longest time for which other peers are not asked while a reply arrives, in milliseconds. */
+    private static final long MAX_RECEIVING_MILLIS = 4_000;
+
+    /** Number of heartbeats without a byte that have the same effect in a large fleet. */
     private static final long SILENT_HEARTBEATS = 3;
 
     /** Shortest time between two connection attempts, in milliseconds, so that a dead host costs little. */
@@ -46,7 +53,9 @@
     private EncodedFrame greeting;
     private NewsFrame pendingRequest;
     private long lastConnectMillis = Long.MIN_VALUE / 2;
-    private long lastReplyMillis;
+    private long lastArrivalMillis;
+    private long replyBegunMillis;
+    private boolean replyBegun;
     private boolean outOfSync = true;
 
     /** Creates a stream that is not open. */
@@ -72,7 +81,7 @@
     public void heartbeat(EncodedFrame frame, long nextMillis) {
         silenceTimeoutMillis = Math.max(SILENT_MILLIS, SILENT_HEARTBEATS * nextMillis);
         long now = loop.nowMillis();
-        if (channel != null && now - lastReplyMillis > silenceTimeoutMillis) {
+        if (channel != null && now - lastArrivalMillis > silenceTimeoutMillis) {
             disconnect();
         }
         if (channel == null && now - lastConnectMillis >= MIN_RECONNECT_INTERVAL_MILLIS) {
@@ -130,6 +139,15 @@
         return channel != null;
     }
 
+    @Override
+    public boolean isReceiving() {
+        long now = loop.nowMillis();
+        return replyBegun
+                && isConnected()
+                && now - lastArrivalMillis < INTERRUPTED_MILLIS
+                && now - replyBegunMillis < MAX_RECEIVING_MILLIS;
+    }
+
     /** Sends a frame; a failed write closes the connection, which its handler notices. */
     private void write(EncodedFrame frame) {
         channel.writeAndFlush(frame.buffer(), channel.voidPromise());
@@ -138,13 +156,14 @@
     /** Opens a connection. */
     private void connect(long now) {
         lastConnectMillis = now;
-        lastReplyMillis = now;
+        lastArrivalMillis = now;
+        replyBegun = false;
         outOfSync = true;
         ChannelFuture connecting = new Bootstrap()
                 .group(loop.group())
                 .channel(loop.clientChannel())
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(GossipFraming.initializer(NewsReply.getDefaultInstance(), Replies::new))
+                .handler(GossipFraming.initializer(NewsReply.getDefaultInstance(), Arrivals::new, Replies::new))
                 .connect(new InetSocketAddress(address.ip(), address.port()));
         Channel opened = connecting.channel();
         channel = opened;
@@ -189,6 +208,22 @@
         disconnect();
     }
 
+    /** Records that bytes have arrived, also those of a large reply that is not complete. */
+    private final class Arrivals extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (channel == context.channel()) {
+                lastArrivalMillis = loop.nowMillis();
+                if (!replyBegun) {
+                    replyBegun = true;
+                    replyBegunMillis = lastArrivalMillis;
+                }
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
     /** Receives the replies of the peer. */
     private final class Replies extends SimpleChannelInboundHandler<NewsReply> {
 
@@ -202,7 +237,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, NewsReply reply) {
             if (channel == context.channel()) {
-                lastReplyMillis = loop.nowMillis();
+                replyBegun = false;
                 handler.reply(reply, address.toString());
             }
         }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStreams.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/OutboundGossipStreams.java
@@ -48,6 +48,11 @@
                 address, to -> opener.create(to, handler, fullState, () -> peers.connectionLost(to, loop.nowMillis())));
     }
 
+    /** Returns whether documents of another router are arriving, so that no other one need be asked for them. */
+    boolean isReceiving() {
+        return streams.values().stream().anyMatch(GossipStream::isReceiving);
+    }
+
     /** Records what a router reported of itself; returns whether it was unknown before. */
     boolean reported(Peer peer) {
         return reported.put(peer.peerAddress(), peer) == null;
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/PlatformGossip.java
@@ -121,7 +121,8 @@
         long coalesceMillis = isShared() && !heartbeats.takesCallers() ? STANDBY_COALESCE_MILLIS : 0;
         boolean behind = documents.shouldFetch(
                 peer, coalesceMillis + (reliesOnReader ? reportDelayMillis : PeerFetchPolicy.PLATFORM_GRACE_MILLIS));
-        if (behind || isReader && documents.hasDifferentUpstreams(peer, heartbeat.getUpstreamsListed())) {
+        boolean differs = isReader && documents.hasDifferentUpstreams(peer, heartbeat.getUpstreamsListed());
+        if ((behind || differs) && !streams.isReceiving()) {
             documents.fetch(peer, streams.open(peer.peerAddress(), handler), heartbeats.greeting());
         }
     }
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -64,7 +64,7 @@
      * @return the response, or an {@link ApricotException}
      */
     public Mono<Response> call(Address address, HttpRequest request, byte[] body, long timeoutMillis, boolean fresh) {
-        return call(address, request, body, timeoutMillis, fresh, head -> {});
+        return call(address, request, body, CallLimits.total(timeoutMillis), fresh, head -> {});
     }
 
     /**
@@ -73,7 +73,7 @@
      * @param address the address of the server
      * @param request request line and headers
      * @param body the body
-     * @param timeoutMillis time limit for the complete response, in milliseconds
+     * @param limits time limits
      * @param fresh whether a new connection is required
      * @param onHead called with status and headers of the response, even if the rest fails
      * @return the response, or an {@link ApricotException}
@@ -82,24 +82,17 @@
             Address address,
             HttpRequest request,
             byte[] body,
-            long timeoutMillis,
+            CallLimits limits,
             boolean fresh,
             Consumer<HttpResponse> onHead) {
         return Mono.create(sink -> {
             sink.contextView()
                     .<OutcomeSubscriber<?>>getOrEmpty(OutcomeSubscriber.class)
-                    .ifPresent(subscriber -> subscriber.stepStarted(timeoutMillis));
-            ResponseCollector collector = new ResponseCollector(sink, address, onHead);
+                    .ifPresent(subscriber -> subscriber.stepStarted(limits.totalMillis()));
+            ResponseCollector collector = new ResponseCollector(loop, sink, address, limits, onHead);
             UpstreamCall call =
                     connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), fresh, collector);
-            ScheduledFuture<?> timeout = loop.schedule(timeoutMillis, () -> {
-                if (!call.finished()) {
-                    call.cancel();
-                    sink.error(failure(address, "did not answer in " + timeoutMillis + " ms"));
-                }
-            });
-            collector.timeout = timeout;
-            collector.call = call;
+            collector.start(call);
             sink.onCancel(call::cancel);
         });
     }
@@ -112,24 +105,61 @@
 
     /** Collects a response. */
     private static final class ResponseCollector implements UpstreamListener {
+        private final ServingLoop loop;
         private final MonoSink<Response> sink;
         private final Address address;
+        private final CallLimits limits;
+        private final long startedMillis;
         private final Consumer<HttpResponse> onHead;
         private final ByteBuf body = Unpooled.buffer();
         private int status;
         private HttpHeaders headers;
         private ScheduledFuture<?> timeout;
         private UpstreamCall call;
+        private long lastArrivalMillis;
 
         /** Creates a collector. */
-        private ResponseCollector(MonoSink<Response> sink, Address address, Consumer<HttpResponse> onHead) {
+        private ResponseCollector(
+                ServingLoop loop,
+                MonoSink<Response> sink,
+                Address address,
+                CallLimits limits,
+                Consumer<HttpResponse> onHead) {
+            this.loop = loop;
             this.sink = sink;
             this.address = address;
+            this.limits = limits;
             this.onHead = onHead;
+            this.startedMillis = loop.nowMillis();
+            this.lastArrivalMillis = startedMillis;
+        }
+
+        /** Starts the time limits. */
+        private void start(UpstreamCall started) {
+            call = started;
+            checkLimits();
+        }
+
+        /** Fails the call if a limit has passed, and otherwise checks again when that may be. */
+        private void checkLimits() {
+            if (call.finished()) {
+                return;
+            }
+            long now = loop.nowMillis();
+            long totalLeftMillis = startedMillis + limits.totalMillis() - now;
+            long leftMillis = Math.min(totalLeftMillis, lastArrivalMillis + limits.silenceMillis() - now);
+            if (leftMillis > 0) {
+                timeout = loop.schedule(leftMillis, this::checkLimits);
+                return;
+            }
+            call.cancel();
+            long limitMillis = totalLeftMillis > 0 ? limits.silenceMillis() : limits.totalMillis();
+            sink.error(failure(address, "did not answer in " + limitMillis + " ms"));
         }
 
         @Override
         public void head(ResponseHead head, HttpResponse raw) {
+            lastArrivalMillis = loop.nowMillis();
             status = head.status();
             headers = raw.headers();
             onHead.accept(raw);
@@ -137,6 +167,7 @@
 
         @Override
         public void data(ByteBuf data) {
+            lastArrivalMillis = loop.nowMillis();
             if (body.readableBytes() + data.readableBytes() > MAX_BODY_BYTES) {
                 call.cancel();
                 failed(FailureKind.SPOILED);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/publication/PublicationSource.java
@@ -11,8 +11,14 @@
  */
 public interface PublicationSource {
 
-    /** Timeout of a read, in milliseconds; a slow platform takes 0.2 s, a large configuration a little more. */
-    long READ_TIMEOUT_MILLIS = 1_500;
+    /** Time without a byte after which a call of a full read fails, in milliseconds; a slow platform takes 0.2 s. */
+    long READ_SILENCE_MILLIS = 1_500;
+
+    /**
+     * Timeout of a call of a full read whose response keeps arriving, in milliseconds. If all routers start at once, a
+     * large configuration takes many times as long as alone; a call that was given up then would only be repeated.
+     */
+    long READ_TIMEOUT_MILLIS = 10_000;
 
     /** Timeout of a check, in milliseconds; twice the response time of a slow platform. */
     long CHECK_TIMEOUT_MILLIS = 400;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualLinks.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualLinks.java
@@ -58,6 +58,11 @@
         return transfer;
     }
 
+    /** Returns whether bytes are arriving over a connection. */
+    boolean isReceiving(Object connection) {
+        return transfers.stream().anyMatch(transfer -> transfer.connection == connection);
+    }
+
     /** Ends the transfers over a connection that its receiver has closed. */
     void close(Object connection) {
         transfers.removeIf(transfer -> transfer.connection == connection);
