Guard the own interface's clients against heads that violate HTTP

ResponseHeadGuard stands before and behind the codec, passes on heads line by line once they are checked, and closes the connection at the first violation; the call fails as one that may have been run.

What remains there: a response without a length that ends while the request is being sent (the own interface is not what the platform runs).

--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/platform/HttpPlatformDocuments.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/platform/HttpPlatformDocuments.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apricotstack.adapters.configuration.DocumentDeltas;
+import org.apricotstack.adapters.http.ResponseHeadGuard;
 import org.apricotstack.core.failure.ApricotException;
 import org.apricotstack.core.failure.ErrorCode;
 import org.apricotstack.core.id.Address;
@@ -33,7 +34,7 @@
             .maxConnections(MAX_CONNECTIONS)
             .evictionPredicate((connection, metadata) -> true)
             .build();
-    private final HttpClient client = HttpClient.create(connections);
+    private final HttpClient client = ResponseHeadGuard.guard(HttpClient.create(connections));
     private final List<Address> addresses;
     private final AtomicInteger current = new AtomicInteger();
 
--- a/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/HttpUpstreamGateway.java
+++ b/apricotstack-adapters/src/main/java/org/apricotstack/adapters/upstream/HttpUpstreamGateway.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import io.netty.channel.ChannelOption;
+import org.apricotstack.adapters.http.ResponseHeadGuard;
 import org.apricotstack.core.configuration.LengthClass;
 import org.apricotstack.core.configuration.Upstream;
 import org.apricotstack.core.dispatch.Assignment;
@@ -68,7 +69,8 @@
 
     /** Applies the options that all clients have in common. */
     private static HttpClient configure(HttpClient client) {
-        return client.disableRetry(true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        return ResponseHeadGuard.guard(
+                client.disableRetry(true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS));
     }
 
     @Override
--- a/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/HalfUpstreamResponseTest.java
+++ b/apricotstack-adapters/src/test/java/org/apricotstack/adapters/upstream/HalfUpstreamResponseTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BiFunction;
 
@@ -20,6 +21,8 @@
 import org.apricotstack.core.dispatch.DispatchCommand;
 import org.apricotstack.core.dispatch.QueuedAttempt;
 import org.apricotstack.core.dispatch.Work;
+import org.apricotstack.core.http.DrawnResponseHead;
+import org.apricotstack.core.http.DrawnResponseHead.Part;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.AttemptId;
 import org.apricotstack.core.id.ClientAccountId;
@@ -33,21 +36,24 @@
 import org.apricotstack.core.replication.ReplicationTopic;
 import org.apricotstack.core.stream.AttemptSignal;
 import org.apricotstack.core.time.Deadline;
+import org.assertj.core.api.SoftAssertions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Calls to upstreams and to the platform whose response ends early. */
+/** Calls to upstreams and to the platform whose response ends early, or has a head that violates HTTP. */
 class HalfUpstreamResponseTest {
 
     private static final String FAILED = "failed";
     private static final long TIME_LIMIT_MILLIS = 10_000;
     private static final int STEP_BYTES = Integer.getInteger("apricotstack.cutStepBytes", 3);
+    private static final int SEEDS_PER_PART = 4;
     private static final String LAST_CHUNK = "0";
     private static final String END_OF_HEAD = "\r\n\r\n";
     private static final String EVENT = "data: {\"id\":\"r1~1\",\"usage\":{\"completion_tokens\":1}}\n\n";
@@ -217,4 +223,37 @@
             assertThat(outcome(call)).as("cut after %d bytes", bytes).isEqualTo(FAILED);
         }
     }
+
+    private static String drawn(Call call, Part violated, long seed) {
+        Random random = new Random(seed);
+        boolean chunked = random.nextBoolean();
+        String framing = chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + call.body.length();
+        String body =
+                chunked ? Integer.toHexString(call.body.length()) + "\r\n" + call.body + "\r\n0\r\n\r\n" : call.body;
+        return new DrawnResponseHead(random, violated, 200).draw(List.of("Content-Type: text/plain", framing)) + body;
+    }
+
+    /** Guards against a response that the client's decoder repaired. */
+    @ParameterizedTest
+    @EnumSource(Call.class)
+    void takesNoResponseWithAMalformedHead(Call call) {
+        SoftAssertions softly = new SoftAssertions();
+        for (Part part : Part.values()) {
+            for (int seed = 0; seed < SEEDS_PER_PART; seed++) {
+                answer = drawn(call, part, seed);
+                softly.assertThat(outcome(call)).as("%s, seed %d", part, seed).isEqualTo(FAILED);
+            }
+        }
+        softly.assertAll();
+    }
+
+    /** Guards against sound upstreams that are rejected for what a head may have. */
+    @ParameterizedTest
+    @EnumSource(value = Call.class, mode = EnumSource.Mode.EXCLUDE, names = "DOCUMENTS")
+    void takesAResponseWhoseHeadIsValid(Call call) {
+        for (int seed = 0; seed < Part.values().length * SEEDS_PER_PART; seed++) {
+            answer = drawn(call, null, seed);
+            assertThat(outcome(call)).as("seed %d", seed).isNotEqualTo(FAILED);
+        }
+    }
 }
--- a/apricotstack-core/src/main/java/org/apricotstack/core/failure/ErrorCode.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/failure/ErrorCode.java
@@ -14,6 +14,8 @@
     PLATFORM_PROTOCOL,
     /** A peer violated the protocol between routers. */
     PEER_PROTOCOL,
+    /** An upstream's response violates the protocol. */
+    UPSTREAM_PROTOCOL,
     /** An address is in use, a file cannot be read, or another problem of the host. */
     ENVIRONMENT
 }
