Send a prompt again whose engine's response has no id on a kept connection

Cause: such a response is skipped, as it may be a late one to an earlier request. At plain upstreams the watch is then shortened to the usual time of the own response; at engines it went on as before, and a silent engine that answers its report is kept.

Change: the same for engines, with the predicted time of the first event, after which the prompt is sent again, also to the same engine. Once a response with an id begins, the engine's own watch holds again.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/Attempt.java
@@ -91,7 +91,7 @@
         watchdogGeneration++;
         if (limitMillis <= 0) {
             watchdog = null;
-        } else if (choice.placement() == null) {
+        } else if (choice.placement() == null || unidentifiedResponse) {
             watchdog = run.context().loop().schedule(limitMillis, this::abandonAsSilent);
         } else {
             watchdog = run.context().loop().schedule((long) (limitMillis * PROBE_SHARE), this::probeEngine);
@@ -215,7 +215,7 @@
         }
         if (run.replacements().obstacle(this, silenceKind()) != null) {
             awaitReplacement();
-        } else if (choice.placement() == null) {
+        } else if (choice.placement() == null || unidentifiedResponse) {
             abandonAsSilent();
         } else {
             probeEngine();
@@ -316,21 +316,22 @@
     public void head(ResponseHead answer, HttpResponse response) {
         head = answer;
         raw = response;
+        unidentifiedResponse &= choice.placement() == null;
         run.answerHeadReceived(this, answer);
     }
 
     @Override
     public void lateResponse(ResponseHead answer) {
         run.lateAnswerReceived(this, answer);
-        if (answer.requestId() == null && silenceMillis > 0 && choice.placement() == null && !finished) {
+        if (answer.requestId() == null && silenceMillis > 0 && !finished) {
             unidentifiedResponse = true;
             awaitOwnResponse();
         }
     }
 
     /**
-     * Shortens the watchdog after a response of a plain upstream without an id, which is either a late one, so that the
-     * own response follows in its usual time, or the own response, so that no other one follows.
+     * Shortens the watchdog after a response without an id. Either it is a late one, and the own response follows in
+     * its usual time, or it is the own response, and no other one follows.
      */
     private void awaitOwnResponse() {
         long now = run.context().nowMillis();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -278,9 +278,11 @@
         return chooser.fasterElsewhere(facts, attempt.choice(), progress.answerStarted(), excluded);
     }
 
-    /** Returns the expected time from sending the request to a plain upstream to its response, in milliseconds. */
+    /** Returns the expected time from sending the request to its response or first event, in milliseconds. */
     long expectedMillis(UpstreamChoice choice) {
-        return chooser.expectedMillis(facts, choice);
+        return choice.placement() == null
+                ? chooser.expectedMillis(facts, choice)
+                : (long) Math.ceil(choice.predictedMillis());
     }
 
     /** Records that an attempt is not given up although its upstream is silent. */
