--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/ServingRouter.java
@@ -133,7 +133,7 @@
                 (int) (options.maxSockets() * RELAY_SHARE),
                 log);
         guard = new RouterAddressGuard(loop, links.opener(), this::isRouter);
-        connections = new UpstreamConnections(loop, guard, links.table(), new UnmatchedResponseLog(loop, log, metrics));
+        connections = new UpstreamConnections(loop, guard, links.table(), new UpstreamResponseLog(loop, log, metrics));
         HttpCalls calls = new HttpCalls(loop, connections);
         follower = new PublicationFollower(loop, ports.source().apply(calls), state, log, random);
         readiness = new ReadinessLog(state, follower, peers, log, loop.nowMillis());
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/UnmatchedResponseLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/UpstreamResponseLog.java
@@ -3,7 +3,7 @@
 import org.apricotstack.serving.http.MalformedResponse;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.http.UnmatchedResponse;
-import org.apricotstack.serving.http.UnmatchedResponseObserver;
+import org.apricotstack.serving.http.UpstreamResponseObserver;
 import org.apricotstack.serving.observe.DecisionLog;
 import org.apricotstack.serving.observe.LineRate;
 import org.apricotstack.serving.observe.ServingMetrics;
@@ -12,7 +12,7 @@
  * Counts and logs responses of upstreams that violate HTTP, or that are not known to belong to the request in flight on
  * their connection.
  */
-final class UnmatchedResponseLog implements UnmatchedResponseObserver {
+final class UpstreamResponseLog implements UpstreamResponseObserver {
 
     /** Maximum of lines in a second, so that an upstream that repeats its responses does not displace other lines. */
     static final int MAX_LINES_PER_SECOND = 10;
@@ -26,7 +26,7 @@
     private final LineRate malformedLines;
 
     /** Creates a log. */
-    UnmatchedResponseLog(ServingLoop loop, DecisionLog log, ServingMetrics metrics) {
+    UpstreamResponseLog(ServingLoop loop, DecisionLog log, ServingMetrics metrics) {
         this.log = log;
         this.metrics = metrics;
         this.lines = new LineRate(MAX_LINES_PER_SECOND, loop::nowMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamConnections.java
@@ -54,7 +54,7 @@
     private final ServingLoop loop;
     private final ConnectionOpener opener;
     private final LinkTable links;
-    private final UnmatchedResponseObserver unmatchedResponses;
+    private final UpstreamResponseObserver responseObserver;
     private final ReuseSuspensionTable suspensions = new ReuseSuspensionTable();
     private final Map<Address, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long opened;
@@ -66,14 +66,14 @@
      * @param loop the event loop
      * @param opener opens connections
      * @param links tells which idle connections may be reused
-     * @param unmatchedResponses receives responses that are not known to belong to a request
+     * @param responseObserver receives responses that are not known to belong to a request
      */
     public UpstreamConnections(
-            ServingLoop loop, ConnectionOpener opener, LinkTable links, UnmatchedResponseObserver unmatchedResponses) {
+            ServingLoop loop, ConnectionOpener opener, LinkTable links, UpstreamResponseObserver responseObserver) {
         this.loop = loop;
         this.opener = opener;
         this.links = links;
-        this.unmatchedResponses = unmatchedResponses;
+        this.responseObserver = responseObserver;
     }
 
     /**
@@ -209,13 +209,13 @@
 
     /** Reports a response whose head violates HTTP. */
     void malformed(MalformedResponse response) {
-        unmatchedResponses.malformed(response);
+        responseObserver.malformed(response);
     }
 
     /** Reports a response that is not known to belong to a request. */
     void unmatched(UnmatchedResponse response) {
         suspensions.unmatched(response.upstream(), loop.nowMillis());
-        unmatchedResponses.unmatched(response);
+        responseObserver.unmatched(response);
     }
 
     /**
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UnmatchedResponseObserver.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/UpstreamResponseObserver.java
@@ -2,7 +2,7 @@
 
 /** Receives responses of upstreams that are not forwarded as they are; called on the event loop. */
 @FunctionalInterface
-public interface UnmatchedResponseObserver {
+public interface UpstreamResponseObserver {
 
     /**
      * Called with the head of a response that is not known to belong to a request.
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/UnmatchedResponseLogTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/UpstreamResponseLogTest.java
@@ -1,6 +1,8 @@
 package org.apricotstack.serving;
 
+import org.apricotstack.core.http.HeadViolation;
 import org.apricotstack.core.id.Address;
+import org.apricotstack.serving.http.MalformedResponse;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.http.UnmatchedResponse;
 import org.apricotstack.serving.observe.DecisionLog;
@@ -12,7 +14,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class UnmatchedResponseLogTest {
+class UpstreamResponseLogTest {
 
     private static final String SUPPRESSED = "unmatched_responses.lines_suppressed";
 
@@ -20,7 +22,7 @@
     private final ServingLoop loop = new ServingLoop(() -> nowMillis * 1_000_000);
     private final DecisionLog log = new DecisionLog("router", () -> 0);
     private final ServingMetrics metrics = new ServingMetrics();
-    private final UnmatchedResponseLog responses = new UnmatchedResponseLog(loop, log, metrics);
+    private final UpstreamResponseLog responses = new UpstreamResponseLog(loop, log, metrics);
 
     @AfterEach
     void close() {
@@ -50,13 +52,25 @@
     @Test
     void countsEachResponseAndSuppressesTheLinesBeyondTheMaximumOfASecond() {
         int beyond = 3;
-        unmatched(UnmatchedResponseLog.MAX_LINES_PER_SECOND + beyond, "other");
-        assertThat(count("unmatched_responses.other_id")).isEqualTo(UnmatchedResponseLog.MAX_LINES_PER_SECOND + beyond);
+        unmatched(UpstreamResponseLog.MAX_LINES_PER_SECOND + beyond, "other");
+        assertThat(count("unmatched_responses.other_id")).isEqualTo(UpstreamResponseLog.MAX_LINES_PER_SECOND + beyond);
         assertThat(count("unmatched_responses.outcome.skipped"))
-                .isEqualTo(UnmatchedResponseLog.MAX_LINES_PER_SECOND + beyond);
+                .isEqualTo(UpstreamResponseLog.MAX_LINES_PER_SECOND + beyond);
         assertThat(count(SUPPRESSED)).isEqualTo(beyond);
         nowMillis = 1_000;
-        unmatched(1, "x".repeat(UnmatchedResponseLog.MAX_ID_CHARS + 1));
+        unmatched(1, "x".repeat(UpstreamResponseLog.MAX_ID_CHARS + 1));
         assertThat(count(SUPPRESSED)).isEqualTo(beyond);
     }
+
+    @Test
+    void countsEachMalformedResponseByWhatItViolates() {
+        int beyond = 2;
+        for (int i = 0; i < UpstreamResponseLog.MAX_LINES_PER_SECOND + beyond; i++) {
+            responses.malformed(
+                    new MalformedResponse(new Address("127.0.0.1", 80), null, 1, 0, "id", HeadViolation.STATUS));
+        }
+        assertThat(count("malformed_responses.status")).isEqualTo(UpstreamResponseLog.MAX_LINES_PER_SECOND + beyond);
+        assertThat(count("malformed_responses.lines_suppressed")).isEqualTo(beyond);
+        assertThat(count("unmatched_responses.malformed")).isZero();
+    }
 }
