Let large replies that do not end stop counting after a while

Two routers that freeze or lose power while they are sent documents would have kept this router from passing documents on until their connections end. Found by reading; LargeRepliesTest guards it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/gossip/GossipServer.java
@@ -34,6 +34,7 @@
     /** Maximum number of bytes that the kernel takes before it has sent them, so that the end of a reply is known. */
     private static final long MAX_UNSENT_BYTES = 64 * 1024;
 
+    private final ServingLoop loop;
     private final GossipHandler handler;
     private final Channel listening;
     private final ChannelGroup streams;
@@ -59,6 +60,7 @@
             RelayServer relays,
             int maxConnections,
             Consumer<ConnectionCloseCause> onClose) {
+        this.loop = loop;
         this.handler = handler;
         connections = new ControlConnections(loop, maxConnections, onClose);
         streams = new DefaultChannelGroup(loop.loop());
@@ -162,8 +164,10 @@
         /** Sends documents, unless too many large replies are being sent. */
         private void send(ChannelHandlerContext context, NewsReply reply) {
             int bytes = reply.getSerializedSize();
-            if (largeReplies.begin(bytes)) {
-                context.write(Unpooled.wrappedBuffer(reply.toByteArray())).addListener(done -> largeReplies.end(bytes));
+            long begunMillis = loop.nowMillis();
+            if (largeReplies.begin(bytes, begunMillis)) {
+                context.write(Unpooled.wrappedBuffer(reply.toByteArray()))
+                        .addListener(done -> largeReplies.end(bytes, begunMillis));
             }
         }
 
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/LargeRepliesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/LargeRepliesTest.java
@@ -14,19 +14,31 @@
     /** Guards against replies to all routers at once, none of which is complete in time. */
     @Test
     void sendsTwoLargeRepliesAtATime() {
-        assertThat(replies.begin(LARGE)).isTrue();
-        assertThat(replies.begin(LARGE)).isTrue();
-        assertThat(replies.begin(LARGE)).isFalse();
-        replies.end(LARGE);
-        assertThat(replies.begin(LARGE)).isTrue();
+        assertThat(replies.begin(LARGE, 0)).isTrue();
+        assertThat(replies.begin(LARGE, 0)).isTrue();
+        assertThat(replies.begin(LARGE, 0)).isFalse();
+        replies.end(LARGE, 0);
+        assertThat(replies.begin(LARGE, 0)).isTrue();
     }
 
     @Test
     void alwaysSendsSmallReplies() {
-        replies.begin(LARGE);
-        replies.begin(LARGE);
-        assertThat(replies.begin(SMALL)).isTrue();
-        replies.end(SMALL);
-        assertThat(replies.begin(LARGE)).isFalse();
+        replies.begin(LARGE, 0);
+        replies.begin(LARGE, 0);
+        assertThat(replies.begin(SMALL, 0)).isTrue();
+        replies.end(SMALL, 0);
+        assertThat(replies.begin(LARGE, 0)).isFalse();
+    }
+
+    /** Guards against a router that passes on nothing any more, as two routers died while they were sent a reply. */
+    @Test
+    void sendsLargeRepliesAgainAfterTwoThatDoNotEnd() {
+        replies.begin(LARGE, 0);
+        replies.begin(LARGE, 1);
+        assertThat(replies.begin(LARGE, 3_999)).isFalse();
+        assertThat(replies.begin(LARGE, 4_000)).isTrue();
+        replies.end(LARGE, 0);
+        assertThat(replies.begin(LARGE, 4_000)).isFalse();
+        assertThat(replies.begin(LARGE, 4_001)).isTrue();
     }
 }
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/gossip/VirtualFleet.java
@@ -332,16 +332,17 @@
                 deliver(own, peer, () -> {
                     NewsReply reply = peer.hub.documents(request.getDocuments());
                     int bytes = reply.getSerializedSize();
-                    if (peer.largeReplies.begin(bytes)) {
-                        links.transfer(peer, own, this, bytes, () -> replied(reply, bytes));
+                    long begunMillis = nowMillis;
+                    if (peer.largeReplies.begin(bytes, begunMillis)) {
+                        links.transfer(peer, own, this, bytes, () -> replied(reply, bytes, begunMillis));
                     }
                 });
             }
             return true;
         }
 
-        private void replied(NewsReply reply, int bytes) {
-            peer.largeReplies.end(bytes);
+        private void replied(NewsReply reply, int bytes, long begunMillis) {
+            peer.largeReplies.end(bytes, begunMillis);
             deliver(
                     peer,
                     own,
