--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/ReadinessLogTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/ReadinessLogTest.java
@@ -23,12 +23,12 @@
 import org.apricotstack.core.upstream.UpstreamTable;
 import org.apricotstack.serving.http.ServingLoop;
 import org.apricotstack.serving.observe.DecisionLog;
+import org.apricotstack.serving.publication.OnlyReader;
 import org.apricotstack.serving.publication.Publication;
 import org.apricotstack.serving.publication.PublicationDecoder;
 import org.apricotstack.serving.publication.PublicationFollower;
 import org.apricotstack.serving.publication.PublicationSource;
 import org.apricotstack.serving.publication.PublishedState;
-import org.apricotstack.serving.publication.ReaderDuty;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -97,29 +97,6 @@
         }
     }
 
-    /** The duty of a router without others. */
-    private static final class OnlyReader implements ReaderDuty {
-        @Override
-        public int platformReaders() {
-            return 1;
-        }
-
-        @Override
-        public boolean mustReadPlatform() {
-            return true;
-        }
-
-        @Override
-        public long checkAgeMillis() {
-            return Long.MAX_VALUE;
-        }
-
-        @Override
-        public void announceVerified() {
-            // There is nobody to tell.
-        }
-    }
-
     private List<String> lines(String event) {
         log.close();
         return out.toString(StandardCharsets.UTF_8)
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/publication/PublicationFollowerTest.java
@@ -65,29 +65,6 @@
         }
     }
 
-    /** The duty of a router without others, which never checks. */
-    private static final class OnlyReader implements ReaderDuty {
-        @Override
-        public int platformReaders() {
-            return 1;
-        }
-
-        @Override
-        public boolean mustReadPlatform() {
-            return true;
-        }
-
-        @Override
-        public long checkAgeMillis() {
-            return Long.MAX_VALUE;
-        }
-
-        @Override
-        public void announceVerified() {
-            // There is nobody to tell.
-        }
-    }
-
     /** A platform whose watches require the next snapshot at once, until there is none. */
     private static final class SnapshotSource implements PublicationSource {
 
