--- a/apricotstack-core/src/main/java/org/apricotstack/core/http/ResponseHeadSyntax.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/http/ResponseHeadSyntax.java
@@ -206,23 +206,23 @@
             append(name, next);
             return null;
         }
-        return next == ' ' || next == '\t' ? expect(Part.BEFORE_COLON) : colon(next, HeadViolation.NAME);
+        return next == ' ' || next == '\t' ? expect(Part.BEFORE_COLON) : colon(next);
     }
 
     /** Reads a byte behind a name and white space. */
     private HeadViolation beforeColon(int next) {
-        return next == ' ' || next == '\t' ? null : colon(next, HeadViolation.NAME);
+        return next == ' ' || next == '\t' ? null : colon(next);
     }
 
     /** Reads the colon behind a name. */
-    private HeadViolation colon(int next, HeadViolation violation) {
+    private HeadViolation colon(int next) {
         return switch (next) {
             case ':' -> {
                 frames = name.length() == CONTENT_LENGTH.length() || name.length() == TRANSFER_ENCODING.length();
                 yield expect(Part.VALUE);
             }
             case '\r', '\n' -> HeadViolation.COLON;
-            default -> violation;
+            default -> HeadViolation.NAME;
         };
     }
 
