Notice a lost outcome of a full read as soon as before

What operators would see: a reader of the platform whose call had a whole response, but whose outcome was lost on the way (an error that the library drops), read again after 10.5 s instead of 2 s.

Change: the collector of a response renews that time whenever it checks its limits, so that it ends half a second after the next check, which is at most 1.5 s away.

Test: CallLimitsTest.noticesALostOutcomeSoonAfterTheSilenceThatIsAllowed failed before (no failure after 2.0 s) and passes now. A first form of the change let the lost outcome be reported instead of the limit that passed; the other cases caught it.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/http/HttpCalls.java
@@ -86,10 +86,8 @@
             boolean fresh,
             Consumer<HttpResponse> onHead) {
         return Mono.create(sink -> {
-            sink.contextView()
-                    .<OutcomeSubscriber<?>>getOrEmpty(OutcomeSubscriber.class)
-                    .ifPresent(subscriber -> subscriber.stepStarted(limits.totalMillis()));
-            ResponseCollector collector = new ResponseCollector(loop, sink, address, limits, onHead);
+            OutcomeSubscriber<?> subscriber = sink.contextView().getOrDefault(OutcomeSubscriber.class, null);
+            ResponseCollector collector = new ResponseCollector(loop, sink, subscriber, address, limits, onHead);
             UpstreamCall call =
                     connections.send(address, PLAIN, null, request, Unpooled.wrappedBuffer(body), fresh, collector);
             collector.start(call);
@@ -107,6 +105,7 @@
     private static final class ResponseCollector implements UpstreamListener {
         private final ServingLoop loop;
         private final MonoSink<Response> sink;
+        private final OutcomeSubscriber<?> subscriber;
         private final Address address;
         private final CallLimits limits;
         private final long startedMillis;
@@ -118,15 +117,17 @@
         private UpstreamCall call;
         private long lastArrivalMillis;
 
-        /** Creates a collector. */
+        /** Creates a collector; the subscriber is {@code null} if nothing else notices a lost outcome. */
         private ResponseCollector(
                 ServingLoop loop,
                 MonoSink<Response> sink,
+                OutcomeSubscriber<?> subscriber,
                 Address address,
                 CallLimits limits,
                 Consumer<HttpResponse> onHead) {
             this.loop = loop;
             this.sink = sink;
+            this.subscriber = subscriber;
             this.address = address;
             this.limits = limits;
             this.onHead = onHead;
@@ -148,6 +149,9 @@
             long now = loop.nowMillis();
             long totalLeftMillis = startedMillis + limits.totalMillis() - now;
             long leftMillis = Math.min(totalLeftMillis, lastArrivalMillis + limits.silenceMillis() - now);
+            if (subscriber != null) {
+                subscriber.stepStarted(Math.max(0, leftMillis));
+            }
             if (leftMillis > 0) {
                 timeout = loop.schedule(leftMillis, this::checkLimits);
                 return;
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallLimitsTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/http/CallLimitsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -25,6 +26,8 @@
     private static final int PARTS = 6;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
+    private ServingLoop loop;
+    private HttpCalls calls;
     private long nowMillis;
     private HttpCalls.Response response;
     private Throwable failure;
@@ -32,17 +35,23 @@
     @BeforeEach
     void call() {
         channel.freezeTime();
-        ServingLoop loop = new ServingLoop(() -> TimeUnit.MILLISECONDS.toNanos(nowMillis), channel.eventLoop());
+        loop = new ServingLoop(() -> TimeUnit.MILLISECONDS.toNanos(nowMillis), channel.eventLoop());
         ConnectionOpener opener = new ConnectionOpener() {
             @Override
             public Future<OpenedConnection> open(Address address, int timeoutMillis) {
                 return loop.loop().newSucceededFuture(new OpenedConnection(channel, null));
             }
         };
-        HttpCalls calls = new HttpCalls(loop, new UpstreamConnections(loop, opener, new LinkTable(), unmatched -> {}));
+        calls = new HttpCalls(loop, new UpstreamConnections(loop, opener, new LinkTable(), unmatched -> {}));
+    }
+
+    private Mono<HttpCalls.Response> newCall() {
         DefaultHttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-        calls.call(new Address("127.0.0.1", 1), request, new byte[0], LIMITS, true, head -> {})
-                .subscribe(result -> response = result, thrown -> failure = thrown);
+        return calls.call(new Address("127.0.0.1", 1), request, new byte[0], LIMITS, true, head -> {});
+    }
+
+    private void subscribe(Mono<HttpCalls.Response> call) {
+        OutcomeSubscriber.subscribe(loop, call, result -> response = result, thrown -> failure = thrown);
         channel.runPendingTasks();
     }
 
@@ -64,6 +73,7 @@
     /** Guards against a large document that no router ever reads whole, as each read begins anew. */
     @Test
     void waitsForAResponseThatKeepsArriving() {
+        subscribe(newCall());
         receive("HTTP/1.1 200 OK\r\nContent-Length: " + PARTS * PART_CHARS + "\r\n\r\n");
         for (int i = 0; i < PARTS; i++) {
             advance(LIMITS.silenceMillis() - 1);
@@ -75,6 +85,7 @@
 
     @Test
     void givesUpAfterASilence() {
+        subscribe(newCall());
         receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho");
         advance(LIMITS.silenceMillis() - 1);
         assertThat(failure).isNull();
@@ -84,6 +95,7 @@
 
     @Test
     void givesUpAResponseWithoutEnd() {
+        subscribe(newCall());
         receive("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
         for (long waited = 0; waited < LIMITS.totalMillis(); waited += 1_000) {
             assertThat(failure).isNull();
@@ -92,4 +104,13 @@
         }
         assertThat(failure).hasMessageContaining("did not answer in 10000 ms");
     }
+
+    /** Guards against a reader of the platform that waits for an outcome that was lost after a whole response. */
+    @Test
+    void noticesALostOutcomeSoonAfterTheSilenceThatIsAllowed() {
+        subscribe(newCall().flatMap(lost -> Mono.never()));
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+        advance(LIMITS.silenceMillis() + OutcomeSubscriber.GRACE_MILLIS);
+        assertThat(failure).hasMessageContaining("was not handled in time");
+    }
 }
