--- a/review/standin-2/Scene.java
+++ b/review/standin-2/Scene.java
@@ -21,6 +21,8 @@
     Scene(Stand.Record record) throws IOException {
         this.record = record;
         store = new Stand.Store(net + "250", 18223);
+        // Also if the case itself is ended by a signal, none of its routers goes on.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> routers.forEach(Stand.Router::kill)));
     }
 
     /** A route; the kind may be followed by further fields. */
--- a/review/standin-2/Stand.java
+++ b/review/standin-2/Stand.java
@@ -407,6 +407,12 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         }
 
+        void kill() {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+
         void end() throws Exception {
             if (process != null) {
                 process.destroyForcibly();
