--- a/review/standin-2/Scene.java
+++ b/review/standin-2/Scene.java
@@ -104,5 +104,11 @@
             replica.close();
         }
         store.close();
+        try (java.util.stream.Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
     }
 }
