Take late requests of a stopping router only if their deadline comes first

Cause: the time of a request is estimated once, from the load of its upstream at that moment. What the other routers send there later is in no estimate, and nothing revises the decision. The logs show 4,154 to 4,211 ms estimated, 4,503 to 4,487 ms left, the published pace, first events in time, and the prompts of the other routers at the same engine afterwards. Ruled out: a wrong estimate (without late prompts the streams are whole), a slow engine (pace 100), waits, moves and preemption (one attempt each).

Change: what arrives later than 2.9 s after the recorded signal, while another router is ready, is taken only if its deadline comes before the end of the process; no load moves a deadline. Others are rejected at once, as not run. The same rule says which other stopping routers a rejected caller may return to. Log lines name the time that had to be left (needed_millis).

--- a/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/stop/StopPolicy.java
@@ -2,6 +2,8 @@
 
 import java.util.stream.LongStream;
 
+import org.apricotstack.core.time.StallDetector;
+
 /** Decides how long a stopping router takes requests, and when its process ends. */
 public final class StopPolicy {
 
@@ -11,6 +13,9 @@
     /** Time after the signal in which callers may not know of the stop, in milliseconds. */
     private static final long UNAWARE_MILLIS = 3_000;
 
+    /** A signal may be older than it looks by a delay that does not count as a stall, in milliseconds. */
+    private static final long SIGNAL_DELAY_MILLIS = StallDetector.INTERVAL_MILLIS;
+
     /** Time from the end of a process until the next one on its host is ready, in milliseconds. */
     private static final long RESTART_MILLIS = 1_000;
 
@@ -54,45 +59,70 @@
     }
 
     /**
-     * Returns whether a request has to fit with a silence of its upstream into the time that is left. One that arrived
-     * before its caller could know of the stop has to fit without: a rejection may cost the caller seconds, and a
-     * silence is rare.
+     * Returns the time that has to be left for a request, so that the end of the process does not cut it.
+     *
+     * <p>The other routers may send more requests to its upstream later, and no estimate bounds what these cost. One
+     * that arrived late is therefore taken only if its deadline comes before the end. Its caller can go to another
+     * router; an earlier one, or one without another router, may lose seconds by a rejection.
+     *
+     * @param duration how long the request takes
+     * @param others the other routers
+     * @param arrivedMillis when the request arrived
+     * @return milliseconds
+     */
+    public long neededMillis(RequestDuration duration, OtherRouters others, long arrivedMillis) {
+        return isLate(others, arrivedMillis) ? duration.limitMillis() : duration.longestMillis();
+    }
+
+    /**
+     * Returns whether a request arrived after its caller could know of the stop, and another router is ready.
      *
      * @param others the other routers
      * @param arrivedMillis when the request arrived
-     * @return {@code false} also if no other router is ready
+     * @return {@code false} also if this router is not stopping
      */
-    public boolean allowsForSilence(OtherRouters others, long arrivedMillis) {
-        return others.ready() && timeline.elapsedMillis(arrivedMillis) > UNAWARE_MILLIS;
+    public boolean isLate(OtherRouters others, long arrivedMillis) {
+        return isLateAfter(others, timeline.elapsedMillis(arrivedMillis));
+    }
+
+    /** Returns the same for a request that arrives the given time after the signal of its router. */
+    private static boolean isLateAfter(OtherRouters others, long elapsedMillis) {
+        return others.ready() && elapsedMillis > UNAWARE_MILLIS - SIGNAL_DELAY_MILLIS;
     }
 
     /**
      * Returns when a rejected caller is served by any router whose address it may still cache, except this one.
      *
      * @param others the other routers
-     * @param longestMillis the longest time that the request takes, in milliseconds
+     * @param duration how long the request takes
      * @param nowMillis the current time
      * @return time until the caller should send its request again, in milliseconds
      */
-    public long retryAfterMillis(OtherRouters others, long longestMillis, long nowMillis) {
+    public long retryAfterMillis(OtherRouters others, RequestDuration duration, long nowMillis) {
         return LongStream.concat(
                         LongStream.of(OTHER_ROUTER_MILLIS),
                         others.stopLeftMillis().stream().mapToLong(this::forgottenInMillis))
                 .filter(afterMillis -> afterMillis >= OTHER_ROUTER_MILLIS)
-                .filter(afterMillis -> served(others, longestMillis, afterMillis))
+                .filter(afterMillis -> served(others, duration, afterMillis))
                 .min()
-                .orElseGet(() -> restartedInMillis(others, longestMillis, nowMillis));
+                .orElseGet(() -> restartedInMillis(others, duration.longestMillis(), nowMillis));
     }
 
     /** Returns whether every other router that callers may go to after the given time takes the request. */
-    private boolean served(OtherRouters others, long longestMillis, long afterMillis) {
-        boolean anyTakes = others.ready() || others.longestLeftMillis() - afterMillis >= longestMillis;
+    private boolean served(OtherRouters others, RequestDuration duration, long afterMillis) {
+        boolean anyTakes = others.ready() || others.longestLeftMillis() - afterMillis >= duration.longestMillis();
         return anyTakes
                 && others.stopLeftMillis().stream()
-                        .allMatch(leftMillis -> leftMillis - afterMillis >= longestMillis
+                        .allMatch(leftMillis -> stoppingTakes(others, duration, leftMillis - afterMillis)
                                 || forgottenInMillis(leftMillis) <= afterMillis);
     }
 
+    /** Returns whether another stopping router takes the request when it has the given time left. */
+    private boolean stoppingTakes(OtherRouters others, RequestDuration duration, long leftMillis) {
+        boolean late = isLateAfter(others, timeline.durationMillis() - leftMillis);
+        return leftMillis >= (late ? duration.limitMillis() : duration.longestMillis());
+    }
+
     /** Returns the time until no caller caches the address of a router with the given time left, in milliseconds. */
     private long forgottenInMillis(long leftMillis) {
         return cachedMillis - (timeline.durationMillis() - leftMillis);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/CompletionTimes.java
@@ -6,7 +6,6 @@
 import com.codahale.metrics.SlidingWindowReservoir;
 import org.apricotstack.core.engine.EngineLoad;
 import org.apricotstack.core.engine.EngineLoadTable;
-import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.time.StallDetector;
 
@@ -85,18 +84,9 @@
 
     /** Estimates the shortest time of the longest answer to a request, in milliseconds; its deadline bounds it. */
     long leastMillis(RequestFacts facts, long nowMillis) {
-        return leastMillis(facts, 0, nowMillis);
-    }
-
-    /** Estimates the same for an upstream that is silent once for the given time. */
-    long leastMillis(RequestFacts facts, long silenceMillis, long nowMillis) {
-        double millis;
-        if (facts.runsOnEngines()) {
-            EngineProfile engine = facts.profile().engine().orElseThrow();
-            millis = facts.answerTokens() * engine.decodeStepMillis() + silenceMillis;
-        } else {
-            millis = plainMillis(facts, silenceMillis);
-        }
+        double millis = facts.runsOnEngines()
+                ? facts.answerTokens() * facts.profile().engine().orElseThrow().decodeStepMillis()
+                : plainMillis(facts, 0);
         return Math.min(facts.remainingMillis(nowMillis), Math.round(millis));
     }
 
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.Sets;
 import org.apricotstack.core.id.UpstreamId;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.SoundSilence;
 import org.apricotstack.serving.observe.KeptCause;
@@ -93,8 +94,7 @@
             return KeptCause.TOO_DEAR;
         }
         boolean foundDead = kind == FailureKind.SILENT && attempt.choice().placement() != null;
-        long silenceMillis = foundDead ? 0 : context.stop().silenceMillis(facts);
-        return completesBeforeStop(choice, silenceMillis) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
+        return completesBeforeStop(choice, foundDead) || outlastsSoundSilence() ? null : KeptCause.STOPPING;
     }
 
     /** Returns whether the request would not be sent to the chosen upstreams now, as they are too expensive. */
@@ -110,14 +110,21 @@
     }
 
     /**
-     * Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router, also
-     * after a silence of the given length.
+     * Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. Unless
+     * the engine was found dead, the next one has to have time for a silence too, and a request without an answer has
+     * to be one that would still be taken.
      */
-    private boolean completesBeforeStop(UpstreamChoice choice, long silenceMillis) {
+    private boolean completesBeforeStop(UpstreamChoice choice, boolean foundDead) {
         StopGate stop = context.stop();
         long now = context.nowMillis();
-        return !stop.timeline().stopping()
-                || stop.takes(stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now), now);
+        if (!stop.timeline().stopping()) {
+            return true;
+        }
+        long silenceMillis = foundDead ? 0 : stop.silenceMillis(facts);
+        long restMillis = stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now);
+        return foundDead || progress.answerStarted()
+                ? stop.takes(restMillis, now)
+                : stop.takes(facts, new RequestDuration(restMillis, facts.remainingMillis(now)), now);
     }
 
     /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -16,6 +16,7 @@
 import org.apricotstack.core.route.KeyedAccount;
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.upstream.UpstreamEntry;
 import org.apricotstack.serving.http.CallerExchange;
@@ -83,10 +84,10 @@
         long now = context.nowMillis();
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, now);
         StopGate stop = context.stop();
-        if (stop.timeline().stopping() && !stop.takes(stop.longestMillis(facts, null, now), now)) {
+        RequestDuration duration = stop.duration(facts, null, now);
+        if (stop.timeline().stopping() && !stop.takes(facts, duration, now)) {
             stop.countRejected();
-            long retryMillis = stop.retryAfterMillis(stop.longestMillis(facts, null, now), now);
-            return refuse(request, exchange, RefusalCause.STOPPING, retryMillis);
+            return refuse(request, exchange, RefusalCause.STOPPING, stop.retryAfterMillis(duration, now));
         }
         RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, running::remove);
         running.add(run);
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestLog.java
@@ -6,6 +6,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.RateLimit;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.core.suspect.RequestTrait;
@@ -86,9 +87,10 @@
 
     /**
      * Logs an attempt and the upstreams that were skipped for it; on a stopping router also the longest time of the
-     * request, whether another router is ready, and the pace that the chosen engine last reported.
+     * request, the time that had to be left for it, whether another router is ready, and the pace that the chosen
+     * engine last reported.
      */
-    void sent(UpstreamChoice choice, SkippedUpstreams skipped, long longestMillis, long nowMillis) {
+    void sent(UpstreamChoice choice, SkippedUpstreams skipped, RequestDuration duration, long nowMillis) {
         skipped.byCause().forEach(this::count);
         DecisionLog.Line line = line("sent")
                 .put("attempt", attempts.sent())
@@ -111,7 +113,8 @@
         StopGate stop = context.stop();
         if (stop.timeline().stopping()) {
             line.put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
-                    .put("longest_millis", longestMillis)
+                    .put("longest_millis", duration.longestMillis())
+                    .put("needed_millis", stop.neededMillis(facts, duration))
                     .put("ready_router", stop.others().ready())
                     .put("pace_percent", pacePercent(choice));
         }
@@ -267,12 +270,13 @@
     }
 
     /** Logs the figures by which a stopping router rejects the request. */
-    void rejectedAsStopping(long longestMillis, long nowMillis) {
+    void rejectedAsStopping(RequestDuration duration, long nowMillis) {
         StopGate stop = context.stop();
         line("rejected_by_stop")
                 .put("stopping_millis", stop.timeline().elapsedMillis(nowMillis))
                 .put("stop_left_millis", stop.timeline().leftMillis(nowMillis))
-                .put("longest_millis", longestMillis)
+                .put("longest_millis", duration.longestMillis())
+                .put("needed_millis", stop.neededMillis(facts, duration))
                 .put("ready_router", stop.others().ready())
                 .put("other_left_millis", stop.others().longestLeftMillis())
                 .write();
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestRun.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.retry.FleetRetryBudget;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.suspect.RequestTrait;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.serving.http.CallerExchange;
@@ -322,7 +323,7 @@
         long now = context.nowMillis();
         log.cutByStop(sender.current(), exchange.answerStarted(), now);
         attempts.endedInFlight(sender.current());
-        endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(0, now));
+        endWithRefusal(RefusalCause.STOPPING, context.stop().retryAfterMillis(RequestDuration.NONE, now));
     }
 
     /** Ends the run because its time limit has passed. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -8,6 +8,7 @@
 import org.apricotstack.core.id.UpstreamId;
 import org.apricotstack.core.ratelimit.PermitWaitPolicy;
 import org.apricotstack.core.route.RequestKind;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.suspect.SuspectDecision;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.RetryAfterJitter;
@@ -37,7 +38,7 @@
     private ReservedHelpers reserved;
     private boolean waitsForCapacity;
     private boolean waitsForTrial;
-    private long longestMillis;
+    private RequestDuration duration = RequestDuration.NONE;
 
     /** Creates a sender that has no body yet. */
     RequestSender(
@@ -125,33 +126,34 @@
         if (!stop.timeline().stopping() || progress.answerStarted()) {
             return false;
         }
-        longestMillis = stop.longestMillis(facts, choice, now);
+        duration = stop.duration(facts, choice, now);
         return rejectsAsStopping(now);
     }
 
     /** Returns whether this router still has time for the request, as far as is known before an upstream is chosen. */
     boolean mayComplete(long now) {
         StopGate stop = context.stop();
-        return !stop.timeline().stopping() || stop.takes(stop.longestMillis(facts, null, now), now);
+        return !stop.timeline().stopping() || stop.takes(facts, stop.duration(facts, null, now), now);
     }
 
     /** Rejects the request if the time became too short while it waited for reservations and a permit. */
     private boolean rejectsBeforeSending(UpstreamChoice choice, long now) {
-        if (longestMillis == 0) {
+        if (duration.equals(RequestDuration.NONE)) {
             return rejectsAsStopping(choice, now);
         }
         return !progress.answerStarted() && rejectsAsStopping(now);
     }
 
-    /** Rejects the request if its longest time no longer fits into the time that is left. */
+    /** Rejects the request if the time that it needs is no longer left. */
     private boolean rejectsAsStopping(long now) {
         StopGate stop = context.stop();
-        if (stop.takes(longestMillis, now)) {
+        duration = new RequestDuration(duration.longestMillis(), facts.remainingMillis(now));
+        if (stop.takes(facts, duration, now)) {
             return false;
         }
         stop.countRejected();
-        log.rejectedAsStopping(longestMillis, now);
-        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(longestMillis, now));
+        log.rejectedAsStopping(duration, now);
+        run.endWithRefusal(RefusalCause.STOPPING, stop.retryAfterMillis(duration, now));
         return true;
     }
 
@@ -358,7 +360,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, chooser.skippedUpstreams(facts.service()), longestMillis, now);
+        log.sent(choice, chooser.skippedUpstreams(facts.service()), duration, now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -4,6 +4,7 @@
 
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.stop.OtherRouters;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.stop.StopTimeline;
 import org.apricotstack.core.time.StallDetector;
@@ -52,18 +53,30 @@
     }
 
     /**
-     * Estimates the longest time of a request, in milliseconds; the choice is {@code null} while there is none.
+     * Returns how long a request takes; the choice is {@code null} while there is none.
      */
-    long longestMillis(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
-        long silenceMillis = silenceMillis(facts);
-        return choice == null
-                ? times.leastMillis(facts, silenceMillis, nowMillis)
-                : restMillis(facts, 0, choice, silenceMillis, nowMillis);
+    RequestDuration duration(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
+        long longestMillis =
+                choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, 0, nowMillis);
+        return new RequestDuration(longestMillis, facts.remainingMillis(nowMillis));
     }
 
-    /** Returns the silence of its upstream that a request has to allow for, in milliseconds; 0 for none. */
+    /** Returns the time that has to be left for a request, in milliseconds. */
+    long neededMillis(RequestFacts facts, RequestDuration duration) {
+        return policy.neededMillis(duration, others.get(), facts.arrivedMillis());
+    }
+
+    /** Returns whether the end of the process would not cut a request. */
+    boolean takes(RequestFacts facts, RequestDuration duration, long nowMillis) {
+        return takes(neededMillis(facts, duration), nowMillis);
+    }
+
+    /**
+     * Returns the silence of its next upstream that a request has to allow for when it is moved there, in milliseconds;
+     * 0 for none.
+     */
     long silenceMillis(RequestFacts facts) {
-        return policy.allowsForSilence(others.get(), facts.arrivedMillis()) ? SoundSilence.LONGEST_MILLIS : 0;
+        return policy.isLate(others.get(), facts.arrivedMillis()) ? SoundSilence.LONGEST_MILLIS : 0;
     }
 
     /**
@@ -84,8 +97,8 @@
     }
 
     /** Returns the retry-after for the caller of a rejected request, in milliseconds. */
-    long retryAfterMillis(long longestMillis, long nowMillis) {
-        return policy.retryAfterMillis(others.get(), longestMillis, nowMillis);
+    long retryAfterMillis(RequestDuration duration, long nowMillis) {
+        return policy.retryAfterMillis(others.get(), duration, nowMillis);
     }
 
     /** Returns the other routers. */
