Weigh late requests anew until they are sent

Its remaining time is taken at each decision instead of with the estimate, so that a wait for a reservation or a permit makes no short deadline look too long.

--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.Sets;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.upstream.FailureKind;
 import org.apricotstack.core.upstream.SoundSilence;
 import org.apricotstack.serving.observe.KeptCause;
@@ -124,7 +123,7 @@
         long restMillis = stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now);
         return foundDead || progress.answerStarted()
                 ? stop.takes(restMillis, now)
-                : stop.takes(facts, new RequestDuration(restMillis, facts.remainingMillis(now)), now);
+                : stop.takes(facts, facts.duration(restMillis, now), now);
     }
 
     /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestFacts.java
@@ -13,6 +13,7 @@
 import org.apricotstack.core.route.Route;
 import org.apricotstack.core.route.ServiceProfile;
 import org.apricotstack.core.route.ServingConfiguration;
+import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.suspect.PromptPart;
 import org.apricotstack.core.suspect.RequestDigest;
 import org.apricotstack.serving.http.CallerRequest;
@@ -75,6 +76,11 @@
         return endMillis - nowMillis;
     }
 
+    /** Returns how long the request takes, by the given estimate of its longest time in milliseconds. */
+    RequestDuration duration(long longestMillis, long nowMillis) {
+        return new RequestDuration(longestMillis, remainingMillis(nowMillis));
+    }
+
     /** Returns whether the request may wait longer for free capacity. */
     boolean mayWait(double predictedMillis, long nowMillis) {
         return PromptAdmission.mayWait(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestSender.java
@@ -38,7 +38,7 @@
     private ReservedHelpers reserved;
     private boolean waitsForCapacity;
     private boolean waitsForTrial;
-    private RequestDuration duration = RequestDuration.NONE;
+    private long longestMillis;
 
     /** Creates a sender that has no body yet. */
     RequestSender(
@@ -126,7 +126,7 @@
         if (!stop.timeline().stopping() || progress.answerStarted()) {
             return false;
         }
-        duration = stop.duration(facts, choice, now);
+        longestMillis = stop.duration(facts, choice, now).longestMillis();
         return rejectsAsStopping(now);
     }
 
@@ -138,7 +138,7 @@
 
     /** Rejects the request if the time became too short while it waited for reservations and a permit. */
     private boolean rejectsBeforeSending(UpstreamChoice choice, long now) {
-        if (duration.equals(RequestDuration.NONE)) {
+        if (longestMillis == 0) {
             return rejectsAsStopping(choice, now);
         }
         return !progress.answerStarted() && rejectsAsStopping(now);
@@ -147,7 +147,7 @@
     /** Rejects the request if the time that it needs is no longer left. */
     private boolean rejectsAsStopping(long now) {
         StopGate stop = context.stop();
-        duration = new RequestDuration(duration.longestMillis(), facts.remainingMillis(now));
+        RequestDuration duration = facts.duration(longestMillis, now);
         if (stop.takes(facts, duration, now)) {
             return false;
         }
@@ -360,7 +360,7 @@
                         facts.request(),
                         body.readableBytes(),
                         facts.forwarding(choice, reserved, progress.lastEventId(), now));
-        log.sent(choice, chooser.skippedUpstreams(facts.service()), duration, now);
+        log.sent(choice, chooser.skippedUpstreams(facts.service()), facts.duration(longestMillis, now), now);
         attempt.sent(
                 context.connections()
                         .send(
--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/StopGate.java
@@ -58,7 +58,7 @@
     RequestDuration duration(RequestFacts facts, UpstreamChoice choice, long nowMillis) {
         long longestMillis =
                 choice == null ? times.leastMillis(facts, nowMillis) : restMillis(facts, 0, choice, 0, nowMillis);
-        return new RequestDuration(longestMillis, facts.remainingMillis(nowMillis));
+        return facts.duration(longestMillis, nowMillis);
     }
 
     /** Returns the time that has to be left for a request, in milliseconds. */
