--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/AccountName.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/AccountName.java
@@ -6,18 +6,19 @@
 import org.apricotstack.core.failure.ErrorCode;
 
 /**
- * Names a client account of the platform's configuration. Upstreams receive the name in a header field.
+ * Names a client account of the platform's configuration. Upstreams receive the name in a header field, in UTF-8.
  *
- * @param value the name: any characters of ISO 8859-1 but control characters, with spaces and tabs between others
+ * @param value the name: any characters but control characters of ASCII, with spaces and tabs between others
  */
 public record AccountName(String value) {
 
     /**
-     * A value that a header field can carry (RFC 9110, section 5.5). Recipients remove white space at both ends, so
-     * that such a name would arrive as another one.
+     * A value whose UTF-8 bytes a header field can carry (RFC 9110, section 5.5). Recipients remove spaces and tabs at
+     * both ends, so that such a name would arrive as another one; so would a name with half of a surrogate pair, which
+     * has no UTF-8 bytes of its own.
      */
-    private static final Pattern PATTERN =
-            Pattern.compile("[\\x21-\\x7e\\x80-\\xff](?:[\\t\\x20-\\x7e\\x80-\\xff]*[\\x21-\\x7e\\x80-\\xff])?");
+    private static final Pattern PATTERN = Pattern.compile(
+            "[^\\x00-\\x20\\x7f\\p{Cs}](?:[^\\x00-\\x08\\x0a-\\x1f\\x7f\\p{Cs}]*[^\\x00-\\x20\\x7f\\p{Cs}])?");
 
     /**
      * Checks the name.
@@ -29,7 +30,7 @@
             throw new ApricotException(
                     ErrorCode.INVALID_NAME,
                     "The client account name " + (value == null ? "is absent" : "is no value of a header field")
-                            + "; use visible characters of ISO 8859-1, with spaces between them only.");
+                            + "; use no control characters, and spaces between other characters only.");
         }
     }
 
