Accept services whose names have any characters

A route whose service has a space or a letter outside of ASCII in its name got 503, and the service was left out. Names of services are checked as those of data centres now.

--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/DataCentreId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/DataCentreId.java
@@ -1,8 +1,5 @@
 package org.apricotstack.core.id;
 
-import java.nio.charset.StandardCharsets;
-import java.util.regex.Pattern;
-
 /**
  * Names a data centre. Names are compared character by character; messages between routers carry them as UTF-8.
  *
@@ -10,16 +7,9 @@
  */
 public record DataCentreId(String value) implements Comparable<DataCentreId> {
 
-    private static final Pattern CHARACTERS = Pattern.compile("[^\\p{Cc}\\p{Cs}\\p{Zl}\\p{Zp}]+");
-
     /** Checks the name. */
     public DataCentreId {
-        if (!isValid(value)) {
-            throw Names.invalid(
-                    "data centre",
-                    value,
-                    "1 to " + Names.MAX_KEY_BYTES + " bytes of UTF-8 without control characters and line separators");
-        }
+        Names.requireText("data centre", value);
     }
 
     /**
@@ -29,9 +19,7 @@
      * @return whether a data centre may have this name
      */
     public static boolean isValid(String value) {
-        return value != null
-                && CHARACTERS.matcher(value).matches()
-                && value.getBytes(StandardCharsets.UTF_8).length <= Names.MAX_KEY_BYTES;
+        return Names.isText(value);
     }
 
     @Override
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/Names.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/Names.java
@@ -1,5 +1,6 @@
 package org.apricotstack.core.id;
 
+import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 
 import org.apricotstack.core.failure.ApricotException;
@@ -16,6 +17,9 @@
 
     private static final Pattern CHARACTERS = Pattern.compile("[A-Za-z0-9._:-]+");
 
+    /** Anything but control characters, line separators and halves of surrogate pairs. */
+    private static final Pattern TEXT = Pattern.compile("[^\\p{Cc}\\p{Cs}\\p{Zl}\\p{Zp}]+");
+
     private Names() {}
 
     /**
@@ -43,6 +47,29 @@
         }
     }
 
+    /**
+     * Checks one name that the platform's operators choose freely.
+     *
+     * @param kind what the name identifies, for the message
+     * @param value the name to check
+     * @throws ApricotException with {@link ErrorCode#INVALID_NAME} if it is not valid
+     */
+    static void requireText(String kind, String value) {
+        if (!isText(value)) {
+            throw invalid(
+                    kind,
+                    value,
+                    "1 to " + MAX_KEY_BYTES + " bytes of UTF-8 without control characters and line separators");
+        }
+    }
+
+    /** Tells whether a text is 1 to 200 bytes of UTF-8 without control characters and line separators. */
+    static boolean isText(String value) {
+        return value != null
+                && TEXT.matcher(value).matches()
+                && value.getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES;
+    }
+
     /** Creates the error for a name that is not valid. */
     static ApricotException invalid(String kind, String value, String allowed) {
         return new ApricotException(
--- a/apricotstack-core/src/main/java/org/apricotstack/core/id/ServiceId.java
+++ b/apricotstack-core/src/main/java/org/apricotstack/core/id/ServiceId.java
@@ -1,15 +1,16 @@
 package org.apricotstack.core.id;
 
 /**
- * Names a service that callers request: a use of a model, or a plain service.
+ * Names a service that callers request: a use of a model, or a plain service. Names are compared character by
+ * character; messages between routers carry them as UTF-8.
  *
- * @param value the name: 1 to 128 letters, digits, dots, hyphens, underscores or colons
+ * @param value the name: 1 to 200 bytes of UTF-8, of any characters but control characters and line separators
  */
 public record ServiceId(String value) implements Comparable<ServiceId> {
 
     /** Checks the name. */
     public ServiceId {
-        Names.require("service", value);
+        Names.requireText("service", value);
     }
 
     @Override
