--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/RequestDispatcher.java
@@ -84,10 +84,12 @@
         long now = context.nowMillis();
         RequestFacts facts = RequestFacts.of(request, configuration, route, account, now);
         StopGate stop = context.stop();
-        RequestDuration duration = stop.duration(facts, null, now);
-        if (stop.timeline().stopping() && !stop.takes(facts, duration, now)) {
-            stop.countRejected();
-            return refuse(request, exchange, RefusalCause.STOPPING, stop.retryAfterMillis(duration, now));
+        if (stop.timeline().stopping()) {
+            RequestDuration duration = stop.duration(facts, null, now);
+            if (!stop.takes(facts, duration, now)) {
+                stop.countRejected();
+                return refuse(request, exchange, RefusalCause.STOPPING, stop.retryAfterMillis(duration, now));
+            }
         }
         RequestRun run = new RequestRun(context, chooser, gate, gates, exchange, facts, running::remove);
         running.add(run);
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/LatePlacementTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/LatePlacementTest.java
@@ -5,33 +5,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EngineProfile;
-import org.apricotstack.core.id.Address;
-import org.apricotstack.core.id.DataCentreId;
-import org.apricotstack.core.id.ServiceId;
-import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.route.AccountKeys;
-import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.RequestKind;
-import org.apricotstack.core.route.Route;
-import org.apricotstack.core.route.RouteTable;
-import org.apricotstack.core.route.ServiceProfile;
-import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.route.WeightedService;
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.time.StallDetector;
-import org.apricotstack.core.upstream.UpstreamEntry;
-import org.apricotstack.serving.http.CallerRequest;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -41,10 +24,10 @@
 class LatePlacementTest {
 
     private static final int SEEDS = 600;
-    private static final ServiceId SERVICE = new ServiceId("s");
     private static final EngineProfile ENGINE =
             new EngineProfile(11, 315_000, 51, 0.85, 0.0062, 0.00285, 177, 0.184, 2_048, 1_622);
     private static final long STOP_MILLIS = 8_000;
+    private static final long TARGET_MILLIS = 100;
     private static final long PREFILL_MILLIS = 10;
     private static final long STREAM_PROMPT_TOKENS = 1_000;
     private static final long LATE_ANSWER_TOKENS = 1_600;
@@ -62,54 +45,20 @@
     }
 
     private static RequestFacts facts(long answerTokens, long deadlineMillis, long nowMillis) {
-        Route route = new Route(
-                "r",
-                "h",
-                "/",
+        return StopRequests.facts(
                 RequestKind.STREAMING,
-                deadlineMillis,
-                100,
-                1,
-                List.of(new WeightedService(SERVICE, 1)),
-                2,
-                true,
-                true,
-                100);
-        CallerRequest request = new CallerRequest(
-                "id",
-                "h",
-                "/",
-                null,
-                CallerRequest.NO_TIMEOUT,
-                null,
+                ENGINE,
+                TARGET_MILLIS,
                 STREAM_PROMPT_TOKENS,
                 answerTokens,
-                List.of(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
-        ServingConfiguration configuration = new ServingConfiguration(
-                1,
-                new RouteTable(List.of(route)),
-                Map.of(SERVICE, new ServiceProfile(SERVICE, 10, Optional.of(ENGINE))),
-                CallerLimits.DEFAULT,
-                AccountKeys.NOT_REQUIRED);
-        return RequestFacts.of(request, configuration, route, null, nowMillis);
-    }
-
-    private static UpstreamChoice choice(int engine) {
-        UpstreamEntry entry = new UpstreamEntry(
-                new UpstreamId("engine-" + engine, 1),
-                SERVICE,
-                new Address("10.0.0.1", 1 + engine),
-                new DataCentreId("east"),
-                8,
-                false,
-                1);
-        return new UpstreamChoice(entry, List.of(), null, PREFILL_MILLIS, false, false, false);
+                deadlineMillis,
+                nowMillis);
     }
 
     private boolean takes(RequestFacts facts, int engine, long nowMillis) {
         return gate.takes(facts, gate.duration(facts, null, nowMillis), nowMillis)
-                && gate.takes(facts, gate.duration(facts, choice(engine), nowMillis), nowMillis);
+                && gate.takes(
+                        facts, gate.duration(facts, StopRequests.choice(engine, PREFILL_MILLIS), nowMillis), nowMillis);
     }
 
     /** Guards against streams that are cut by the end of their router, as other routers fill their engines later. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopGateTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/StopGateTest.java
@@ -1,33 +1,15 @@
 package org.apricotstack.serving.run;
 
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EngineProfile;
-import org.apricotstack.core.id.Address;
-import org.apricotstack.core.id.DataCentreId;
-import org.apricotstack.core.id.ServiceId;
-import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.route.AccountKeys;
-import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.RequestKind;
-import org.apricotstack.core.route.Route;
-import org.apricotstack.core.route.RouteTable;
-import org.apricotstack.core.route.ServiceProfile;
-import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.route.WeightedService;
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.RequestDuration;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.time.StallDetector;
-import org.apricotstack.core.upstream.UpstreamEntry;
-import org.apricotstack.serving.http.CallerRequest;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -37,8 +19,8 @@
 /** What a stopping router takes, on a clock of its own. */
 class StopGateTest {
 
-    private static final ServiceId SERVICE = new ServiceId("s");
     private static final EngineProfile ENGINE = new EngineProfile(10, 100_000, 50, 1, 0.01, 0.004, 100, 0, 2_048, 800);
+    private static final long PROMPT_TOKENS = 5_000;
     private static final long ANSWER_TOKENS = 1_500;
     private static final long PREFILL_MILLIS = 100;
     private static final long STOP_MILLIS = 8_000;
@@ -55,9 +37,6 @@
     /** Shorter than a request of an engine takes. */
     private static final long SHORT_DEADLINE_MILLIS = 600;
 
-    private static final UpstreamEntry UPSTREAM = new UpstreamEntry(
-            new UpstreamId("engine", 1), SERVICE, new Address("10.0.0.1", 1), new DataCentreId("east"), 8, false, 1);
-
     private final EngineLoadTable loadTable = new EngineLoadTable();
     private final StopPolicy policy = new StopPolicy(STOP_MILLIS, new AddressLifetime(1));
     private boolean otherReady = true;
@@ -66,44 +45,14 @@
     private final long durationMillis = policy.timeline().durationMillis();
 
     private static RequestFacts facts(RequestKind kind, long deadlineMillis, long nowMillis) {
-        Route route = new Route(
-                "r",
-                "h",
-                "/",
-                kind,
-                deadlineMillis,
-                TARGET_MILLIS,
-                1,
-                List.of(new WeightedService(SERVICE, 1)),
-                2,
-                true,
-                true,
-                100);
-        CallerRequest request = new CallerRequest(
-                "id",
-                "h",
-                "/",
-                null,
-                CallerRequest.NO_TIMEOUT,
-                null,
-                5_000,
-                ANSWER_TOKENS,
-                List.of(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
-        Optional<EngineProfile> engine =
-                kind == RequestKind.STREAMING ? Optional.of(ENGINE) : Optional.<EngineProfile>empty();
-        ServingConfiguration configuration = new ServingConfiguration(
-                1,
-                new RouteTable(List.of(route)),
-                Map.of(SERVICE, new ServiceProfile(SERVICE, 10, engine)),
-                CallerLimits.DEFAULT,
-                AccountKeys.NOT_REQUIRED);
-        return RequestFacts.of(request, configuration, route, null, nowMillis);
+        EngineProfile engine = kind == RequestKind.STREAMING ? ENGINE : null;
+        return StopRequests.facts(kind, engine, TARGET_MILLIS, PROMPT_TOKENS, ANSWER_TOKENS, deadlineMillis, nowMillis);
     }
 
     private UpstreamChoice choice() {
-        loadTable.load(UPSTREAM.id()).profile(ENGINE);
-        return new UpstreamChoice(UPSTREAM, List.of(), null, PREFILL_MILLIS, false, false, false);
+        UpstreamChoice choice = StopRequests.choice(1, PREFILL_MILLIS);
+        loadTable.load(choice.upstream().id()).profile(ENGINE);
+        return choice;
     }
 
     /** Returns how long a request takes at the pace that is expected of its upstream. */
