--- a/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
+++ b/apricotstack-serving/src/main/java/org/apricotstack/serving/run/ReplacementCheck.java
@@ -110,8 +110,8 @@
 
     /**
      * Returns whether an attempt at the chosen upstreams would be complete before the end of a stopping router. Unless
-     * the engine was found dead, the next one has to have time for a silence too, and a request without an answer has
-     * to be one that would still be taken.
+     * the engine was found dead, a request without an answer has to be one that would still be taken, and a begun
+     * stream needs time for a silence of the next engine.
      */
     private boolean completesBeforeStop(UpstreamChoice choice, boolean foundDead) {
         StopGate stop = context.stop();
@@ -119,11 +119,11 @@
         if (!stop.timeline().stopping()) {
             return true;
         }
+        if (!foundDead && !progress.answerStarted()) {
+            return stop.takes(facts, stop.duration(facts, choice, now), now);
+        }
         long silenceMillis = foundDead ? 0 : stop.silenceMillis(facts);
-        long restMillis = stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now);
-        return foundDead || progress.answerStarted()
-                ? stop.takes(restMillis, now)
-                : stop.takes(facts, facts.duration(restMillis, now), now);
+        return stop.takes(stop.restMillis(facts, forwardedTokens(), choice, silenceMillis, now), now);
     }
 
     /** Returns the length of the part of an engine's answer that the caller has, in tokens. */
--- a/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
+++ b/apricotstack-serving/src/test/java/org/apricotstack/serving/run/CompletionTimesTest.java
@@ -1,32 +1,19 @@
 package org.apricotstack.serving.run;
 
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import org.apricotstack.core.engine.EngineLoadTable;
 import org.apricotstack.core.engine.EngineProfile;
 import org.apricotstack.core.id.Address;
 import org.apricotstack.core.id.DataCentreId;
 import org.apricotstack.core.id.ServiceId;
 import org.apricotstack.core.id.UpstreamId;
-import org.apricotstack.core.route.AccountKeys;
-import org.apricotstack.core.route.CallerLimits;
 import org.apricotstack.core.route.RequestKind;
-import org.apricotstack.core.route.Route;
-import org.apricotstack.core.route.RouteTable;
-import org.apricotstack.core.route.ServiceProfile;
-import org.apricotstack.core.route.ServingConfiguration;
-import org.apricotstack.core.route.WeightedService;
 import org.apricotstack.core.stop.AddressLifetime;
 import org.apricotstack.core.stop.OtherRouters;
 import org.apricotstack.core.stop.StopPolicy;
 import org.apricotstack.core.time.StallDetector;
 import org.apricotstack.core.upstream.UpstreamEntry;
-import org.apricotstack.serving.http.CallerRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -48,38 +35,8 @@
     private final CompletionTimes times = new CompletionTimes(loadTable, stalls);
 
     private static RequestFacts facts(boolean engine, long answerTokens) {
-        Route route = new Route(
-                "r",
-                "h",
-                "/",
-                engine ? RequestKind.STREAMING : RequestKind.SAFE,
-                LIMIT_MILLIS,
-                500,
-                1,
-                List.of(new WeightedService(SERVICE, 1)),
-                2,
-                true,
-                true,
-                100);
-        CallerRequest request = new CallerRequest(
-                "id",
-                "h",
-                "/",
-                null,
-                CallerRequest.NO_TIMEOUT,
-                null,
-                5_000,
-                answerTokens,
-                List.of(),
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
-        ServiceProfile profile = new ServiceProfile(SERVICE, 10, engine ? Optional.of(ENGINE) : Optional.empty());
-        ServingConfiguration configuration = new ServingConfiguration(
-                1,
-                new RouteTable(List.of(route)),
-                Map.of(SERVICE, profile),
-                CallerLimits.DEFAULT,
-                AccountKeys.NOT_REQUIRED);
-        return RequestFacts.of(request, configuration, route, null, 0);
+        RequestKind kind = engine ? RequestKind.STREAMING : RequestKind.SAFE;
+        return StopRequests.facts(kind, engine ? ENGINE : null, 500, 5_000, answerTokens, LIMIT_MILLIS, 0);
     }
 
     private UpstreamChoice choice(double predictedMillis) {
